--- /dev/null
+++ b/command/Skylark.cpp
@@ -0,0 +1,43 @@
+/// \file
+/// Defines the command line for operators, callers and experiments.
+
+#include "command/Verbs.h"
+
+#include <iomanip>
+#include <iostream>
+
+namespace {
+
+auto printHelp(std::ostream &Out) -> void {
+  Out << "The command line of skylarksaddle.\n\nUsage: skylark VERB "
+         "[OPTIONS]\n\n";
+  for (const auto &Each : skylark::allVerbs())
+    Out << "  " << std::left << std::setw(9) << Each.Name_ << Each.Summary_
+        << '\n';
+  Out << "\nskylark VERB --help tells more.\nExit status: 0 done, 1 refused, "
+         "2 wrong usage, 3 no entry reached,\n4 outcome unknown, 5 accepted "
+         "but not in force yet.\n";
+}
+
+} // namespace
+
+auto main(int Count, char **Arguments) -> int {
+  const std::string Name = Count > 1 ? Arguments[1] : "";
+  if (Name.empty() || Name == "--help" || Name == "-h") {
+    printHelp(Name.empty() ? std::cerr : std::cout);
+    return Name.empty() ? static_cast<int>(skylark::ExitStatus::Usage) : 0;
+  }
+  for (const auto &Each : skylark::allVerbs()) {
+    if (Name != Each.Name_)
+      continue;
+    try {
+      return static_cast<int>(Each.Run_(Each, Count - 1, Arguments + 1));
+    } catch (const std::exception &Error) {
+      std::cerr << "skylark " << Name << ": " << Error.what() << '\n';
+      return static_cast<int>(skylark::ExitStatus::Usage);
+    }
+  }
+  std::cerr << "skylark: there is no verb \"" << Name << "\".\n";
+  printHelp(std::cerr);
+  return static_cast<int>(skylark::ExitStatus::Usage);
+}
--- /dev/null
+++ b/command/Verbs.cpp
@@ -0,0 +1,434 @@
+#include "command/Verbs.h"
+
+#include "command/ApiCaller.h"
+#include "wire/DocumentText.h"
+#include "wire/Settings.h"
+
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace skylark {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Seconds CallTimeout{30};
+constexpr Millis PollEvery{300};
+
+auto baseOptions(const Verb &Self) -> cxxopts::Options {
+  cxxopts::Options Options(std::string("skylark ") + Self.Name_,
+                           std::string(Self.Summary_) +
+                               "\nExample: " + Self.Example_);
+  Options.add_options()(
+      "entry", "address of an entry, or of the balancer",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:8080"))(
+      "json", "print the answer as JSON")("h,help", "print this text")(
+      "arguments", "what the verb is about",
+      cxxopts::value<std::vector<std::string>>());
+  Options.parse_positional({"arguments"});
+  return Options;
+}
+
+/// The parsed command line of one verb.
+struct Line {
+  cxxopts::ParseResult Parsed_;
+
+  auto entry() const -> std::string {
+    return Parsed_["entry"].as<std::string>();
+  }
+  auto json() const -> bool { return Parsed_.count("json") != 0; }
+  auto arguments() const -> std::vector<std::string> {
+    if (Parsed_.count("arguments") == 0)
+      return {};
+    return Parsed_["arguments"].as<std::vector<std::string>>();
+  }
+};
+
+auto readFile(const std::string &Name) -> std::string {
+  std::ifstream In(Name);
+  if (!In)
+    throw std::runtime_error("The file \"" + Name + "\" can't be read.");
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
+auto callOf(const Line &Each, std::string Method, const std::string &Path)
+    -> HttpCall {
+  HttpCall Call;
+  Call.Method_ = std::move(Method);
+  Call.Url_ = "http://" + Each.entry() + Path;
+  Call.Timeout_ = CallTimeout;
+  return Call;
+}
+
+auto statusOf(const HttpResult &Answer) -> ExitStatus {
+  if (!Answer.Whole_)
+    return Answer.NeverSent_ ? ExitStatus::Unreachable
+                             : ExitStatus::OutcomeUnknown;
+  constexpr std::uint16_t Accepted = 202;
+  constexpr std::uint16_t FirstError = 400;
+  if (Answer.Status_ == Accepted)
+    return ExitStatus::NotInForce;
+  if (Answer.Status_ < FirstError)
+    return ExitStatus::Done;
+  const auto Problem = Json::parse(Answer.Body_, nullptr, false);
+  const auto Unknown =
+      Problem.is_object() && Problem.value("ran", "") == "unknown";
+  return Unknown ? ExitStatus::OutcomeUnknown : ExitStatus::Refused;
+}
+
+auto printProblem(const HttpResult &Answer) -> void {
+  if (!Answer.Whole_) {
+    std::cerr << (Answer.NeverSent_ ? "No entry answers at this address.\n"
+                                    : "The entry gave no whole answer.\n");
+    return;
+  }
+  const auto Problem = Json::parse(Answer.Body_, nullptr, false);
+  if (!Problem.is_object()) {
+    std::cerr << Answer.Body_ << '\n';
+    return;
+  }
+  std::cerr << Problem.value("title", "") << ". " << Problem.value("detail", "")
+            << "\nIt is known to have " << Problem.value("ran", "")
+            << "; a retry is "
+            << (Problem.value("may_retry", false) ? "" : "not ")
+            << "worth trying.\n";
+}
+
+/// Makes a call and prints its answer, as JSON or through `Show`.
+auto callAndPrint(const Line &Each, HttpCall Call, void (*Show)(const Json &))
+    -> ExitStatus {
+  const auto Answer = callAndWait(std::move(Call));
+  const auto Status = statusOf(Answer);
+  if (Status != ExitStatus::Done && Status != ExitStatus::NotInForce) {
+    if (Each.json())
+      std::cout << Answer.Body_;
+    else
+      printProblem(Answer);
+    return Status;
+  }
+  if (Each.json())
+    std::cout << Answer.Body_;
+  else
+    Show(Json::parse(Answer.Body_));
+  return Status;
+}
+
+auto showChange(const Json &Value) -> void {
+  std::cout << "revision " << Value.at("revision")
+            << (Value.at("in_force").get<bool>()
+                    ? " is in force everywhere\n"
+                    : " is accepted, not in force yet\n");
+  for (const auto &Each : Value.at("missing"))
+    std::cout << "  not confirmed: " << Each.get<std::string>() << '\n';
+  if (!Value.at("in_force").get<bool>())
+    std::cout << "  the last older grant ends within "
+              << Value.at("in_force_within_ms") << " ms\n";
+}
+
+auto showJob(const Json &Value) -> void {
+  const auto &Tally = Value.at("tally");
+  std::cout << Value.at("job").get<std::string>() << "  "
+            << Value.at("kind").get<std::string>() << " of team "
+            << Value.at("team").get<std::string>() << "  pending "
+            << Tally.at("pending") << "  bound " << Tally.at("bound")
+            << "  finished " << Tally.at("finished") << "  failed "
+            << Tally.at("failed") << "  cancelled " << Tally.at("cancelled")
+            << '\n';
+}
+
+auto showHistory(const Json &Value) -> void {
+  showJob(Value);
+  for (const auto &Task : Value.at("tasks"))
+    for (const auto &Note : Task.at("history"))
+      std::cout << "  task " << std::setw(4) << Task.at("task").get<int>()
+                << "  " << Note.at("at").get<std::string>() << "  attempt "
+                << Note.at("attempt") << "  " << std::left << std::setw(9)
+                << Note.at("state").get<std::string>() << "  " << std::setw(16)
+                << Note.at("agent").get<std::string>() << "  " << std::setw(12)
+                << Note.at("data_centre").get<std::string>() << "  "
+                << Note.at("reason").get<std::string>() << std::right << '\n';
+}
+
+auto showEvents(const Json &Value) -> void {
+  if (Value.contains("job")) {
+    showHistory(Value);
+    return;
+  }
+  for (const auto &Each : Value.at("events"))
+    std::cout << Each.at("at").get<std::string>() << "  " << std::left
+              << std::setw(16) << Each.at("what").get<std::string>()
+              << std::setw(16) << Each.at("agent").get<std::string>()
+              << std::setw(12) << Each.at("data_centre").get<std::string>()
+              << Each.at("reason").get<std::string>() << std::right << '\n';
+}
+
+auto showTargets(const Json &Value) -> void {
+  std::cout << "revision " << Value.at("revision") << '\n'
+            << std::left << std::setw(18) << "target" << std::setw(14)
+            << "data centre" << std::setw(12) << "state" << std::right
+            << std::setw(9) << "revision" << std::setw(8) << "running"
+            << std::setw(8) << "queued" << std::setw(16) << "free millicores"
+            << '\n';
+  for (const auto &Each : Value.at("targets"))
+    std::cout << std::left << std::setw(18)
+              << Each.at("agent").get<std::string>() << std::setw(14)
+              << Each.at("data_centre").get<std::string>() << std::setw(12)
+              << Each.at("state").get<std::string>() << std::right
+              << std::setw(9) << Each.at("revision").get<int>() << std::setw(8)
+              << Each.at("running").get<int>() << std::setw(8)
+              << Each.at("queued").get<int>() << std::setw(16)
+              << Each.at("free").at("millicores").get<long>() << '\n';
+}
+
+/// Parses a verb's line; prints help or a usage error where that is due.
+auto parse(const Verb &Self, cxxopts::Options Options, int Count,
+           char **Arguments, std::size_t Needed, Line &Result) -> bool {
+  Result.Parsed_ = Options.parse(Count, Arguments);
+  if (Result.Parsed_.count("help") != 0) {
+    std::cout << Options.help();
+    return false;
+  }
+  if (Result.arguments().size() != Needed)
+    throw std::runtime_error(std::string("\"skylark ") + Self.Name_ +
+                             "\" takes " + std::to_string(Needed) +
+                             " argument(s), not " +
+                             std::to_string(Result.arguments().size()) +
+                             ". Example: " + Self.Example_);
+  return true;
+}
+
+auto environmentPath(const std::string &Name) -> std::string {
+  return "/v1/environments/" + Name + "/document";
+}
+
+auto apply(const Verb &Self, int Count, char **Arguments) -> ExitStatus {
+  auto Options = baseOptions(Self);
+  Options.add_options()("revision",
+                        "the revision that the document replaces; the present "
+                        "one where left out",
+                        cxxopts::value<std::string>());
+  Line Each;
+  if (!parse(Self, Options, Count, Arguments, 2, Each))
+    return ExitStatus::Done;
+  const auto Path = environmentPath(Each.arguments()[0]);
+  std::string Tag = "0";
+  if (Each.Parsed_.count("revision") != 0) {
+    Tag = Each.Parsed_["revision"].as<std::string>();
+  } else {
+    const auto Present = callAndWait(callOf(Each, "GET", Path));
+    if (!headerOf(Present, "ETag").empty())
+      Tag = headerOf(Present, "ETag");
+  }
+  auto Call = callOf(Each, "PUT", Path);
+  Call.Body_ = readFile(Each.arguments()[1]);
+  Call.Headers_.push_back("If-Match: " + Tag);
+  return callAndPrint(Each, std::move(Call), showChange);
+}
+
+auto diff(const Verb &Self, int Count, char **Arguments) -> ExitStatus {
+  Line Each;
+  if (!parse(Self, baseOptions(Self), Count, Arguments, 2, Each))
+    return ExitStatus::Done;
+  const auto Answer =
+      callAndWait(callOf(Each, "GET", environmentPath(Each.arguments()[0])));
+  if (statusOf(Answer) != ExitStatus::Done) {
+    printProblem(Answer);
+    return statusOf(Answer);
+  }
+  const auto Present = Json::parse(Answer.Body_, nullptr, true, true);
+  const auto Wanted =
+      Json::parse(readFile(Each.arguments()[1]), nullptr, true, true);
+  const auto Changes = Json::diff(Present, Wanted);
+  if (Each.json()) {
+    std::cout << Changes.dump() << '\n';
+  } else if (Changes.empty()) {
+    std::cout << "no difference\n";
+  } else {
+    for (const auto &Change : Changes)
+      std::cout << std::left << std::setw(9)
+                << Change.at("op").get<std::string>()
+                << Change.at("path").get<std::string>() << "  "
+                << (Change.contains("value") ? Change.at("value").dump() : "")
+                << '\n';
+  }
+  return Changes.empty() ? ExitStatus::Done : ExitStatus::Refused;
+}
+
+auto promote(const Verb &Self, int Count, char **Arguments) -> ExitStatus {
+  Line Each;
+  if (!parse(Self, baseOptions(Self), Count, Arguments, 2, Each))
+    return ExitStatus::Done;
+  const auto Names = Each.arguments();
+  return callAndPrint(
+      Each,
+      callOf(Each, "POST",
+             "/v1/environments/" + Names[0] + "/promote?to=" + Names[1]),
+      showChange);
+}
+
+auto setDataCentre(const Verb &Self, int Count, char **Arguments)
+    -> ExitStatus {
+  Line Each;
+  if (!parse(Self, baseOptions(Self), Count, Arguments, 1, Each))
+    return ExitStatus::Done;
+  return callAndPrint(
+      Each,
+      callOf(Each, "POST",
+             "/v1/datacentres/" + Each.arguments()[0] + "/" + Self.Name_),
+      showChange);
+}
+
+auto targets(const Verb &Self, int Count, char **Arguments) -> ExitStatus {
+  Line Each;
+  if (!parse(Self, baseOptions(Self), Count, Arguments, 0, Each))
+    return ExitStatus::Done;
+  return callAndPrint(Each, callOf(Each, "GET", "/v1/targets"), showTargets);
+}
+
+auto isOver(const Json &Job) -> bool {
+  const auto &Tally = Job.at("tally");
+  return Tally.at("pending") == 0 && Tally.at("bound") == 0;
+}
+
+/// Shows a job's progress until it is over.
+auto waitForJob(const Line &Each, const std::string &Id) -> ExitStatus {
+  for (;;) {
+    const auto Answer = callAndWait(callOf(Each, "GET", "/v1/jobs/" + Id));
+    if (statusOf(Answer) == ExitStatus::Done) {
+      const auto Job = Json::parse(Answer.Body_);
+      std::cerr << '\r';
+      if (isOver(Job)) {
+        if (Each.json())
+          std::cout << Answer.Body_;
+        else
+          showJob(Job);
+        const auto Failed = Job.at("tally").at("failed").get<int>() > 0;
+        return Failed ? ExitStatus::Refused : ExitStatus::Done;
+      }
+      std::cerr << "finished " << Job.at("tally").at("finished") << " of "
+                << Job.at("tasks").size() << "   " << std::flush;
+    }
+    std::this_thread::sleep_for(PollEvery);
+  }
+}
+
+auto submit(const Verb &Self, int Count, char **Arguments) -> ExitStatus {
+  auto Options = baseOptions(Self);
+  Options.add_options()("key", "idempotency key, YYYYMMDD-...",
+                        cxxopts::value<std::string>())(
+      "wait", "show progress until the job is over");
+  Line Each;
+  if (!parse(Self, Options, Count, Arguments, 1, Each))
+    return ExitStatus::Done;
+  auto Call = callOf(Each, "POST", "/v1/jobs");
+  Call.Body_ = readFile(Each.arguments()[0]);
+  if (Each.Parsed_.count("key") != 0)
+    Call.Headers_.push_back("Idempotency-Key: " +
+                            Each.Parsed_["key"].as<std::string>());
+  if (Each.Parsed_.count("wait") == 0)
+    return callAndPrint(Each, std::move(Call), showJob);
+  const auto Answer = callAndWait(std::move(Call));
+  if (statusOf(Answer) != ExitStatus::Done) {
+    printProblem(Answer);
+    return statusOf(Answer);
+  }
+  return waitForJob(Each,
+                    Json::parse(Answer.Body_).at("job").get<std::string>());
+}
+
+auto job(const Verb &Self, int Count, char **Arguments) -> ExitStatus {
+  Line Each;
+  if (!parse(Self, baseOptions(Self), Count, Arguments, 1, Each))
+    return ExitStatus::Done;
+  return callAndPrint(
+      Each, callOf(Each, "GET", "/v1/jobs/" + Each.arguments()[0]), showJob);
+}
+
+auto cancel(const Verb &Self, int Count, char **Arguments) -> ExitStatus {
+  Line Each;
+  if (!parse(Self, baseOptions(Self), Count, Arguments, 1, Each))
+    return ExitStatus::Done;
+  return callAndPrint(
+      Each, callOf(Each, "POST", "/v1/jobs/" + Each.arguments()[0] + "/cancel"),
+      showJob);
+}
+
+auto explain(const Verb &Self, int Count, char **Arguments) -> ExitStatus {
+  Line Each;
+  if (!parse(Self, baseOptions(Self), Count, Arguments, 1, Each))
+    return ExitStatus::Done;
+  return callAndPrint(Each,
+                      callOf(Each, "GET", "/v1/explain/" + Each.arguments()[0]),
+                      showEvents);
+}
+
+auto check(const Verb &Self, int Count, char **Arguments) -> ExitStatus {
+  Line Each;
+  auto Options = baseOptions(Self);
+  Each.Parsed_ = Options.parse(Count, Arguments);
+  if (Each.Parsed_.count("help") != 0 || Each.arguments().empty()) {
+    std::cout << Options.help();
+    return Each.arguments().empty() && Each.Parsed_.count("help") == 0
+               ? ExitStatus::Usage
+               : ExitStatus::Done;
+  }
+  auto Status = ExitStatus::Done;
+  for (const auto &File : Each.arguments()) {
+    const auto Text = readFile(File);
+    // Settings name a role; documents don't.
+    const auto Value = Json::parse(Text, nullptr, false, true);
+    const auto IsSettings = Value.is_object() && Value.contains("role");
+    const auto Problems = IsSettings ? parseSettings(Text).Problems_
+                                     : parseDocument(Text).Problems_;
+    for (const auto &Mistake : Problems)
+      std::cout << File << ": " << describe(Mistake) << '\n';
+    if (!Problems.empty())
+      Status = ExitStatus::Refused;
+    else
+      std::cout << File << ": good "
+                << (IsSettings ? "settings\n" : "document\n");
+  }
+  return Status;
+}
+
+} // namespace
+
+auto allVerbs() -> const std::vector<Verb> & {
+  static const std::vector<Verb> Verbs{
+      {"apply", "Replaces the document of an environment.",
+       "skylark apply trial examples/huon/document.json", apply},
+      {"diff", "Shows how a document differs from the one in an environment.",
+       "skylark diff production examples/huon/document.json", diff},
+      {"promote", "Puts the document of one environment into another.",
+       "skylark promote trial production", promote},
+      {"out", "Takes a data centre out of service.", "skylark out hobart",
+       setDataCentre},
+      {"return", "Brings a data centre back into service.",
+       "skylark return hobart", setDataCentre},
+      {"targets", "Lists the targets that an entry knows.", "skylark targets",
+       targets},
+      {"submit", "Submits a job.", "skylark submit examples/huon/job.json",
+       submit},
+      {"job", "Shows the state of a job.", "skylark job j3-0123456789abcdef",
+       job},
+      {"cancel", "Cancels a job.", "skylark cancel j3-0123456789abcdef",
+       cancel},
+      {"explain", "Tells what happened to a request or a job, and why.",
+       "skylark explain r-entry-a-17", explain},
+      {"load", "Drives a mix of work at a stated rate and reports on it.",
+       "skylark load --rate 100 --seconds 10 --service receipt-check", runLoad},
+      {"check", "Checks settings files and documents offline.",
+       "skylark check examples/huon/document.json", check},
+  };
+  return Verbs;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/AgentCore.cpp
@@ -0,0 +1,237 @@
+#include "core/AgentCore.h"
+
+#include "core/Assert.h"
+
+namespace skylark {
+namespace {
+
+constexpr Millis HeartbeatEvery{500};
+constexpr Millis PollEvery{500};
+constexpr Millis RepeatEvery{1000};
+
+} // namespace
+
+AgentCore::AgentCore(AgentIdentity Identity)
+    : Identity_(std::move(Identity)), Tasks_(Identity_.Capacity_),
+      Requests_(Identity_.Limits_) {}
+
+auto AgentCore::openSession(Moment Now, SessionNumber Number, AgentOutbox &Out)
+    -> void {
+  Sessions_[Number].HeardAt_ = Now.Steady_;
+  // Before the worker's list is known the agent can't say what it holds, so
+  // it stays unknown to the entries.
+  if (Ready_)
+    sayHello(Number, Out);
+}
+
+auto AgentCore::closeSession(Moment /*Now*/, SessionNumber Number) -> void {
+  Sessions_.erase(Number);
+  Permits_.close(Number);
+  Tasks_.close(Number);
+}
+
+auto AgentCore::receive(Moment Now, SessionNumber Number,
+                        const EntryMessage &Message, AgentOutbox &Out) -> void {
+  const auto Found = Sessions_.find(Number);
+  if (Found == Sessions_.end() || !Ready_)
+    return;
+  Found->second.HeardAt_ = Now.Steady_;
+  std::visit([&](const auto &Each) { handle(Now, Number, Each, Out); },
+             Message);
+}
+
+auto AgentCore::sayHello(SessionNumber Number, AgentOutbox &Out) -> void {
+  Hello Message;
+  Message.Agent_ = Identity_.Agent_;
+  Message.Incarnation_ = Identity_.Incarnation_;
+  Message.Worker_ = Tasks_.worker();
+  Message.DataCentre_ = Identity_.DataCentre_;
+  Message.Rack_ = Identity_.Rack_;
+  Message.Capacity_ = Identity_.Capacity_;
+  Message.Slots_ = Identity_.Limits_.Slots_;
+  Message.Connections_ = Identity_.Limits_.Connections_;
+  Message.Services_ = Identity_.Services_;
+  Message.Revision_ = Current_.Head_.Revision_;
+  Out.push_back(SendToEntry{Number, std::move(Message)});
+}
+
+auto AgentCore::load() const -> AgentLoad {
+  AgentLoad Load;
+  Load.Running_ = Requests_.running();
+  Load.Queued_ = Requests_.queued();
+  Load.ServiceTime_ = Requests_.serviceTime();
+  Load.Free_ = Tasks_.free();
+  Load.TasksQueued_ = Tasks_.queued();
+  return Load;
+}
+
+auto AgentCore::sendHeartbeat(Moment Now, SessionNumber Number,
+                              AgentOutbox &Out) -> void {
+  auto &Session = Sessions_[Number];
+  Heartbeat Message;
+  Message.Sequence_ = ++Session.HeartbeatSequence_;
+  Message.Revision_ = Current_.Head_.Revision_;
+  Message.Load_ = load();
+  Message.Leaving_ = Leaving_;
+  Message.OtherEntryFresh_ = Permits_.otherFresh(
+      Now.Steady_, Number, Current_.Document_.Policy_.FreshFor_);
+  Session.SentAt_[Message.Sequence_] = Now.Steady_;
+  constexpr std::size_t RememberedHeartbeats = 64;
+  if (Session.SentAt_.size() > RememberedHeartbeats)
+    Session.SentAt_.erase(Session.SentAt_.begin());
+  Out.push_back(SendToEntry{Number, Message});
+}
+
+auto AgentCore::sendHeartbeats(Moment Now, AgentOutbox &Out) -> void {
+  NextHeartbeat_ = Now.Steady_ + HeartbeatEvery;
+  for (const auto &Each : Sessions_)
+    sendHeartbeat(Now, Each.first, Out);
+}
+
+auto AgentCore::handle(Moment Now, SessionNumber Number,
+                       const HeartbeatAck &Ack, AgentOutbox &Out) -> void {
+  auto &Session = Sessions_[Number];
+  const auto Sent = Session.SentAt_.find(Ack.Sequence_);
+  if (Sent == Session.SentAt_.end())
+    return;
+  Permits_.grant(Number, Sent->second, Ack);
+  Session.SentAt_.erase(Session.SentAt_.begin(), std::next(Sent));
+  // An entry that was born while the store is down learns the configuration
+  // from its agents.
+  if (Ack.Revision_ < Current_.Head_.Revision_ && !Session.ConfigurationSent_) {
+    Session.ConfigurationSent_ = true;
+    Out.push_back(SendToEntry{Number, ConfigurationUpdate{Current_}});
+  }
+  if (Ack.Revision_ >= Current_.Head_.Revision_)
+    Session.ConfigurationSent_ = false;
+  (void)Now;
+}
+
+auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
+                       const ConfigurationUpdate &Update, AgentOutbox &Out)
+    -> void {
+  const auto &Next = Update.Configuration_;
+  if (Next.Head_.Revision_ <= Current_.Head_.Revision_)
+    return;
+  Current_ = Next;
+  Requests_.refuseNew(refuseReason());
+  Out.push_back(LogDecision{"configuration-applied", Identity_.Agent_.Value_,
+                            Current_.Head_.Revision_, ErrorKind::None, ""});
+}
+
+auto AgentCore::refuseReason() const -> ErrorKind {
+  if (Leaving_)
+    return ErrorKind::TargetLeaving;
+  if (Current_.Head_.isOut(Identity_.DataCentre_))
+    return ErrorKind::DataCentreOut;
+  return ErrorKind::None;
+}
+
+auto AgentCore::handle(Moment /*Now*/, SessionNumber Number,
+                       const ClaimOwnership &Claim, AgentOutbox &Out) -> void {
+  Tasks_.claim(Number, Claim, Out);
+}
+
+auto AgentCore::isDuplicate(SessionNumber Number, std::uint64_t Sequence)
+    -> bool {
+  auto &Session = Sessions_[Number];
+  if (Sequence <= Session.WorkSequence_)
+    return true;
+  Session.WorkSequence_ = Sequence;
+  return false;
+}
+
+auto AgentCore::handle(Moment /*Now*/, SessionNumber Number,
+                       const BindTask &Bind, AgentOutbox &Out) -> void {
+  if (!isDuplicate(Number, Bind.Sequence_))
+    Tasks_.bind(Number, Bind, Out);
+}
+
+auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
+                       const StopTask &Stop, AgentOutbox &Out) -> void {
+  Tasks_.stop(Stop, Out);
+}
+
+auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
+                       const TaskReportAck &Ack, AgentOutbox &Out) -> void {
+  Tasks_.acknowledge(Ack, Out);
+}
+
+auto AgentCore::handle(Moment Now, SessionNumber Number,
+                       const DispatchRequest &Dispatch, AgentOutbox &Out)
+    -> void {
+  if (!isDuplicate(Number, Dispatch.Sequence_))
+    Requests_.admit(Now.Steady_, Number, Dispatch, Out);
+}
+
+auto AgentCore::handle(Moment /*Now*/, SessionNumber Number,
+                       const CancelDispatch &Cancel, AgentOutbox &Out) -> void {
+  Requests_.cancel(Number, Cancel.Request_, Out);
+}
+
+auto AgentCore::workerListed(Moment Now, const WorkerInventory &Inventory,
+                             AgentOutbox &Out) -> void {
+  if (!Ready_) {
+    Tasks_.adopt(Inventory);
+    Ready_ = true;
+    for (const auto &Each : Sessions_)
+      sayHello(Each.first, Out);
+  }
+  // A worker that was replaced under a living agent is another worker: the
+  // agent restarts its bookkeeping by ending the process.
+  if (Inventory.Worker_ != Tasks_.worker()) {
+    Out.push_back(LogDecision{"worker-replaced", Identity_.Agent_.Value_,
+                              Current_.Head_.Revision_, ErrorKind::WorkerGone,
+                              ""});
+    Out.push_back(ExitProcess{});
+    return;
+  }
+  Tasks_.update(Now.Steady_, Inventory, Out);
+}
+
+auto AgentCore::targetAnswered(Moment Now, const TargetResult &Result,
+                               AgentOutbox &Out) -> void {
+  Requests_.finish(Now.Steady_, Result, Out);
+}
+
+auto AgentCore::tick(Moment Now, AgentOutbox &Out) -> void {
+  if (Now.Steady_ >= NextPoll_) {
+    NextPoll_ = Now.Steady_ + PollEvery;
+    Tasks_.poll(Permits_, Out);
+  }
+  if (!Ready_)
+    return;
+  if (Now.Steady_ >= NextHeartbeat_)
+    sendHeartbeats(Now, Out);
+  if (Now.Steady_ >= NextRepeat_) {
+    NextRepeat_ = Now.Steady_ + RepeatEvery;
+    Tasks_.repeatReports(Out);
+  }
+  const auto Reason = refuseReason();
+  if (Reason != ErrorKind::None)
+    Tasks_.drain(Reason, Out);
+  else if (Permits_.mayStart(Now.Steady_, Current_.Head_.Revision_))
+    Tasks_.startQueued(Now.Steady_, Permits_, Out);
+  Requests_.advance(Now.Steady_, Out);
+  if (Leaving_ && !ExitSent_ && Requests_.idle() && Tasks_.empty()) {
+    ExitSent_ = true;
+    Out.push_back(ExitProcess{});
+  }
+}
+
+auto AgentCore::leave(Moment Now, AgentOutbox &Out) -> void {
+  Leaving_ = true;
+  Requests_.refuseNew(refuseReason());
+  sendHeartbeats(Now, Out);
+}
+
+auto AgentCore::silentSessions(Moment Now) const -> std::vector<SessionNumber> {
+  std::vector<SessionNumber> Silent;
+  const auto Limit = Current_.Document_.Policy_.SilentAfter_;
+  for (const auto &[Number, Session] : Sessions_)
+    if (Ready_ && Session.HeardAt_ + Limit < Now.Steady_)
+      Silent.push_back(Number);
+  return Silent;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/AgentCore.h
@@ -0,0 +1,94 @@
+/// \file
+/// Defines the agent's decisions: one worker, one target, several entries.
+#pragma once
+
+#include "core/RequestQueue.h"
+#include "core/TaskHost.h"
+
+namespace skylark {
+
+/// What an agent knows of itself from its settings.
+struct AgentIdentity {
+  AgentId Agent_;
+  Incarnation Incarnation_ = 0;
+  DataCentreName DataCentre_;
+  std::string Rack_;
+  Resources Capacity_;
+  TargetLimits Limits_;
+  std::vector<ServiceName> Services_;
+};
+
+/// The agent as a state machine: inputs are its public commands, outputs go to
+/// the outbox, and time comes in with each call.
+class AgentCore {
+public:
+  explicit AgentCore(AgentIdentity Identity);
+
+  auto openSession(Moment Now, SessionNumber Session, AgentOutbox &Out) -> void;
+  auto closeSession(Moment Now, SessionNumber Session) -> void;
+  auto receive(Moment Now, SessionNumber Session, const EntryMessage &Message,
+               AgentOutbox &Out) -> void;
+  auto workerListed(Moment Now, const WorkerInventory &Inventory,
+                    AgentOutbox &Out) -> void;
+  auto targetAnswered(Moment Now, const TargetResult &Result, AgentOutbox &Out)
+      -> void;
+  /// Sends heartbeats, renews leases, starts and drains; several times a
+  /// second.
+  auto tick(Moment Now, AgentOutbox &Out) -> void;
+  /// Begins a graceful shutdown, which ends with ExitProcess.
+  auto leave(Moment Now, AgentOutbox &Out) -> void;
+
+  /// Connections that have been silent for too long and must be replaced.
+  auto silentSessions(Moment Now) const -> std::vector<SessionNumber>;
+  auto configuration() const -> const Configuration & { return Current_; }
+  auto ready() const -> bool { return Ready_; }
+
+private:
+  struct Session {
+    std::uint64_t HeartbeatSequence_ = 0;
+    std::map<std::uint64_t, TimePoint> SentAt_;
+    std::uint64_t WorkSequence_ = 0;
+    TimePoint HeardAt_{};
+    bool ConfigurationSent_ = false;
+  };
+
+  auto sayHello(SessionNumber Number, AgentOutbox &Out) -> void;
+  auto sendHeartbeat(Moment Now, SessionNumber Number, AgentOutbox &Out)
+      -> void;
+  auto sendHeartbeats(Moment Now, AgentOutbox &Out) -> void;
+  auto isDuplicate(SessionNumber Number, std::uint64_t Sequence) -> bool;
+  auto refuseReason() const -> ErrorKind;
+  auto load() const -> AgentLoad;
+
+  auto handle(Moment Now, SessionNumber Number, const HeartbeatAck &Ack,
+              AgentOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Number,
+              const ConfigurationUpdate &Update, AgentOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Number, const ClaimOwnership &Claim,
+              AgentOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Number, const BindTask &Bind,
+              AgentOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Number, const StopTask &Stop,
+              AgentOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Number, const TaskReportAck &Ack,
+              AgentOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Number, const DispatchRequest &Dispatch,
+              AgentOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Number, const CancelDispatch &Cancel,
+              AgentOutbox &Out) -> void;
+
+  AgentIdentity Identity_;
+  Configuration Current_;
+  StartPermits Permits_;
+  TaskHost Tasks_;
+  RequestQueue Requests_;
+  std::map<SessionNumber, Session> Sessions_;
+  bool Ready_ = false;
+  bool Leaving_ = false;
+  bool ExitSent_ = false;
+  TimePoint NextHeartbeat_{};
+  TimePoint NextPoll_{};
+  TimePoint NextRepeat_{};
+};
+
+} // namespace skylark
--- /dev/null
+++ b/core/Counters.h
@@ -0,0 +1,48 @@
+/// \file
+/// Defines the counters behind the metrics: one for each refusal and each
+/// retry reason.
+#pragma once
+
+#include "core/ErrorKind.h"
+
+#include <array>
+
+namespace skylark {
+
+/// Why a request was sent to a second target.
+enum class RetryReason : std::uint8_t {
+  Refused,
+  TargetFailed,
+  ConnectionLost,
+  AnswerDamaged,
+  Hedge,
+  BudgetSpent,
+  Count
+};
+
+auto retryReasonText(RetryReason Reason) -> std::string_view;
+
+/// Counts of one entry since it started.
+struct Counters {
+  std::array<std::uint64_t, static_cast<std::size_t>(ErrorKind::Count)>
+      Refusals_{};
+  std::array<std::uint64_t, static_cast<std::size_t>(RetryReason::Count)>
+      Retries_{};
+  std::uint64_t Answered_ = 0;
+  std::uint64_t Dispatched_ = 0;
+  std::uint64_t TasksBound_ = 0;
+  std::uint64_t TasksFinished_ = 0;
+  std::uint64_t Evictions_ = 0;
+  std::uint64_t StoreCalls_ = 0;
+  std::uint64_t StoreFailures_ = 0;
+  std::uint64_t LedgerCommits_ = 0;
+
+  auto refuse(ErrorKind Kind) -> void {
+    ++Refusals_[static_cast<std::size_t>(Kind)];
+  }
+  auto retry(RetryReason Reason) -> void {
+    ++Retries_[static_cast<std::size_t>(Reason)];
+  }
+};
+
+} // namespace skylark
--- /dev/null
+++ b/core/Document.cpp
@@ -0,0 +1,66 @@
+#include "core/Document.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace skylark {
+namespace {
+
+template <typename Item, typename Name>
+auto findNamed(const std::vector<Item> &Items, const Name &Wanted)
+    -> const Item * {
+  const auto Found =
+      std::find_if(Items.begin(), Items.end(),
+                   [&](const Item &Each) { return Each.Name_ == Wanted; });
+  return Found == Items.end() ? nullptr : &*Found;
+}
+
+auto contains(const std::vector<DataCentreName> &Names,
+              const DataCentreName &Wanted) -> bool {
+  return std::find(Names.begin(), Names.end(), Wanted) != Names.end();
+}
+
+} // namespace
+
+auto Document::findService(const ServiceName &Name) const
+    -> const ServiceDeclaration * {
+  return findNamed(Services_, Name);
+}
+
+auto Document::findTeam(const TeamName &Name) const -> const TeamDeclaration * {
+  return findNamed(Teams_, Name);
+}
+
+auto Document::hasDataCentre(const DataCentreName &Name) const -> bool {
+  return contains(DataCentres_, Name);
+}
+
+auto EnvironmentHead::isOut(const DataCentreName &Name) const -> bool {
+  return contains(Out_, Name);
+}
+
+auto EnvironmentHead::revisionOf(const WriteId &Write) const -> Revision {
+  for (const auto &Each : RecentWrites_)
+    if (Each.Write_ == Write)
+      return Each.Revision_;
+  return 0;
+}
+
+auto digest64(const std::string &Bytes) -> std::uint64_t {
+  return XXH3_64bits(Bytes.data(), Bytes.size());
+}
+
+auto digestText(const std::string &Text) -> std::string {
+  const auto Value = XXH3_128bits(Text.data(), Text.size());
+  constexpr std::size_t HexSize = 33;
+  char Hex[HexSize];
+  std::snprintf(Hex, HexSize, "%016llx%016llx",
+                static_cast<unsigned long long>(Value.high64),
+                static_cast<unsigned long long>(Value.low64));
+  return Hex;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/EntryCore.cpp
@@ -0,0 +1,644 @@
+#include "core/EntryCore.h"
+
+#include "core/Assert.h"
+
+#include <algorithm>
+
+namespace skylark {
+namespace {
+
+constexpr Millis PeerBeatEvery{300};
+constexpr Millis BalanceEvery{500};
+constexpr Millis ForwardPatience{7000};
+constexpr Millis LeaveWithin{10000};
+constexpr Millis ConfigurationEvery{1000};
+/// Run grants older than this are dropped; longer than any outage horizon.
+constexpr Seconds KeepGrantsFor{3 * 3600};
+/// Tokens of callers that reach this entry through another one.
+constexpr CallerToken FirstPeerToken = CallerToken{1} << 62;
+constexpr std::size_t ForwardLimit = 20000;
+
+auto entryOfRequest(const RequestId &Request) -> EntryId {
+  const auto &Text = Request.Value_;
+  const auto End = Text.rfind('-');
+  if (Text.rfind("r-", 0) != 0 || End == std::string::npos || End < 2)
+    return {};
+  return {Text.substr(2, End - 2)};
+}
+
+auto stateOf(const Target &Each, const Configuration &Configuration)
+    -> std::string {
+  if (Each.Leaving_)
+    return "leaving";
+  if (!Configuration.Document_.hasDataCentre(Each.dataCentre()))
+    return "unknown-data-centre";
+  return Configuration.Head_.isOut(Each.dataCentre()) ? "out" : "serving";
+}
+
+} // namespace
+
+EntryCore::EntryCore(EntryIdentity Identity)
+    : Identity_(std::move(Identity)), Generator_(Identity_.Seed_),
+      Store_(Identity_.StoreCallsPerSecond_, Counters_),
+      View_(Identity_.Environment_,
+            {Identity_.Entry_, Identity_.Incarnation_, Identity_.PeerAddress_},
+            Store_),
+      Desk_(Identity_.Entry_, Identity_.DataCentre_, Identity_.Desk_,
+            {Targets_, View_.configuration(), Counters_}),
+      Changes_(Identity_.Entry_, Identity_.Incarnation_, Store_, View_),
+      NextPeerToken_(FirstPeerToken) {
+  for (ShardNumber Shard = 0; Shard < Identity_.ShardCount_; ++Shard) {
+    const LedgerIdentity Ledger{Identity_.Environment_, Shard, Identity_.Entry_,
+                                Identity_.Incarnation_};
+    Shards_.push_back(std::make_unique<ShardOwner>(
+        Ledger, Store_,
+        ShardView{Targets_, View_.configuration(), Grants_, Counters_}));
+  }
+}
+
+// Callers and operators.
+
+auto EntryCore::refuse(CallerToken Token, ErrorKind Kind, std::string Detail,
+                       EntryOutbox &Out) -> void {
+  Counters_.refuse(Kind);
+  Out.push_back(AnswerCaller{Token, ErrorReply{Kind, std::move(Detail), {}}});
+}
+
+auto EntryCore::callerAsked(Moment Now, CallerToken Token,
+                            const CallerRequest &Request, EntryOutbox &Out)
+    -> void {
+  if (Leaving_)
+    refuse(Token, ErrorKind::EntryStopping, Identity_.Entry_.Value_, Out);
+  else
+    std::visit([&](const auto &Each) { handle(Now, Token, Each, Out); },
+               Request);
+  complete(Now, Out);
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token,
+                       const QuickRequest &Request, EntryOutbox &Out) -> void {
+  const auto *Service =
+      View_.configuration().Document_.findService(Request.Service_);
+  if (Service == nullptr) {
+    refuse(Token, ErrorKind::UnknownService, Request.Service_.Value_, Out);
+    return;
+  }
+  auto Wanted = Request;
+  if (Wanted.Within_ <= Millis{0})
+    Wanted.Within_ = Service->AnswerWithin_;
+  if (Wanted.Idempotent_ || Wanted.Key_.empty()) {
+    Wanted.Key_ = {};
+    Desk_.submit(Now, Desk_.newRequestId(), Token, Wanted, Generator_, Out);
+    return;
+  }
+  const auto Shard = shardOf(Wanted.Key_.Value_, Identity_.ShardCount_);
+  if (ownerOf(Shard).open())
+    ownerOf(Shard).claimKey(Now, Token, Desk_.newRequestId(), Wanted, Out);
+  else
+    forwardToShard(Now, Token, Shard, Wanted, Wanted.Within_ + ForwardPatience,
+                   Out);
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token, const SubmitJob &Request,
+                       EntryOutbox &Out) -> void {
+  const auto Shard =
+      shardOf(Request.Declaration_.Team_.Value_, Identity_.ShardCount_);
+  if (ownerOf(Shard).open())
+    ownerOf(Shard).submit(Now, Token, Request, Generator_, Out);
+  else
+    forwardToShard(Now, Token, Shard, Request, ForwardPatience, Out);
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token, const GetJob &Request,
+                       EntryOutbox &Out) -> void {
+  const auto Shard = shardOf(Request.Job_, Identity_.ShardCount_);
+  if (Shard >= Identity_.ShardCount_) {
+    refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
+    return;
+  }
+  if (!ownerOf(Shard).owning()) {
+    forwardToShard(Now, Token, Shard, Request, ForwardPatience, Out);
+    return;
+  }
+  const auto *Found = ownerOf(Shard).state().findJob(Request.Job_);
+  if (Found == nullptr)
+    refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
+  else
+    Out.push_back(AnswerCaller{Token, JobReply{*Found}});
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token, const CancelJob &Request,
+                       EntryOutbox &Out) -> void {
+  const auto Shard = shardOf(Request.Job_, Identity_.ShardCount_);
+  if (Shard >= Identity_.ShardCount_)
+    refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
+  else if (ownerOf(Shard).open())
+    ownerOf(Shard).cancel(Now, Token, Request.Job_, Out);
+  else
+    forwardToShard(Now, Token, Shard, Request, ForwardPatience, Out);
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token,
+                       const ExplainRequest &Request, EntryOutbox &Out)
+    -> void {
+  if (auto Events = Desk_.explain(Request.Request_)) {
+    Out.push_back(AnswerCaller{
+        Token, ExplainReply{Request.Request_, std::move(*Events)}});
+    return;
+  }
+  const auto Owner = entryOfRequest(Request.Request_);
+  const auto Known = Peers_.find(Owner);
+  if (Owner != Identity_.Entry_ && Known != Peers_.end() && Known->second.Open_)
+    forward(Now, Token, Owner, Request, ForwardPatience, Out);
+  else
+    refuse(Token, ErrorKind::NotKnown, Request.Request_.Value_, Out);
+}
+
+auto EntryCore::handle(Moment /*Now*/, CallerToken Token,
+                       const GetDocument &Request, EntryOutbox & /*Out*/)
+    -> void {
+  Changes_.read(Token, Request);
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token,
+                       const PutDocument &Request, EntryOutbox &Out) -> void {
+  Changes_.submit(Now, Token, Request, Out);
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token,
+                       const PromoteDocument &Request, EntryOutbox &Out)
+    -> void {
+  Changes_.submit(Now, Token, Request, Out);
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token,
+                       const SetDataCentre &Request, EntryOutbox &Out) -> void {
+  Changes_.submit(Now, Token, Request, Out);
+}
+
+auto EntryCore::handle(Moment /*Now*/, CallerToken Token,
+                       const ListTargets & /*Request*/, EntryOutbox &Out)
+    -> void {
+  TargetsReply Reply;
+  Reply.Revision_ = View_.revision();
+  for (const auto *Each : Targets_.all())
+    Reply.Targets_.push_back({Each->agent(), Each->dataCentre(),
+                              stateOf(*Each, View_.configuration()),
+                              Each->Revision_, Each->Load_.Running_,
+                              Each->Load_.Queued_, Each->Load_.Free_});
+  std::sort(Reply.Targets_.begin(), Reply.Targets_.end(),
+            [](const TargetLine &Left, const TargetLine &Right) {
+              return Left.Agent_ < Right.Agent_;
+            });
+  Out.push_back(AnswerCaller{Token, std::move(Reply)});
+}
+
+// Other entries.
+
+auto EntryCore::preferredOwner(ShardNumber Shard) const -> EntryId {
+  // Rendezvous hashing over the registered entries: a change of the set moves
+  // only the shards of the entry that came or went.
+  auto Best = View_.registered() ? Identity_.Entry_ : EntryId{};
+  const auto Score = [&](const EntryId &Entry) {
+    return digest64(Entry.Value_ + "#" + std::to_string(Shard));
+  };
+  for (const auto &Each : View_.peers())
+    if (Best.empty() || Score(Each.Entry_) > Score(Best))
+      Best = Each.Entry_;
+  return Best;
+}
+
+auto EntryCore::forwardToShard(Moment Now, CallerToken Token, ShardNumber Shard,
+                               const CallerRequest &Request, Duration Patience,
+                               EntryOutbox &Out) -> void {
+  const auto Owner = preferredOwner(Shard);
+  const auto Known = Peers_.find(Owner);
+  const auto FromPeer = Token >= FirstPeerToken;
+  if (Owner == Identity_.Entry_ || FromPeer || Known == Peers_.end() ||
+      !Known->second.Open_) {
+    const auto Down = View_.contact(Now) == StoreContact::Outage;
+    refuse(Token, Down ? ErrorKind::StoreUnavailable : ErrorKind::ShardMoving,
+           "shard " + std::to_string(Shard), Out);
+    return;
+  }
+  forward(Now, Token, Owner, Request, Patience, Out);
+}
+
+auto EntryCore::forward(Moment Now, CallerToken Token, const EntryId &Owner,
+                        const CallerRequest &Request, Duration Patience,
+                        EntryOutbox &Out) -> void {
+  if (Forwards_.size() >= ForwardLimit) {
+    refuse(Token, ErrorKind::TooManyInFlight, "forwarded requests", Out);
+    return;
+  }
+  const auto Number = ++NextForward_;
+  const auto Changes = std::holds_alternative<QuickRequest>(Request) ||
+                       std::holds_alternative<SubmitJob>(Request) ||
+                       std::holds_alternative<CancelJob>(Request);
+  Forwards_[Number] = {Token, Owner, Now.Steady_ + Patience, Changes};
+  Out.push_back(SendToPeer{Owner, Forward{Number, Request}});
+}
+
+auto EntryCore::expireForwards(Moment Now, EntryOutbox &Out) -> void {
+  for (auto Each = Forwards_.begin(); Each != Forwards_.end();) {
+    const auto Known = Peers_.find(Each->second.Owner_);
+    const auto Gone = Known == Peers_.end() || !Known->second.Open_;
+    if (!Gone && Each->second.GiveUpAt_ > Now.Steady_) {
+      ++Each;
+      continue;
+    }
+    // The owner may have done the work; only a query certainly changed nothing.
+    refuse(Each->second.Token_,
+           Each->second.Changes_ ? ErrorKind::OutcomeUnknown
+                                 : ErrorKind::ShardMoving,
+           "no answer from entry " + Each->second.Owner_.Value_, Out);
+    Each = Forwards_.erase(Each);
+  }
+}
+
+auto EntryCore::peerOpened(Moment Now, const EntryId &Peer, EntryOutbox &Out)
+    -> void {
+  Peers_[Peer].Open_ = true;
+  complete(Now, Out);
+}
+
+auto EntryCore::peerGone(Moment Now, const EntryId &Peer, EntryOutbox &Out)
+    -> void {
+  Peers_[Peer].Open_ = false;
+  expireForwards(Now, Out);
+  complete(Now, Out);
+}
+
+auto EntryCore::peerSent(Moment Now, const EntryId &Peer,
+                         const PeerMessage &Message, EntryOutbox &Out) -> void {
+  std::visit([&](const auto &Each) { handle(Now, Peer, Each, Out); }, Message);
+  complete(Now, Out);
+}
+
+auto EntryCore::handle(Moment /*Now*/, const EntryId &Peer,
+                       const PeerBeat &Message, EntryOutbox & /*Out*/) -> void {
+  auto &Known = Peers_[Peer];
+  Known.SeenRevision_ = std::max(Known.SeenRevision_, Message.SeenRevision_);
+  Known.ConfirmedRevision_ =
+      std::max(Known.ConfirmedRevision_, Message.ConfirmedRevision_);
+}
+
+auto EntryCore::handle(Moment Now, const EntryId &Peer, const Forward &Message,
+                       EntryOutbox &Out) -> void {
+  const auto Token = ++NextPeerToken_;
+  PeerCallers_[Token] = {Peer, Message.Number_};
+  if (Leaving_)
+    refuse(Token, ErrorKind::EntryStopping, Identity_.Entry_.Value_, Out);
+  else
+    std::visit([&](const auto &Each) { handle(Now, Token, Each, Out); },
+               Message.Request_);
+}
+
+auto EntryCore::handle(Moment /*Now*/, const EntryId & /*Peer*/,
+                       const ForwardReply &Message, EntryOutbox &Out) -> void {
+  const auto Found = Forwards_.find(Message.Number_);
+  if (Found == Forwards_.end())
+    return;
+  Out.push_back(AnswerCaller{Found->second.Token_, Message.Reply_});
+  Forwards_.erase(Found);
+}
+
+auto EntryCore::answerPeers(EntryOutbox &Out) -> void {
+  for (auto &Each : Out) {
+    auto *Answer = std::get_if<AnswerCaller>(&Each);
+    if (Answer == nullptr || Answer->Token_ < FirstPeerToken)
+      continue;
+    const auto Found = PeerCallers_.find(Answer->Token_);
+    SKYLARK_ASSERT(Found != PeerCallers_.end(),
+                   "second answer to a forwarded request:", Answer->Token_);
+    const auto Caller = Found->second;
+    PeerCallers_.erase(Found);
+    Each = SendToPeer{Caller.Peer_,
+                      ForwardReply{Caller.Number_, std::move(Answer->Reply_)}};
+  }
+}
+
+auto EntryCore::sendPeerBeats(Moment Now, EntryOutbox &Out) -> void {
+  if (Now.Steady_ < NextPeerBeat_)
+    return;
+  NextPeerBeat_ = Now.Steady_ + PeerBeatEvery;
+  Out.push_back(ConnectPeers{View_.peers()});
+  const PeerBeat Beat{Identity_.Entry_, View_.revision(),
+                      confirmedRevision(Now)};
+  for (const auto &[Entry, Each] : Peers_)
+    if (Each.Open_)
+      Out.push_back(SendToPeer{Entry, Beat});
+}
+
+// Revisions in force.
+
+auto EntryCore::confirmedRevision(Moment Now) const -> Revision {
+  const auto Seen = View_.revision();
+  if (Now.Steady_ >= View_.oldGrantsEnd())
+    return Seen;
+  if (RemovedGrantsEnd_ > Now.Steady_)
+    return 0;
+  for (const auto *Each : Targets_.all())
+    if (Each->StartGrantUntil_ > Now.Steady_ && Each->Revision_ < Seen)
+      return 0;
+  return Seen;
+}
+
+auto EntryCore::missingFor(Moment Now, Revision Wanted) const
+    -> std::vector<std::string> {
+  std::vector<std::string> Missing;
+  if (confirmedRevision(Now) < Wanted) {
+    for (const auto *Each : Targets_.all())
+      if (Each->Revision_ < Wanted)
+        Missing.push_back("target " + Each->agent().Value_);
+    if (Missing.empty())
+      Missing.push_back("entry " + Identity_.Entry_.Value_);
+  }
+  for (const auto &Each : View_.grantors()) {
+    if (Each.first == Identity_.Entry_ || Each.second <= Now.Steady_)
+      continue;
+    const auto Known = Peers_.find(Each.first);
+    if (Known == Peers_.end() || Known->second.ConfirmedRevision_ < Wanted)
+      Missing.push_back("entry " + Each.first.Value_);
+  }
+  return Missing;
+}
+
+auto EntryCore::oldGrantsLeft(Moment Now) const -> Duration {
+  const auto &Policy = View_.configuration().Document_.Policy_;
+  Duration Longest = Policy.PermitFor_;
+  for (const auto &Each : View_.grantors()) {
+    if (Each.first == Identity_.Entry_)
+      continue;
+    const auto Until = std::min(
+        Each.second, Now.Steady_ + Policy.OutageHorizon_ + Policy.PermitFor_);
+    Longest = std::max(Longest, Until - Now.Steady_);
+  }
+  return withClockMargin(Longest);
+}
+
+auto EntryCore::otherEntryFresh(Moment Now) const -> bool {
+  const auto SilentAfter = View_.configuration().Document_.Policy_.SilentAfter_;
+  return std::any_of(Targets_.all().begin(), Targets_.all().end(),
+                     [&](const Target *Each) {
+                       return Each->OtherEntryFresh_ &&
+                              Each->HeardAt_ + SilentAfter > Now.Steady_;
+                     });
+}
+
+auto EntryCore::mayStart(Moment Now) const -> bool {
+  if (!View_.mayGrant(Now))
+    return false;
+  // An entry that is alone in not reaching the store must not go on granting:
+  // the others may have taken a newer order.
+  return View_.contact(Now) == StoreContact::Fresh || !otherEntryFresh(Now);
+}
+
+// Agents.
+
+auto EntryCore::agentSent(Moment Now, SessionNumber Session,
+                          const AgentMessage &Message, EntryOutbox &Out)
+    -> void {
+  std::visit([&](const auto &Each) { handle(Now, Session, Each, Out); },
+             Message);
+  complete(Now, Out);
+}
+
+auto EntryCore::handle(Moment Now, SessionNumber Session, const Hello &Message,
+                       EntryOutbox &Out) -> void {
+  const auto *Known = Targets_.findAgent(Message.Agent_);
+  const auto Stale =
+      Known != nullptr &&
+      std::tie(Message.Worker_, Message.Incarnation_) <
+          std::tie(Known->Hello_.Worker_, Known->Hello_.Incarnation_);
+  if (Message.Version_ != ProtocolVersion || Stale) {
+    Out.push_back(LogDecision{"agent-refused", Message.Agent_.Value_,
+                              View_.revision(), ErrorKind::StaleIncarnation,
+                              ""});
+    Out.push_back(CloseSession{Session});
+    return;
+  }
+  if (Known != nullptr)
+    RemovedGrantsEnd_ = std::max(RemovedGrantsEnd_, Known->StartGrantUntil_);
+  const auto Replaced = Targets_.add(Now, Session, Message);
+  if (Replaced != 0) {
+    Desk_.sessionLost(Now, Replaced, Generator_, Out);
+    Out.push_back(CloseSession{Replaced});
+  }
+  auto *Joined = Targets_.find(Session);
+  for (const auto &Shard : Shards_)
+    Shard->agentJoined(*Joined, Out);
+  Out.push_back(LogDecision{"agent-joined", Message.Agent_.Value_,
+                            View_.revision(), ErrorKind::None,
+                            Message.DataCentre_.Value_});
+}
+
+auto EntryCore::handle(Moment Now, SessionNumber Session,
+                       const Heartbeat &Message, EntryOutbox &Out) -> void {
+  Targets_.update(Now, Session, Message);
+  auto *From = Targets_.find(Session);
+  if (From != nullptr)
+    acknowledge(Now, *From, Message, Out);
+}
+
+auto EntryCore::acknowledge(Moment Now, Target &From, const Heartbeat &Message,
+                            EntryOutbox &Out) -> void {
+  const auto &Policy = View_.configuration().Document_.Policy_;
+  if (Message.Revision_ < View_.revision() &&
+      From.ConfigurationSentAt_ + ConfigurationEvery <= Now.Steady_) {
+    From.ConfigurationSentAt_ = Now.Steady_;
+    Out.push_back(
+        SendToAgent{From.Session_, ConfigurationUpdate{View_.configuration()}});
+  }
+  HeartbeatAck Ack;
+  Ack.Sequence_ = Message.Sequence_;
+  Ack.Revision_ = View_.revision();
+  Ack.Fresh_ = View_.contact(Now) == StoreContact::Fresh;
+  Ack.Leaving_ = Leaving_;
+  if (mayStart(Now)) {
+    Ack.StartFor_ = Policy.PermitFor_;
+    From.StartGrantUntil_ =
+        std::max(From.StartGrantUntil_,
+                 Now.Steady_ + withClockMargin(Policy.PermitFor_));
+  }
+  if (View_.mayGrant(Now)) {
+    Ack.RunFor_ = Policy.TaskLease_;
+    for (const auto Shard : From.ConfirmedShards_)
+      if (ownerOf(Shard).owning() && !ownerOf(Shard).releasing())
+        Ack.Shards_.push_back(Shard);
+    Grants_.extend({From.agent(), From.Hello_.Worker_},
+                   Now.Steady_ + withClockMargin(Policy.TaskLease_));
+  }
+  From.AckedAt_ = Now.Steady_;
+  Out.push_back(SendToAgent{From.Session_, std::move(Ack)});
+}
+
+auto EntryCore::handle(Moment Now, SessionNumber /*Session*/,
+                       const ConfigurationUpdate &Message,
+                       EntryOutbox & /*Out*/) -> void {
+  View_.learn(Now, Message.Configuration_);
+}
+
+auto EntryCore::handle(Moment Now, SessionNumber Session,
+                       const ConfirmOwnership &Message, EntryOutbox &Out)
+    -> void {
+  auto *From = Targets_.find(Session);
+  if (From != nullptr && Message.Shard_ < Identity_.ShardCount_)
+    ownerOf(Message.Shard_).confirmed(Now, *From, Message, Out);
+}
+
+auto EntryCore::handle(Moment Now, SessionNumber Session,
+                       const TaskReport &Message, EntryOutbox &Out) -> void {
+  auto *From = Targets_.find(Session);
+  if (From != nullptr && Message.Shard_ < Identity_.ShardCount_)
+    ownerOf(Message.Shard_).reported(Now, *From, Message, Out);
+}
+
+auto EntryCore::handle(Moment Now, SessionNumber Session,
+                       const DispatchAnswer &Message, EntryOutbox &Out)
+    -> void {
+  Desk_.answered(Now, Session, Message, Generator_, Out);
+}
+
+auto EntryCore::agentGone(Moment Now, SessionNumber Session, EntryOutbox &Out)
+    -> void {
+  const auto *Known = Targets_.find(Session);
+  if (Known != nullptr) {
+    RemovedGrantsEnd_ = std::max(RemovedGrantsEnd_, Known->StartGrantUntil_);
+    Out.push_back(LogDecision{"agent-gone", Known->agent().Value_,
+                              View_.revision(), ErrorKind::None, ""});
+  }
+  Targets_.remove(Session);
+  Desk_.sessionLost(Now, Session, Generator_, Out);
+  complete(Now, Out);
+}
+
+auto EntryCore::closeSilent(Moment Now, EntryOutbox &Out) -> void {
+  const auto SilentAfter = View_.configuration().Document_.Policy_.SilentAfter_;
+  std::vector<SessionNumber> Silent;
+  for (const auto *Each : Targets_.all())
+    if (Each->HeardAt_ + SilentAfter < Now.Steady_)
+      Silent.push_back(Each->Session_);
+  for (const auto Session : Silent) {
+    Out.push_back(CloseSession{Session});
+    agentGone(Now, Session, Out);
+  }
+}
+
+// Shards.
+
+auto EntryCore::balanceShards() -> void {
+  for (const auto &Each : Shards_) {
+    const auto Preferred = preferredOwner(Each->number());
+    const auto Mine = Preferred == Identity_.Entry_ && View_.registered();
+    if (Mine && Each->idle() && !Leaving_) {
+      Each->take([this](const ShardHead &Head) {
+        return Head.Owner_.empty() || Head.Owner_ == Identity_.Entry_ ||
+               !View_.isRegistered(Head.Owner_, Head.OwnerIncarnation_);
+      });
+    }
+    const auto Unwanted = Leaving_ || (!Preferred.empty() && !Mine);
+    if (Unwanted && Each->owning())
+      Each->release();
+  }
+}
+
+auto EntryCore::dispatchClaimed(Moment Now, EntryOutbox &Out) -> void {
+  for (const auto &Shard : Shards_)
+    for (const auto &Claimed : Shard->takeClaimed())
+      Desk_.submit(Now, Claimed.Request_, Claimed.Token_, Claimed.Quick_,
+                   Generator_, Out);
+}
+
+auto EntryCore::finishOutcomes(Moment Now, EntryOutbox &Out) -> void {
+  for (const auto &Outcome : Desk_.takeOutcomes()) {
+    if (!Outcome.Key_.empty())
+      ownerOf(shardOf(Outcome.Key_.Value_, Identity_.ShardCount_))
+          .closeClaim(Now, Outcome);
+    if (Outcome.Error_ == ErrorKind::None)
+      Out.push_back(AnswerCaller{
+          Outcome.Token_,
+          QuickReply{Outcome.Request_, Outcome.Status_, Outcome.Body_}});
+    else
+      Out.push_back(AnswerCaller{
+          Outcome.Token_, ErrorReply{Outcome.Error_, "", Outcome.Request_}});
+  }
+}
+
+auto EntryCore::storeAnswered(Moment Now, const StoreResult &Result,
+                              EntryOutbox &Out) -> void {
+  Store_.answered(Now, Result, Out);
+  for (const auto &Shard : Shards_)
+    Shard->afterStoreCall(Now, Out);
+  complete(Now, Out);
+}
+
+auto EntryCore::complete(Moment Now, EntryOutbox &Out) -> void {
+  dispatchClaimed(Now, Out);
+  finishOutcomes(Now, Out);
+  Store_.advance(Now, Out);
+  answerPeers(Out);
+}
+
+auto EntryCore::tick(Moment Now, EntryOutbox &Out) -> void {
+  View_.tick(Now);
+  Desk_.tick(Now, Generator_, Out);
+  if (Now.Steady_ >= NextBalance_) {
+    NextBalance_ = Now.Steady_ + BalanceEvery;
+    balanceShards();
+    Grants_.prune(Now.Steady_ - KeepGrantsFor);
+  }
+  const auto MayGrant = View_.mayGrant(Now);
+  for (const auto &Shard : Shards_)
+    Shard->tick(Now, MayGrant, Generator_, Out);
+  Changes_.tick(
+      Now, [&](Revision Wanted) { return missingFor(Now, Wanted); },
+      oldGrantsLeft(Now), Out);
+  closeSilent(Now, Out);
+  expireForwards(Now, Out);
+  sendPeerBeats(Now, Out);
+  if (Leaving_)
+    finishLeaving(Now, Out);
+  complete(Now, Out);
+}
+
+auto EntryCore::leave(Moment Now, EntryOutbox &Out) -> void {
+  if (Leaving_)
+    return;
+  Leaving_ = true;
+  LeaveBy_ = Now.Steady_ + LeaveWithin;
+  balanceShards();
+  complete(Now, Out);
+}
+
+auto EntryCore::finishLeaving(Moment Now, EntryOutbox &Out) -> void {
+  const auto Idle = Desk_.inFlight() == 0 && Changes_.idle() &&
+                    Forwards_.empty() && PeerCallers_.empty();
+  const auto HandedOver =
+      std::all_of(Shards_.begin(), Shards_.end(),
+                  [](const auto &Shard) { return Shard->idle(); });
+  const auto TimeUp = Now.Steady_ >= LeaveBy_;
+  if ((Idle && HandedOver) || TimeUp)
+    View_.leave();
+  if ((View_.left() || TimeUp) && !ExitSent_) {
+    ExitSent_ = true;
+    Out.push_back(ExitProcess{});
+  }
+}
+
+auto EntryCore::ownedShards() const -> std::size_t {
+  return std::count_if(Shards_.begin(), Shards_.end(),
+                       [](const auto &Shard) { return Shard->owning(); });
+}
+
+auto EntryCore::healthy(Moment /*Now*/) const -> bool {
+  return !Leaving_ && View_.revision() > 0;
+}
+
+auto EntryCore::shardState(ShardNumber Shard) const -> const ShardState * {
+  return Shard < Shards_.size() && Shards_[Shard]->owning()
+             ? &Shards_[Shard]->state()
+             : nullptr;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/EntryCore.h
@@ -0,0 +1,171 @@
+/// \file
+/// Defines the entry's decisions: callers, operators, agents, peers and store.
+#pragma once
+
+#include "core/ChangeDesk.h"
+#include "core/EnvironmentView.h"
+#include "core/RequestDesk.h"
+#include "core/ShardOwner.h"
+
+namespace skylark {
+
+/// What an entry knows of itself from its settings.
+struct EntryIdentity {
+  EntryId Entry_;
+  Incarnation Incarnation_ = 0;
+  EnvironmentName Environment_;
+  DataCentreName DataCentre_;
+  std::string PeerAddress_;
+  ShardNumber ShardCount_ = 8;
+  double StoreCallsPerSecond_ = 100;
+  std::uint64_t Seed_ = 1;
+  DeskOptions Desk_;
+};
+
+/// The entry as a state machine: inputs are its public commands, outputs go to
+/// the outbox, and time comes in with each call.
+class EntryCore {
+public:
+  explicit EntryCore(EntryIdentity Identity);
+  EntryCore(const EntryCore &) = delete;
+  auto operator=(const EntryCore &) -> EntryCore & = delete;
+
+  // Commands.
+  auto callerAsked(Moment Now, CallerToken Token, const CallerRequest &Request,
+                   EntryOutbox &Out) -> void;
+  auto agentSent(Moment Now, SessionNumber Session, const AgentMessage &Message,
+                 EntryOutbox &Out) -> void;
+  auto agentGone(Moment Now, SessionNumber Session, EntryOutbox &Out) -> void;
+  auto peerOpened(Moment Now, const EntryId &Peer, EntryOutbox &Out) -> void;
+  auto peerSent(Moment Now, const EntryId &Peer, const PeerMessage &Message,
+                EntryOutbox &Out) -> void;
+  auto peerGone(Moment Now, const EntryId &Peer, EntryOutbox &Out) -> void;
+  auto storeAnswered(Moment Now, const StoreResult &Result, EntryOutbox &Out)
+      -> void;
+  /// Does all that is due by time; several times a second.
+  auto tick(Moment Now, EntryOutbox &Out) -> void;
+  /// Begins a graceful shutdown, which ends with ExitProcess.
+  auto leave(Moment Now, EntryOutbox &Out) -> void;
+
+  // Queries.
+  auto counters() const -> const Counters & { return Counters_; }
+  auto configuration() const -> const Configuration & {
+    return View_.configuration();
+  }
+  auto targetCount() const -> std::size_t { return Targets_.size(); }
+  auto ownedShards() const -> std::size_t;
+  auto inFlight() const -> std::size_t { return Desk_.inFlight(); }
+  auto healthy(Moment Now) const -> bool;
+  auto leaving() const -> bool { return Leaving_; }
+  auto shardState(ShardNumber Shard) const -> const ShardState *;
+
+private:
+  struct Peer {
+    bool Open_ = false;
+    Revision SeenRevision_ = 0;
+    Revision ConfirmedRevision_ = 0;
+  };
+  struct ForwardedCall {
+    CallerToken Token_ = 0;
+    EntryId Owner_;
+    TimePoint GiveUpAt_{};
+    bool Changes_ = false;
+  };
+  struct PeerCaller {
+    EntryId Peer_;
+    std::uint64_t Number_ = 0;
+  };
+
+  auto handle(Moment Now, CallerToken Token, const QuickRequest &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const SubmitJob &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const GetJob &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const CancelJob &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const ExplainRequest &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const GetDocument &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const PutDocument &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const PromoteDocument &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const SetDataCentre &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const ListTargets &Request,
+              EntryOutbox &Out) -> void;
+
+  auto handle(Moment Now, SessionNumber Session, const Hello &Message,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Session, const Heartbeat &Message,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Session,
+              const ConfigurationUpdate &Message, EntryOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Session,
+              const ConfirmOwnership &Message, EntryOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Session, const TaskReport &Message,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Session, const DispatchAnswer &Message,
+              EntryOutbox &Out) -> void;
+
+  auto handle(Moment Now, const EntryId &Peer, const PeerBeat &Message,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, const EntryId &Peer, const Forward &Message,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, const EntryId &Peer, const ForwardReply &Message,
+              EntryOutbox &Out) -> void;
+
+  auto acknowledge(Moment Now, Target &From, const Heartbeat &Message,
+                   EntryOutbox &Out) -> void;
+  auto refuse(CallerToken Token, ErrorKind Kind, std::string Detail,
+              EntryOutbox &Out) -> void;
+  auto forward(Moment Now, CallerToken Token, const EntryId &Owner,
+               const CallerRequest &Request, Duration Patience,
+               EntryOutbox &Out) -> void;
+  auto forwardToShard(Moment Now, CallerToken Token, ShardNumber Shard,
+                      const CallerRequest &Request, Duration Patience,
+                      EntryOutbox &Out) -> void;
+  auto expireForwards(Moment Now, EntryOutbox &Out) -> void;
+  auto preferredOwner(ShardNumber Shard) const -> EntryId;
+  auto balanceShards() -> void;
+  auto closeSilent(Moment Now, EntryOutbox &Out) -> void;
+  auto sendPeerBeats(Moment Now, EntryOutbox &Out) -> void;
+  auto confirmedRevision(Moment Now) const -> Revision;
+  auto missingFor(Moment Now, Revision Wanted) const
+      -> std::vector<std::string>;
+  auto oldGrantsLeft(Moment Now) const -> Duration;
+  auto otherEntryFresh(Moment Now) const -> bool;
+  auto mayStart(Moment Now) const -> bool;
+  auto finishOutcomes(Moment Now, EntryOutbox &Out) -> void;
+  auto dispatchClaimed(Moment Now, EntryOutbox &Out) -> void;
+  auto complete(Moment Now, EntryOutbox &Out) -> void;
+  auto answerPeers(EntryOutbox &Out) -> void;
+  auto finishLeaving(Moment Now, EntryOutbox &Out) -> void;
+  auto ownerOf(ShardNumber Shard) -> ShardOwner & { return *Shards_[Shard]; }
+
+  EntryIdentity Identity_;
+  Random Generator_;
+  Counters Counters_;
+  StorePort Store_;
+  EnvironmentView View_;
+  TargetTable Targets_;
+  RunGrants Grants_;
+  RequestDesk Desk_;
+  ChangeDesk Changes_;
+  std::vector<std::unique_ptr<ShardOwner>> Shards_;
+  std::map<EntryId, Peer> Peers_;
+  std::map<std::uint64_t, ForwardedCall> Forwards_;
+  std::uint64_t NextForward_ = 0;
+  std::unordered_map<CallerToken, PeerCaller> PeerCallers_;
+  CallerToken NextPeerToken_;
+  TimePoint RemovedGrantsEnd_{};
+  TimePoint NextPeerBeat_{};
+  TimePoint NextBalance_{};
+  bool Leaving_ = false;
+  bool ExitSent_ = false;
+  TimePoint LeaveBy_{};
+};
+
+} // namespace skylark
--- /dev/null
+++ b/core/EnvironmentView.h
@@ -0,0 +1,94 @@
+/// \file
+/// Defines an entry's view of its environment: configuration, registration,
+/// and whether it may grant.
+#pragma once
+
+#include "core/StorePort.h"
+
+#include <map>
+
+namespace skylark {
+
+/// How well an entry knows the state of the store.
+enum class StoreContact : std::uint8_t {
+  /// Read within the freshness time.
+  Fresh,
+  /// A read was tried since the last good one, and failed.
+  Outage,
+  /// Neither: nothing may be concluded.
+  Unsure
+};
+
+/// Reads the environment's head and the entries' registrations in one call,
+/// several times a second, and keeps the entry's own registration alive.
+class EnvironmentView {
+public:
+  EnvironmentView(EnvironmentName Environment, EntryRegistration Self,
+                  StorePort &Store);
+
+  auto tick(Moment Now) -> void;
+  /// Adopts a configuration that an agent brought, if it is newer and whole.
+  auto learn(Moment Now, const Configuration &Learned) -> void;
+  /// Withdraws the registration on a graceful shutdown.
+  auto leave() -> void;
+
+  auto configuration() const -> const Configuration & { return Current_; }
+  auto revision() const -> Revision { return Current_.Head_.Revision_; }
+  auto environment() const -> const EnvironmentName & { return Environment_; }
+  auto contact(Moment Now) const -> StoreContact;
+  /// True if this entry may grant at all: it is registered, and fresh or within
+  /// the outage horizon.
+  auto mayGrant(Moment Now) const -> bool;
+  /// When every grant that this entry gave under older revisions has ended.
+  auto oldGrantsEnd() const -> TimePoint { return OldGrantsEnd_; }
+  /// Other entries that are registered under a live lease.
+  auto peers() const -> const std::vector<EntryRegistration> & {
+    return Peers_;
+  }
+  auto isRegistered(const EntryId &Entry, Incarnation Number) const -> bool;
+  /// Entries that may still be granting; with each, until when at the latest
+  /// (TimePoint::max() where its lease lives).
+  auto grantors() const -> const std::map<EntryId, TimePoint> & {
+    return Grantors_;
+  }
+  auto registered() const -> bool { return Registered_; }
+  auto left() const -> bool { return Left_; }
+
+private:
+  auto readLive(Moment Now) -> void;
+  auto liveRead(Moment Now, const StoreResult &Result, TimePoint SentAt)
+      -> void;
+  auto adopt(Moment Now, const EnvironmentHead &Head) -> void;
+  auto adoptWith(Moment Now, Configuration Next) -> void;
+  auto noteEntries(Moment Now, const LiveView &Live) -> void;
+  auto noteGrantors(Moment Now, const LiveView &Live) -> void;
+  auto keepLease(Moment Now) -> void;
+  auto openLease() -> void;
+  auto announceGrantor() -> void;
+  auto announceLease() -> void;
+  auto renewLease() -> void;
+
+  EnvironmentName Environment_;
+  EntryRegistration Self_;
+  StorePort &Store_;
+  Configuration Current_;
+  TimePoint OldGrantsEnd_{};
+  bool ReadOpen_ = false;
+  bool DocumentOpen_ = false;
+  TimePoint NextRead_{};
+  TimePoint FreshAt_{};
+  TimePoint FailedAt_{};
+  bool LeaseCallOpen_ = false;
+  LeaseId Lease_;
+  bool Announced_ = false;
+  bool Registered_ = false;
+  TimePoint NextRenewal_{};
+  std::vector<EntryRegistration> Peers_;
+  std::vector<EntryRegistration> Leases_;
+  std::map<EntryId, TimePoint> Grantors_;
+  std::map<EntryId, TimePoint> LapsedAt_;
+  bool Leaving_ = false;
+  bool Left_ = false;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/core/LedgerWriter.h
@@ -0,0 +1,109 @@
+/// \file
+/// Defines the writing of one shard's ledger: ownership by epoch, group commit
+/// by compare-and-swap, sealed segments, and recovery of lost answers.
+#pragma once
+
+#include "core/StorePort.h"
+
+#include <functional>
+#include <optional>
+
+namespace skylark {
+
+/// Which entry writes, and which shard.
+struct LedgerIdentity {
+  EnvironmentName Environment_;
+  ShardNumber Shard_ = 0;
+  EntryId Entry_;
+  Incarnation Incarnation_ = 0;
+};
+
+/// Owns a shard's keys in the store while it holds the highest epoch. Safety
+/// rests on the compare-and-swap alone: a stale writer loses it.
+class LedgerWriter {
+public:
+  LedgerWriter(LedgerIdentity Identity, StorePort &Store)
+      : Identity_(std::move(Identity)), Store_(Store) {}
+
+  /// Tries to take the shard if `MayTake` allows it for the head found.
+  /// \param Horizon how long an owner that did not hand over may go on
+  /// granting.
+  auto take(std::function<bool(const ShardHead &)> MayTake, Duration Horizon)
+      -> void;
+  /// Queues a record for the next commit.
+  auto append(LedgerRecord Record) -> void;
+  /// Takes back a queued record that no write has carried yet.
+  auto withdraw(const std::function<bool(const LedgerRecord &)> &Matches)
+      -> bool;
+  /// Hands the shard over once everything queued is committed.
+  auto release(Moment Now) -> void;
+  /// Starts the next write, where one is due.
+  auto advance() -> void;
+
+  auto owning() const -> bool {
+    return Phase_ == Phase::Owning || Phase_ == Phase::Releasing;
+  }
+  auto releasing() const -> bool { return Phase_ == Phase::Releasing; }
+  auto idle() const -> bool { return Phase_ == Phase::Idle; }
+  auto epoch() const -> Epoch { return Head_.Epoch_; }
+  auto state() const -> const ShardState & { return State_; }
+  /// Until when an earlier owner may still let tasks run.
+  auto oldGrantsUntil() const -> TimePoint { return OldGrantsUntil_; }
+  auto queued() const -> std::size_t { return Pending_.size() + Batch_.size(); }
+  /// Hands over the records committed since the last call.
+  auto takeCommitted() -> std::vector<LedgerRecord>;
+  auto commits() const -> std::uint64_t { return Commits_; }
+
+private:
+  enum class Phase : std::uint8_t {
+    Idle,
+    Reading,
+    Taking,
+    Loading,
+    Owning,
+    Releasing
+  };
+
+  auto readHead() -> void;
+  auto headRead(Moment Now, const StoreResult &Result) -> void;
+  auto swapHead(const ShardHead &Next) -> void;
+  auto headSwapped(Moment Now, const StoreResult &Result) -> void;
+  auto swapSettled(Moment Now, bool TookEffect, std::uint64_t Index) -> void;
+  auto settleByReading() -> void;
+  auto settled(Moment Now, const StoreResult &Result) -> void;
+  auto loadNextSegment() -> void;
+  auto segmentLoaded(const StoreResult &Result) -> void;
+  auto startBatch() -> void;
+  auto prepareSegments() -> void;
+  auto writeNextSegment() -> void;
+  auto lose() -> void;
+  auto newWriteId() -> WriteId;
+  auto nextHead() -> ShardHead;
+
+  LedgerIdentity Identity_;
+  StorePort &Store_;
+  Phase Phase_ = Phase::Idle;
+  std::function<bool(const ShardHead &)> MayTake_;
+  ShardHead Head_;
+  std::uint64_t HeadIndex_ = 0;
+  /// The write whose outcome is open.
+  std::optional<ShardHead> Swapping_;
+  bool CallOpen_ = false;
+  ShardState State_;
+  std::size_t SegmentsLoaded_ = 0;
+  Duration Horizon_{};
+  Duration OldGrantsFor_{};
+  TimePoint OldGrantsUntil_{};
+  std::uint64_t NextWrite_ = 0;
+  std::uint64_t Commits_ = 0;
+  std::deque<LedgerRecord> Pending_;
+  std::vector<LedgerRecord> Batch_;
+  std::size_t ActiveSize_ = 0;
+  std::deque<ShardSegment> SegmentsToWrite_;
+  std::vector<WriteId> NextSegments_;
+  std::vector<WriteId> SegmentsToDelete_;
+  bool SealNext_ = false;
+  std::vector<LedgerRecord> Committed_;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/core/RequestQueue.cpp
@@ -0,0 +1,122 @@
+#include "core/RequestQueue.h"
+
+#include "core/Assert.h"
+
+namespace skylark {
+namespace {
+
+/// Weight of the newest service time in the running mean, as 1 / N.
+constexpr int ServiceTimeWeight = 8;
+
+auto refuse(SessionNumber Session, const DispatchRequest &Dispatch,
+            ErrorKind Reason, AgentOutbox &Out) -> void {
+  DispatchAnswer Answer;
+  Answer.Sequence_ = Dispatch.Sequence_;
+  Answer.Request_ = Dispatch.Request_;
+  Answer.Error_ = Reason;
+  Out.push_back(SendToEntry{Session, Answer});
+}
+
+} // namespace
+
+auto RequestQueue::refusalOf(const DispatchRequest &Dispatch) const
+    -> ErrorKind {
+  if (Refusal_ != ErrorKind::None)
+    return Refusal_;
+  if (Running_.count(Dispatch.Request_) != 0)
+    return ErrorKind::QueueFull;
+  if (running() + queued() >= Limits_.Connections_)
+    return ErrorKind::QueueFull;
+  if (running() < Limits_.Slots_)
+    return ErrorKind::None;
+  const auto Ahead = queued() + 1;
+  const auto PredictedWait = ServiceTime_ * Ahead / Limits_.Slots_;
+  return PredictedWait > Dispatch.StartWithin_ ? ErrorKind::CannotAnswerInTime
+                                               : ErrorKind::None;
+}
+
+auto RequestQueue::admit(TimePoint Now, SessionNumber Session,
+                         const DispatchRequest &Dispatch, AgentOutbox &Out)
+    -> void {
+  const auto Reason = refusalOf(Dispatch);
+  if (Reason != ErrorKind::None) {
+    refuse(Session, Dispatch, Reason, Out);
+    return;
+  }
+  Pending Request;
+  Request.Session_ = Session;
+  Request.Dispatch_ = Dispatch;
+  Request.StartBy_ = Now + Dispatch.StartWithin_;
+  Request.AnswerBy_ = Now + Dispatch.AnswerWithin_;
+  Waiting_.emplace(Request.AnswerBy_, std::move(Request));
+  advance(Now, Out);
+}
+
+auto RequestQueue::advance(TimePoint Now, AgentOutbox &Out) -> void {
+  for (auto Next = Waiting_.begin(); Next != Waiting_.end();) {
+    const auto Expired = Next->second.StartBy_ < Now;
+    if (!Expired && running() >= Limits_.Slots_)
+      break;
+    auto Request = std::move(Next->second);
+    Next = Waiting_.erase(Next);
+    if (Expired || Running_.count(Request.Dispatch_.Request_) != 0)
+      refuse(Request.Session_, Request.Dispatch_, ErrorKind::ExpiredInQueue,
+             Out);
+    else
+      start(Now, std::move(Request), Out);
+  }
+}
+
+auto RequestQueue::start(TimePoint Now, Pending Request, AgentOutbox &Out)
+    -> void {
+  SKYLARK_ASSERT(running() < Limits_.Slots_,
+                 "target over its slots:", running(), "of", Limits_.Slots_);
+  CallTarget Call;
+  Call.Request_ = Request.Dispatch_.Request_;
+  Call.Service_ = Request.Dispatch_.Service_;
+  Call.Body_ = std::move(Request.Dispatch_.Body_);
+  Call.Timeout_ = std::chrono::duration_cast<Micros>(Request.AnswerBy_ - Now) +
+                  Request.Dispatch_.AnswerWithin_;
+  Call.Idempotent_ = Request.Dispatch_.Idempotent_;
+  Request.StartedAt_ = Now;
+  Running_.emplace(Call.Request_, std::move(Request));
+  Out.push_back(std::move(Call));
+}
+
+auto RequestQueue::finish(TimePoint Now, const TargetResult &Result,
+                          AgentOutbox &Out) -> void {
+  const auto Found = Running_.find(Result.Request_);
+  if (Found == Running_.end())
+    return;
+  const auto Request = std::move(Found->second);
+  Running_.erase(Found);
+  const auto Took =
+      std::chrono::duration_cast<Micros>(Now - Request.StartedAt_);
+  ServiceTime_ = ServiceTime_ == Micros{0}
+                     ? Took
+                     : ServiceTime_ + (Took - ServiceTime_) / ServiceTimeWeight;
+  DispatchAnswer Answer;
+  Answer.Sequence_ = Request.Dispatch_.Sequence_;
+  Answer.Request_ = Result.Request_;
+  Answer.Error_ = Result.Error_;
+  Answer.Status_ = Result.Status_;
+  Answer.Body_ = Result.Body_;
+  Answer.Length_ = Result.Body_.size();
+  Answer.Digest_ = digest64(Result.Body_);
+  Out.push_back(SendToEntry{Request.Session_, std::move(Answer)});
+  advance(Now, Out);
+}
+
+auto RequestQueue::cancel(SessionNumber Session, const RequestId &Request,
+                          AgentOutbox &Out) -> void {
+  for (auto Each = Waiting_.begin(); Each != Waiting_.end(); ++Each) {
+    if (Each->second.Session_ != Session ||
+        Each->second.Dispatch_.Request_ != Request)
+      continue;
+    refuse(Session, Each->second.Dispatch_, ErrorKind::Cancelled, Out);
+    Waiting_.erase(Each);
+    return;
+  }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/ShardOwner.h
@@ -0,0 +1,209 @@
+/// \file
+/// Defines what an entry decides for a shard that it owns: claims of
+/// idempotency keys, jobs, bindings and what follows from reports.
+#pragma once
+
+#include "core/LedgerWriter.h"
+#include "core/RequestDesk.h"
+
+#include <set>
+
+namespace skylark {
+
+/// A worker of one incarnation.
+struct WorkerKey {
+  AgentId Agent_;
+  Incarnation Worker_ = 0;
+
+  friend auto operator<(const WorkerKey &Left, const WorkerKey &Right) -> bool {
+    return std::tie(Left.Agent_, Left.Worker_) <
+           std::tie(Right.Agent_, Right.Worker_);
+  }
+};
+
+/// Until when each worker may run tasks on this entry's word.
+class RunGrants {
+public:
+  auto extend(const WorkerKey &Worker, TimePoint Until) -> void;
+  auto until(const WorkerKey &Worker) const -> TimePoint;
+  /// Drops what ended long ago.
+  auto prune(TimePoint Before) -> void;
+
+private:
+  std::map<WorkerKey, TimePoint> Until_;
+};
+
+/// What a shard owner reads of the entry around it.
+struct ShardView {
+  TargetTable &Targets_;
+  const Configuration &Configuration_;
+  const RunGrants &Grants_;
+  Counters &Counters_;
+};
+
+/// A claimed request whose claim is committed: it may be dispatched now.
+struct ClaimedRequest {
+  RequestId Request_;
+  CallerToken Token_ = 0;
+  QuickRequest Quick_;
+};
+
+/// Decides for one shard.
+class ShardOwner {
+public:
+  ShardOwner(LedgerIdentity Identity, StorePort &Store, ShardView View);
+
+  // Commands of callers.
+  auto claimKey(Moment Now, CallerToken Token, const RequestId &Request,
+                const QuickRequest &Quick, EntryOutbox &Out) -> void;
+  auto closeClaim(Moment Now, const RequestOutcome &Outcome) -> void;
+  auto submit(Moment Now, CallerToken Token, const SubmitJob &Submission,
+              Random &Generator, EntryOutbox &Out) -> void;
+  auto cancel(Moment Now, CallerToken Token, const JobId &Id, EntryOutbox &Out)
+      -> void;
+
+  // Messages of agents.
+  auto confirmed(Moment Now, Target &From, const ConfirmOwnership &Confirm,
+                 EntryOutbox &Out) -> void;
+  auto reported(Moment Now, Target &From, const TaskReport &Report,
+                EntryOutbox &Out) -> void;
+  /// Claims the shard towards an agent that has tasks of it.
+  auto agentJoined(Target &Joined, EntryOutbox &Out) -> void;
+
+  auto take(std::function<bool(const ShardHead &)> MayTake) -> void;
+  /// Takes no new work, and hands the shard over once it is quiet.
+  auto release() -> void { Draining_ = true; }
+  /// Binds pending tasks, settles what lapsed, commits. `MayGrant` is false
+  /// while the entry can't be sure that it still owns the shard.
+  auto tick(Moment Now, bool MayGrant, Random &Generator, EntryOutbox &Out)
+      -> void;
+  /// Carries out what newly committed records call for.
+  auto afterStoreCall(Moment Now, EntryOutbox &Out) -> void;
+
+  // Queries.
+  auto owning() const -> bool { return Ledger_.owning(); }
+  auto releasing() const -> bool { return Ledger_.releasing(); }
+  /// True if it may be given new work.
+  auto open() const -> bool { return Indexed_ && owning() && !Draining_; }
+  auto idle() const -> bool { return Ledger_.idle(); }
+  auto quiet() const -> bool;
+  auto number() const -> ShardNumber { return Shard_; }
+  auto epoch() const -> Epoch { return Ledger_.epoch(); }
+  auto state() const -> const ShardState & { return Ledger_.state(); }
+  auto commits() const -> std::uint64_t { return Ledger_.commits(); }
+  auto takeClaimed() -> std::vector<ClaimedRequest>;
+
+private:
+  /// Order in which pending tasks are bound: watchers, urgent work, then the
+  /// least time until the latest start that meets the deadline.
+  struct PendingRank {
+    int Class_ = 0;
+    WallTime LatestStart_{};
+    TaskId Task_;
+
+    friend auto operator<(const PendingRank &Left, const PendingRank &Right)
+        -> bool {
+      return std::tie(Left.Class_, Left.LatestStart_, Left.Task_) <
+             std::tie(Right.Class_, Right.LatestStart_, Right.Task_);
+    }
+  };
+  /// What is known of a bound task beyond the ledger.
+  struct BoundTask {
+    bool Sent_ = false;
+    bool Reported_ = false;
+    bool StopSent_ = false;
+    TimePoint SentAt_{};
+  };
+  struct PendingClaim {
+    CallerToken Token_ = 0;
+    RequestId Request_;
+    QuickRequest Quick_;
+    TimePoint GiveUpAt_{};
+  };
+  /// What one pass over the pending tasks has learned.
+  struct BindPass {
+    int Misses_ = 0;
+    std::vector<Resources> NoRoom_;
+  };
+  struct WaitingCaller {
+    CallerToken Token_ = 0;
+    TimePoint GiveUpAt_{};
+  };
+
+  auto checkKey(Moment Now, const IdempotencyKey &Key) const -> ErrorKind;
+  auto answerClaim(CallerToken Token, const Claim &Known, EntryOutbox &Out)
+      -> void;
+  auto checkSubmission(const JobDeclaration &Wanted, std::string &Detail) const
+      -> ErrorKind;
+  auto propose(const TaskId &Task, TaskChanged Change) -> void;
+  auto requeue(Moment Now, const TaskId &Task, ErrorKind Reason,
+               const CheckpointId &Checkpoint, bool Failed) -> void;
+  auto reindex() -> void;
+  auto index(const Job &Job) -> void;
+  auto indexTask(const Job &Job, std::uint32_t Index) -> void;
+  auto rankOf(const Job &Job, std::uint32_t Index) const -> PendingRank;
+  auto bindPending(Moment Now, Random &Generator, EntryOutbox &Out) -> void;
+  auto bindOne(Moment Now, const PendingRank &Rank, BindPass &Pass,
+               Random &Generator, EntryOutbox &Out) -> bool;
+  auto chooseWorker(Moment Now, const Resources &Need, Random &Generator,
+                    EntryOutbox &Out) -> Target *;
+  auto mayHost(Moment Now, const Target &Candidate, const Resources &Need) const
+      -> bool;
+  auto claimTowards(Target &Agent, EntryOutbox &Out) -> void;
+  auto sendBind(Moment Now, const TaskId &Task, Target &To, EntryOutbox &Out)
+      -> void;
+  auto watchBound(Moment Now, EntryOutbox &Out) -> void;
+  auto watchTask(Moment Now, const TaskId &Task, BoundTask &Soft,
+                 EntryOutbox &Out) -> void;
+  auto settleEnded(Moment Now, Target &From, const TaskReport &Report) -> void;
+  auto noteOutcome(Moment Now, Target &From, bool Failed) -> void;
+  auto giveUpWaiting(Moment Now, EntryOutbox &Out) -> void;
+  auto forgetOld(Moment Now) -> void;
+  auto teamUse(const TeamName &Team) const -> Resources;
+  auto lost(EntryOutbox &Out) -> void;
+
+  auto committed(Moment Now, const JobAdded &Record, EntryOutbox &Out) -> void;
+  auto committed(Moment Now, const JobCancelled &Record, EntryOutbox &Out)
+      -> void;
+  auto committed(Moment Now, const TaskChanged &Record, EntryOutbox &Out)
+      -> void;
+  auto committed(Moment Now, const JobForgotten &Record, EntryOutbox &Out)
+      -> void;
+  auto committed(Moment Now, const ClaimOpened &Record, EntryOutbox &Out)
+      -> void;
+  auto committed(Moment Now, const ClaimClosed &Record, EntryOutbox &Out)
+      -> void;
+  auto committed(Moment Now, const ClaimForgotten &Record, EntryOutbox &Out)
+      -> void;
+
+  ShardNumber Shard_;
+  LedgerWriter Ledger_;
+  ShardView View_;
+  bool Indexed_ = false;
+  bool Draining_ = false;
+  std::set<PendingRank> Pending_;
+  std::map<TaskId, BoundTask> Bound_;
+  std::set<TaskId> Proposed_;
+  std::map<TaskId, TimePoint> NotBefore_;
+  std::map<TeamName, Resources> Use_;
+  std::map<TaskId, Resources> Held_;
+  std::map<IdempotencyKey, PendingClaim> PendingClaims_;
+  /// Keys whose caller was told "not run" while their claim was on its way.
+  std::set<IdempotencyKey> AbandonedKeys_;
+  std::set<JobId> Cancelling_;
+  /// Requests that this owner has dispatched and not closed.
+  std::set<RequestId> Dispatched_;
+  /// Outcomes that are known here and not committed yet.
+  std::map<IdempotencyKey, Claim> Closing_;
+  std::map<JobId, std::vector<WaitingCaller>> WaitingAdd_;
+  std::map<JobId, std::vector<WaitingCaller>> WaitingCancel_;
+  std::vector<ClaimedRequest> Claimed_;
+  TimePoint NextForget_{};
+};
+
+/// The shard of a key or a team.
+auto shardOf(const std::string &Key, ShardNumber ShardCount) -> ShardNumber;
+/// The shard that a job id names; ShardCount where the id is malformed.
+auto shardOf(const JobId &Id, ShardNumber ShardCount) -> ShardNumber;
+
+} // namespace skylark
--- /dev/null
+++ b/core/ShardState.cpp
@@ -0,0 +1,157 @@
+#include "core/ShardState.h"
+
+#include "core/Assert.h"
+
+namespace skylark {
+namespace {
+
+/// Attempts that a task's history keeps; the whole history is in the log.
+constexpr std::size_t HistoryLimit = 16;
+
+auto isFinal(TaskState State) -> bool {
+  return State == TaskState::Finished || State == TaskState::Failed ||
+         State == TaskState::Cancelled;
+}
+
+auto addNote(TaskStatus &Task, AttemptNote Note) -> void {
+  if (Task.History_.size() >= HistoryLimit)
+    Task.History_.erase(Task.History_.begin());
+  Task.History_.push_back(std::move(Note));
+}
+
+} // namespace
+
+auto ShardState::apply(const LedgerRecord &Record) -> void {
+  std::visit([this](const auto &Each) { apply(Each); }, Record);
+}
+
+auto ShardState::apply(const JobAdded &Record) -> void {
+  Jobs_.emplace(Record.Job_.Id_, Record.Job_);
+}
+
+auto ShardState::apply(const JobCancelled &Record) -> void {
+  const auto Found = Jobs_.find(Record.Job_);
+  if (Found == Jobs_.end())
+    return;
+  Found->second.Cancelled_ = true;
+  for (auto &Task : Found->second.Tasks_) {
+    if (Task.State_ != TaskState::Pending)
+      continue;
+    Task.State_ = TaskState::Cancelled;
+    addNote(
+        Task,
+        {Task.Attempt_, Task.State_, {}, {}, Record.At_, ErrorKind::Cancelled});
+  }
+}
+
+auto ShardState::apply(const TaskChanged &Record) -> void {
+  const auto Found = Jobs_.find(Record.Task_.Job_);
+  if (Found == Jobs_.end())
+    return;
+  SKYLARK_ASSERT(Record.Task_.Index_ < Found->second.Tasks_.size(),
+                 "no such task:", Record.Task_);
+  auto &Task = Found->second.Tasks_[Record.Task_.Index_];
+  SKYLARK_ASSERT(Record.Attempt_ >= Task.Attempt_,
+                 "attempt went down:", Record.Task_, Task.Attempt_, "to",
+                 Record.Attempt_);
+  SKYLARK_ASSERT(
+      !isFinal(Task.State_), "task left its end state:", Record.Task_,
+      taskStateText(Task.State_), "to", taskStateText(Record.State_));
+  const auto Starts = Record.State_ == TaskState::Bound;
+  SKYLARK_ASSERT(!Starts || (Task.State_ == TaskState::Pending &&
+                             Record.Attempt_ == Task.Attempt_ + 1),
+                 "task bound twice:", Record.Task_, Record.Attempt_);
+  // The job may have been cancelled after this change was proposed.
+  const auto NeverAgain =
+      Found->second.Cancelled_ && Record.State_ == TaskState::Pending;
+  Task.State_ = NeverAgain ? TaskState::Cancelled : Record.State_;
+  Task.Attempt_ = Record.Attempt_;
+  Task.Agent_ = Record.Agent_;
+  Task.Worker_ = Record.Worker_;
+  Task.Checkpoint_ = Record.Checkpoint_;
+  Task.Failures_ = Record.Failures_;
+  addNote(Task, {Record.Attempt_, Record.State_, Record.Agent_,
+                 Record.DataCentre_, Record.At_, Record.Reason_});
+}
+
+auto ShardState::apply(const JobForgotten &Record) -> void {
+  Jobs_.erase(Record.Job_);
+}
+
+auto ShardState::apply(const ClaimOpened &Record) -> void {
+  auto &Claim = Claims_[Record.Key_];
+  // A key is claimed again only where its first request is known not to have
+  // run.
+  SKYLARK_ASSERT(Claim.Request_.empty() ||
+                     (!Claim.Open_ && errorAnswer(Claim.Error_).Execution_ ==
+                                          Execution::NotRun),
+                 "key claimed twice:", Record.Key_);
+  Claim = {};
+  Claim.RequestDigest_ = Record.RequestDigest_;
+  Claim.Request_ = Record.Request_;
+  Claim.At_ = Record.At_;
+}
+
+auto ShardState::apply(const ClaimClosed &Record) -> void {
+  const auto Found = Claims_.find(Record.Key_);
+  if (Found == Claims_.end() || Found->second.Request_ != Record.Request_)
+    return;
+  auto &Claim = Found->second;
+  Claim.Open_ = false;
+  Claim.Error_ = Record.Error_;
+  Claim.Status_ = Record.Status_;
+  Claim.Body_ = Record.Body_;
+}
+
+auto ShardState::apply(const ClaimForgotten &Record) -> void {
+  Claims_.erase(Record.Key_);
+}
+
+auto ShardState::snapshot() const -> std::vector<LedgerRecord> {
+  std::vector<LedgerRecord> Records;
+  Records.reserve(Jobs_.size() + 2 * Claims_.size());
+  for (const auto &Each : Jobs_)
+    Records.emplace_back(JobAdded{Each.second});
+  for (const auto &[Key, Claim] : Claims_) {
+    Records.emplace_back(
+        ClaimOpened{Key, Claim.RequestDigest_, Claim.Request_, Claim.At_});
+    if (!Claim.Open_)
+      Records.emplace_back(ClaimClosed{Key, Claim.Request_, Claim.Error_,
+                                       Claim.Status_, Claim.Body_, Claim.At_});
+  }
+  return Records;
+}
+
+auto ShardState::findJob(const JobId &Id) const -> const Job * {
+  const auto Found = Jobs_.find(Id);
+  return Found == Jobs_.end() ? nullptr : &Found->second;
+}
+
+auto ShardState::findTask(const TaskId &Id) const -> const TaskStatus * {
+  const auto *Job = findJob(Id.Job_);
+  if (Job == nullptr || Id.Index_ >= Job->Tasks_.size())
+    return nullptr;
+  return &Job->Tasks_[Id.Index_];
+}
+
+auto ShardState::findClaim(const IdempotencyKey &Key) const -> const Claim * {
+  const auto Found = Claims_.find(Key);
+  return Found == Claims_.end() ? nullptr : &Found->second;
+}
+
+auto recordSize(const LedgerRecord &Record) -> std::size_t {
+  constexpr std::size_t Overhead = 96;
+  constexpr std::size_t TaskSize = 48;
+  constexpr std::size_t NoteSize = 40;
+  if (const auto *Added = std::get_if<JobAdded>(&Record)) {
+    auto Size = Overhead + Added->Job_.Declaration_.Payload_.size();
+    for (const auto &Task : Added->Job_.Tasks_)
+      Size += TaskSize + NoteSize * Task.History_.size();
+    return Size;
+  }
+  if (const auto *Closed = std::get_if<ClaimClosed>(&Record))
+    return Overhead + Closed->Body_.size();
+  return Overhead;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/StartPermits.cpp
@@ -0,0 +1,51 @@
+#include "core/StartPermits.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+auto StartPermits::grant(SessionNumber Session, TimePoint SentAt,
+                         const HeartbeatAck &Ack) -> void {
+  auto &Grant = Grants_[Session];
+  // A reordered acknowledgement must not replace a grant under a newer
+  // revision with one under an older.
+  if (Ack.Revision_ >= Grant.Revision_) {
+    Grant.Revision_ = Ack.Revision_;
+    Grant.StartUntil_ = std::max(Grant.StartUntil_, SentAt + Ack.StartFor_);
+  }
+  for (const auto Shard : Ack.Shards_) {
+    auto &Until = Grant.RunUntil_[Shard];
+    Until = std::max(Until, SentAt + Ack.RunFor_);
+  }
+  if (Ack.Fresh_)
+    Grant.FreshAt_ = std::max(Grant.FreshAt_, SentAt);
+}
+
+auto StartPermits::close(SessionNumber Session) -> void {
+  Grants_.erase(Session);
+}
+
+auto StartPermits::mayStart(TimePoint Now, Revision Seen) const -> bool {
+  return std::any_of(Grants_.begin(), Grants_.end(), [&](const auto &Each) {
+    return Each.second.Revision_ >= Seen && Each.second.StartUntil_ > Now;
+  });
+}
+
+auto StartPermits::runUntil(SessionNumber Session, ShardNumber Shard) const
+    -> TimePoint {
+  const auto Found = Grants_.find(Session);
+  if (Found == Grants_.end())
+    return {};
+  const auto Until = Found->second.RunUntil_.find(Shard);
+  return Until == Found->second.RunUntil_.end() ? TimePoint{} : Until->second;
+}
+
+auto StartPermits::otherFresh(TimePoint Now, SessionNumber Session,
+                              Duration Within) const -> bool {
+  return std::any_of(Grants_.begin(), Grants_.end(), [&](const auto &Each) {
+    return Each.first != Session && Each.second.FreshAt_ != TimePoint{} &&
+           Each.second.FreshAt_ + Within > Now;
+  });
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/StoreCalls.cpp
@@ -0,0 +1,45 @@
+#include "core/StoreCalls.h"
+
+namespace skylark {
+namespace {
+
+auto environmentPath(const EnvironmentName &Environment) -> std::string {
+  return "skylark/environments/" + Environment.Value_;
+}
+
+auto shardPath(const EnvironmentName &Environment, ShardNumber Shard)
+    -> std::string {
+  return "skylark/shards/" + Environment.Value_ + "/" + std::to_string(Shard);
+}
+
+} // namespace
+
+auto headKey(const EnvironmentName &Environment) -> StoreKey {
+  return {environmentPath(Environment) + "/head"};
+}
+
+auto documentKey(const std::string &Digest) -> StoreKey {
+  return {"skylark/documents/" + Digest};
+}
+
+auto leaseKey(const EnvironmentName &Environment, const EntryId &Entry)
+    -> StoreKey {
+  return {environmentPath(Environment) + "/leases/" + Entry.Value_};
+}
+
+auto grantorKey(const EnvironmentName &Environment, const EntryId &Entry)
+    -> StoreKey {
+  return {environmentPath(Environment) + "/grantors/" + Entry.Value_};
+}
+
+auto shardHeadKey(const EnvironmentName &Environment, ShardNumber Shard)
+    -> StoreKey {
+  return {shardPath(Environment, Shard) + "/head"};
+}
+
+auto segmentKey(const EnvironmentName &Environment, ShardNumber Shard,
+                const WriteId &Segment) -> StoreKey {
+  return {shardPath(Environment, Shard) + "/segments/" + Segment.Value_};
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/StoreCalls.h
@@ -0,0 +1,160 @@
+/// \file
+/// Defines the calls to the platform's key-value service and its answers.
+#pragma once
+
+#include "core/Document.h"
+#include "core/ShardState.h"
+
+#include <variant>
+
+namespace skylark {
+
+/// A key of the store.
+struct StoreKey {
+  std::string Path_;
+
+  friend auto operator==(const StoreKey &Left, const StoreKey &Right) -> bool {
+    return Left.Path_ == Right.Path_;
+  }
+  friend auto operator<(const StoreKey &Left, const StoreKey &Right) -> bool {
+    return Left.Path_ < Right.Path_;
+  }
+};
+
+auto headKey(const EnvironmentName &Environment) -> StoreKey;
+auto documentKey(const std::string &Digest) -> StoreKey;
+auto leaseKey(const EnvironmentName &Environment, const EntryId &Entry)
+    -> StoreKey;
+auto grantorKey(const EnvironmentName &Environment, const EntryId &Entry)
+    -> StoreKey;
+auto shardHeadKey(const EnvironmentName &Environment, ShardNumber Shard)
+    -> StoreKey;
+auto segmentKey(const EnvironmentName &Environment, ShardNumber Shard,
+                const WriteId &Segment) -> StoreKey;
+
+/// How an entry can be reached by other entries.
+struct EntryRegistration {
+  EntryId Entry_;
+  Incarnation Incarnation_ = 0;
+  std::string PeerAddress_;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&EntryRegistration::Entry_,
+                           &EntryRegistration::Incarnation_,
+                           &EntryRegistration::PeerAddress_);
+  }
+};
+
+/// A sealed part of a shard's ledger; written once.
+struct ShardSegment {
+  std::vector<LedgerRecord> Records_;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&ShardSegment::Records_);
+  }
+};
+
+/// The key of a shard that takes every compare-and-swap.
+struct ShardHead {
+  Epoch Epoch_ = 0;
+  /// Empty where the last owner has handed the shard over.
+  EntryId Owner_;
+  Incarnation OwnerIncarnation_ = 0;
+  /// Left by an owner that hands over: how long owners before it, which it has
+  /// not outwaited, may still let tasks run.
+  Millis OldGrantsFor_{0};
+  /// Names the write, so that its writer can recognise it after a lost answer.
+  WriteId Write_;
+  std::vector<WriteId> Segments_;
+  std::vector<LedgerRecord> Active_;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&ShardHead::Epoch_, &ShardHead::Owner_,
+                           &ShardHead::OwnerIncarnation_,
+                           &ShardHead::OldGrantsFor_, &ShardHead::Write_,
+                           &ShardHead::Segments_, &ShardHead::Active_);
+  }
+};
+
+using StoreValue = std::variant<std::monostate, EnvironmentHead, Document,
+                                EntryRegistration, ShardHead, ShardSegment>;
+
+/// Reads the environment's head, leases and grantors in one consistent call.
+struct ReadLive {
+  EnvironmentName Environment_;
+};
+
+struct ReadValue {
+  StoreKey Key_;
+};
+
+/// Writes only if the key's index is still `ExpectedIndex_`; nought means that
+/// the key must not exist.
+struct CompareAndSwap {
+  StoreKey Key_;
+  StoreValue Value_;
+  std::uint64_t ExpectedIndex_ = 0;
+};
+
+/// Writes without a condition.
+struct WriteValue {
+  StoreKey Key_;
+  StoreValue Value_;
+};
+
+/// Deletes a key; with an expected index other than nought, only at that index.
+struct DeleteValue {
+  StoreKey Key_;
+  std::uint64_t ExpectedIndex_ = 0;
+};
+
+struct OpenLease {
+  Millis TimeToLive_{0};
+};
+
+struct RenewLease {
+  LeaseId Lease_;
+};
+
+struct EndLease {
+  LeaseId Lease_;
+};
+
+/// Writes a key that vanishes with the lease.
+struct WriteUnderLease {
+  StoreKey Key_;
+  StoreValue Value_;
+  LeaseId Lease_;
+};
+
+using StoreOperation =
+    std::variant<ReadLive, ReadValue, CompareAndSwap, WriteValue, DeleteValue,
+                 OpenLease, RenewLease, EndLease, WriteUnderLease>;
+
+/// Unavailable also covers a call whose answer was lost: it may have taken
+/// effect.
+enum class StoreStatus : std::uint8_t { Ok, Conflict, NotFound, Unavailable };
+
+struct RegisteredEntry {
+  EntryRegistration Registration_;
+  std::uint64_t Index_ = 0;
+};
+
+/// All that entries read regularly.
+struct LiveView {
+  std::uint64_t HeadIndex_ = 0;
+  EnvironmentHead Head_;
+  std::vector<RegisteredEntry> Leases_;
+  std::vector<RegisteredEntry> Grantors_;
+};
+
+struct StoreResult {
+  std::uint64_t Call_ = 0;
+  StoreStatus Status_ = StoreStatus::Unavailable;
+  std::uint64_t Index_ = 0;
+  StoreValue Value_;
+  LeaseId Lease_;
+  LiveView Live_;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/core/TargetTable.cpp
@@ -0,0 +1,101 @@
+#include "core/TargetTable.h"
+
+#include <algorithm>
+
+namespace skylark {
+namespace {
+
+auto eraseTarget(std::vector<Target *> &Targets, const Target *Gone) -> void {
+  const auto Found = std::find(Targets.begin(), Targets.end(), Gone);
+  if (Found == Targets.end())
+    return;
+  *Found = Targets.back();
+  Targets.pop_back();
+}
+
+/// Heartbeats arrive twice a second, so a promise that none has shown after
+/// this time was refused.
+constexpr Millis PromiseFor{1500};
+
+} // namespace
+
+auto mayGetWork(const Target &Candidate, const Configuration &Configuration,
+                TimePoint Now) -> bool {
+  const auto SilentAfter = Configuration.Document_.Policy_.SilentAfter_;
+  return !Candidate.Leaving_ && Candidate.HeardAt_ + SilentAfter >= Now &&
+         Configuration.Document_.hasDataCentre(Candidate.dataCentre()) &&
+         !Configuration.Head_.isOut(Candidate.dataCentre());
+}
+
+auto TargetTable::add(Moment Now, SessionNumber Session, const Hello &Message)
+    -> SessionNumber {
+  SessionNumber Replaced = 0;
+  const auto Known = Agents_.find(Message.Agent_);
+  if (Known != Agents_.end() && Known->second != Session) {
+    Replaced = Known->second;
+    remove(Replaced);
+  }
+  remove(Session);
+  auto New = std::make_unique<Target>();
+  New->Hello_ = Message;
+  New->Session_ = Session;
+  New->HeardAt_ = Now.Steady_;
+  New->Revision_ = Message.Revision_;
+  Agents_[Message.Agent_] = Session;
+  for (const auto &Service : Message.Services_)
+    Services_[Service].push_back(New.get());
+  All_.push_back(New.get());
+  Targets_[Session] = std::move(New);
+  return Replaced;
+}
+
+auto TargetTable::remove(SessionNumber Session) -> void {
+  const auto Found = Targets_.find(Session);
+  if (Found == Targets_.end())
+    return;
+  const auto *Gone = Found->second.get();
+  for (const auto &Service : Gone->Hello_.Services_)
+    eraseTarget(Services_[Service], Gone);
+  eraseTarget(All_, Gone);
+  Agents_.erase(Gone->agent());
+  Targets_.erase(Found);
+}
+
+auto TargetTable::update(Moment Now, SessionNumber Session,
+                         const Heartbeat &Beat) -> void {
+  auto *Known = find(Session);
+  if (Known == nullptr)
+    return;
+  Known->HeardAt_ = Now.Steady_;
+  Known->Load_ = Beat.Load_;
+  Known->Leaving_ = Known->Leaving_ || Beat.Leaving_;
+  Known->Revision_ = std::max(Known->Revision_, Beat.Revision_);
+  Known->OtherEntryFresh_ = Beat.OtherEntryFresh_;
+  Known->SentSinceReport_ = 0;
+  if (Known->PromisedAt_ + PromiseFor < Now.Steady_)
+    Known->Promised_ = {};
+}
+
+auto TargetTable::find(SessionNumber Session) -> Target * {
+  const auto Found = Targets_.find(Session);
+  return Found == Targets_.end() ? nullptr : Found->second.get();
+}
+
+auto TargetTable::find(SessionNumber Session) const -> const Target * {
+  const auto Found = Targets_.find(Session);
+  return Found == Targets_.end() ? nullptr : Found->second.get();
+}
+
+auto TargetTable::findAgent(const AgentId &Agent) -> Target * {
+  const auto Found = Agents_.find(Agent);
+  return Found == Agents_.end() ? nullptr : find(Found->second);
+}
+
+auto TargetTable::ofService(const ServiceName &Service) const
+    -> const std::vector<Target *> & {
+  static const std::vector<Target *> None;
+  const auto Found = Services_.find(Service);
+  return Found == Services_.end() ? None : Found->second;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/TaskHost.cpp
@@ -0,0 +1,312 @@
+#include "core/TaskHost.h"
+
+#include "core/Assert.h"
+
+#include <algorithm>
+
+namespace skylark {
+namespace {
+
+/// Batch tasks that write their checkpoints at the same time while draining.
+constexpr int DrainAtOnce = 4;
+
+auto reportOf(const BindTask &Bind, TaskPhase Phase,
+              const CheckpointId &Checkpoint, ErrorKind Reason) -> TaskReport {
+  return {Bind.Shard_, Bind.Task_, Bind.Attempt_, Phase, Checkpoint, Reason};
+}
+
+} // namespace
+
+auto TaskHost::adopt(const WorkerInventory &Inventory) -> void {
+  Worker_ = Inventory.Worker_;
+  for (const auto &Task : Inventory.Tasks_)
+    adoptTask(Task);
+}
+
+auto TaskHost::adoptTask(const WorkerTask &Task) -> void {
+  auto &Held = Tasks_[Task.Bind_.Task_];
+  Held.Bind_ = Task.Bind_;
+  Held.Phase_ = Task.Phase_;
+  Held.Checkpoint_ = Task.Checkpoint_;
+  Held.Reason_ = Task.Reason_;
+  if (!isEnded(Held.Phase_))
+    Ledger_.reserve(Held.Bind_.Task_, Held.Bind_.Resources_);
+}
+
+auto TaskHost::update(TimePoint Now, const WorkerInventory &Inventory,
+                      AgentOutbox &Out) -> void {
+  // An answer that was overtaken by a newer one tells nothing new.
+  if (Inventory.Clock_ < WorkerClock_)
+    return;
+  WorkerClock_ = Inventory.Clock_;
+  WorkerClockAt_ = Now;
+  std::map<TaskId, const WorkerTask *> Seen;
+  for (const auto &Task : Inventory.Tasks_)
+    Seen[Task.Bind_.Task_] = &Task;
+  for (auto &[Task, Held] : Tasks_) {
+    const auto Found = Seen.find(Task);
+    const auto Known = Found != Seen.end() &&
+                       Found->second->Bind_.Attempt_ == Held.Bind_.Attempt_;
+    if (Known)
+      updateTask(Held, *Found->second, Out);
+    else
+      settleMissing(Held, Inventory, Out);
+  }
+  dropUnheld(Inventory, Out);
+}
+
+auto TaskHost::dropUnheld(const WorkerInventory &Inventory, AgentOutbox &Out)
+    -> void {
+  for (const auto &Task : Inventory.Tasks_) {
+    const auto &Bind = Task.Bind_;
+    if (Tasks_.count(Bind.Task_) != 0)
+      continue;
+    if (isEnded(Task.Phase_))
+      Out.push_back(ForgetOnWorker{Bind.Task_, Bind.Attempt_});
+    else
+      Out.push_back(StopOnWorker{Bind.Task_, Bind.Attempt_});
+  }
+}
+
+auto TaskHost::updateTask(HeldTask &Held, const WorkerTask &Seen,
+                          AgentOutbox &Out) -> void {
+  Held.Checkpoint_ = Seen.Checkpoint_;
+  if (isEnded(Held.Phase_))
+    return;
+  if (isEnded(Seen.Phase_)) {
+    // A stop that was asked for keeps the reason for which it was asked.
+    const auto Asked =
+        Held.Phase_ == TaskPhase::Stopping && Seen.Phase_ == TaskPhase::Stopped;
+    end(Held, Seen.Phase_, Asked ? Held.Reason_ : Seen.Reason_, Out);
+    return;
+  }
+  if (Held.Phase_ != TaskPhase::Starting)
+    return;
+  Held.Phase_ = TaskPhase::Running;
+  report(Held, Out);
+}
+
+auto TaskHost::settleMissing(HeldTask &Held, const WorkerInventory &Inventory,
+                             AgentOutbox &Out) -> void {
+  if (isEnded(Held.Phase_) || Held.Phase_ == TaskPhase::Queued)
+    return;
+  // The worker refuses a start whose lease has passed on its own clock, so
+  // from then on a task that it doesn't list never started.
+  const auto NeverListed = Held.StartLeaseUntil_ != Micros{0};
+  if (NeverListed && Inventory.Clock_ <= Held.StartLeaseUntil_)
+    return;
+  const auto Phase = Held.Phase_ == TaskPhase::Starting ? TaskPhase::NotStarted
+                                                        : TaskPhase::Failed;
+  end(Held, Phase, ErrorKind::WorkerGone, Out);
+}
+
+auto TaskHost::end(HeldTask &Held, TaskPhase Phase, ErrorKind Reason,
+                   AgentOutbox &Out) -> void {
+  SKYLARK_ASSERT(!isEnded(Held.Phase_),
+                 "attempt ended twice:", Held.Bind_.Task_, Held.Bind_.Attempt_);
+  Held.Phase_ = Phase;
+  Held.Reason_ = Reason;
+  Ledger_.release(Held.Bind_.Task_);
+  report(Held, Out);
+}
+
+auto TaskHost::report(const HeldTask &Held, AgentOutbox &Out) const -> void {
+  const auto Session = sessionOf(Held.Bind_.Shard_);
+  if (Session == 0)
+    return;
+  Out.push_back(SendToEntry{Session, reportOf(Held.Bind_, Held.Phase_,
+                                              Held.Checkpoint_, Held.Reason_)});
+}
+
+auto TaskHost::sessionOf(ShardNumber Shard) const -> SessionNumber {
+  const auto Found = Owners_.find(Shard);
+  return Found == Owners_.end() ? 0 : Found->second.Session_;
+}
+
+auto TaskHost::obey(ShardNumber Shard, Epoch Epoch, SessionNumber Session)
+    -> bool {
+  auto &Owner = Owners_[Shard];
+  if (Epoch < Owner.Epoch_)
+    return false;
+  Owner.Epoch_ = Epoch;
+  Owner.Session_ = Session;
+  return true;
+}
+
+auto TaskHost::claim(SessionNumber Session, const ClaimOwnership &Claim,
+                     AgentOutbox &Out) -> void {
+  const auto Obeyed = obey(Claim.Shard_, Claim.Epoch_, Session);
+  ConfirmOwnership Confirm;
+  Confirm.Shard_ = Claim.Shard_;
+  Confirm.Epoch_ = Owners_[Claim.Shard_].Epoch_;
+  Confirm.Worker_ = Worker_;
+  for (const auto &[Task, Held] : Tasks_)
+    if (Obeyed && Held.Bind_.Shard_ == Claim.Shard_)
+      Confirm.Held_.push_back(
+          reportOf(Held.Bind_, Held.Phase_, Held.Checkpoint_, Held.Reason_));
+  Out.push_back(SendToEntry{Session, std::move(Confirm)});
+}
+
+auto TaskHost::bind(SessionNumber Session, const BindTask &Bind,
+                    AgentOutbox &Out) -> void {
+  const auto Owner = Owners_.find(Bind.Shard_);
+  const auto Current = Owner != Owners_.end() &&
+                       Owner->second.Session_ == Session &&
+                       Owner->second.Epoch_ == Bind.Epoch_;
+  if (!Current || Bind.Worker_ != Worker_)
+    return;
+  const auto Found = Tasks_.find(Bind.Task_);
+  if (Found != Tasks_.end()) {
+    SKYLARK_ASSERT(Bind.Attempt_ <= Found->second.Bind_.Attempt_ ||
+                       isEnded(Found->second.Phase_),
+                   "second attempt bound while the first is held:", Bind.Task_,
+                   Bind.Attempt_);
+    if (Bind.Attempt_ <= Found->second.Bind_.Attempt_) {
+      report(Found->second, Out);
+      return;
+    }
+  }
+  auto &Held = Tasks_[Bind.Task_];
+  Held = HeldTask{};
+  Held.Bind_ = Bind;
+  Held.Checkpoint_ = Bind.Checkpoint_;
+  if (Ledger_.capacity().holds(Bind.Resources_))
+    report(Held, Out);
+  else
+    end(Held, TaskPhase::NotStarted, ErrorKind::NeverFits, Out);
+}
+
+auto TaskHost::stop(const StopTask &Stop, AgentOutbox &Out) -> void {
+  const auto Owner = Owners_.find(Stop.Shard_);
+  if (Owner == Owners_.end() || Owner->second.Epoch_ > Stop.Epoch_)
+    return;
+  const auto Found = Tasks_.find(Stop.Task_);
+  if (Found == Tasks_.end() || Found->second.Bind_.Attempt_ != Stop.Attempt_)
+    return;
+  stopHeld(Found->second, Stop.Reason_, Out);
+}
+
+auto TaskHost::stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out)
+    -> void {
+  if (Held.Phase_ == TaskPhase::Queued) {
+    end(Held, TaskPhase::NotStarted, Reason, Out);
+    return;
+  }
+  if (Held.Phase_ != TaskPhase::Running && Held.Phase_ != TaskPhase::Stopping)
+    return;
+  if (Held.Phase_ == TaskPhase::Running)
+    Held.Reason_ = Reason;
+  Held.Phase_ = TaskPhase::Stopping;
+  Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
+}
+
+auto TaskHost::acknowledge(const TaskReportAck &Ack, AgentOutbox &Out) -> void {
+  const auto Found = Tasks_.find(Ack.Task_);
+  if (Found == Tasks_.end() || Found->second.Bind_.Attempt_ != Ack.Attempt_ ||
+      !isEnded(Found->second.Phase_))
+    return;
+  Out.push_back(ForgetOnWorker{Ack.Task_, Ack.Attempt_});
+  Tasks_.erase(Found);
+}
+
+auto TaskHost::startOrder() -> std::vector<HeldTask *> {
+  std::vector<HeldTask *> Order;
+  for (auto &[Task, Held] : Tasks_)
+    if (Held.Phase_ == TaskPhase::Queued)
+      Order.push_back(&Held);
+  const auto Rank = [](const HeldTask *Held) {
+    const auto Batch = Held->Bind_.Kind_ == WorkKind::Batch;
+    return std::make_tuple(Batch, Held->Bind_.Deadline_, Held->Bind_.Task_);
+  };
+  std::sort(Order.begin(), Order.end(),
+            [&](const HeldTask *Left, const HeldTask *Right) {
+              return Rank(Left) < Rank(Right);
+            });
+  return Order;
+}
+
+auto TaskHost::runUntil(const HeldTask &Held, const StartPermits &Permits) const
+    -> TimePoint {
+  const auto Shard = Held.Bind_.Shard_;
+  return Permits.runUntil(sessionOf(Shard), Shard);
+}
+
+auto TaskHost::startQueued(TimePoint Now, const StartPermits &Permits,
+                           AgentOutbox &Out) -> void {
+  for (auto *Held : startOrder()) {
+    const auto RunUntil = runUntil(*Held, Permits);
+    if (RunUntil <= Now || WorkerClock_ == Micros{0})
+      continue;
+    if (Ledger_.fits(Held->Bind_.Resources_))
+      startTask(*Held, RunUntil, Out);
+  }
+}
+
+auto TaskHost::onWorkerClock(TimePoint Until) const -> Micros {
+  // The worker made its list before it arrived here, so counting from the
+  // arrival ends the lease early rather than late; so does the rate error.
+  const auto Left = std::chrono::duration_cast<Micros>(Until - WorkerClockAt_);
+  const auto Shortened = std::chrono::duration_cast<Micros>(
+      Left * (1.0 - 2.0 * MaxClockRateError));
+  return WorkerClock_ + std::min(Left, Shortened);
+}
+
+auto TaskHost::startTask(HeldTask &Held, TimePoint RunUntil, AgentOutbox &Out)
+    -> void {
+  Ledger_.reserve(Held.Bind_.Task_, Held.Bind_.Resources_);
+  Held.Phase_ = TaskPhase::Starting;
+  Held.StartLeaseUntil_ = onWorkerClock(RunUntil);
+  Out.push_back(StartOnWorker{Held.Bind_, Held.StartLeaseUntil_});
+}
+
+auto TaskHost::drain(ErrorKind Reason, AgentOutbox &Out) -> void {
+  int Stopping = 0;
+  for (const auto &[Task, Held] : Tasks_)
+    if (Held.Phase_ == TaskPhase::Stopping &&
+        Held.Bind_.Kind_ == WorkKind::Batch)
+      ++Stopping;
+  for (auto &[Task, Held] : Tasks_) {
+    const auto Batch = Held.Bind_.Kind_ == WorkKind::Batch;
+    if (Held.Phase_ == TaskPhase::Running && Batch && Stopping++ >= DrainAtOnce)
+      continue;
+    if (Held.Phase_ == TaskPhase::Running || Held.Phase_ == TaskPhase::Queued)
+      stopHeld(Held, Reason, Out);
+  }
+}
+
+auto TaskHost::repeatReports(AgentOutbox &Out) -> void {
+  for (const auto &[Task, Held] : Tasks_) {
+    if (isEnded(Held.Phase_))
+      report(Held, Out);
+    // A stop call may have been lost on its way to the worker.
+    if (Held.Phase_ == TaskPhase::Stopping)
+      Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
+  }
+}
+
+auto TaskHost::poll(const StartPermits &Permits, AgentOutbox &Out) -> void {
+  PollWorker Poll;
+  for (const auto &[Task, Held] : Tasks_) {
+    const auto RunUntil = runUntil(Held, Permits);
+    const auto Renewable =
+        Held.Phase_ == TaskPhase::Running || Held.Phase_ == TaskPhase::Stopping;
+    if (Renewable && RunUntil != TimePoint{} && WorkerClock_ != Micros{0})
+      Poll.Leases_.push_back(
+          {Task, Held.Bind_.Attempt_, onWorkerClock(RunUntil)});
+  }
+  Out.push_back(std::move(Poll));
+}
+
+auto TaskHost::close(SessionNumber Session) -> void {
+  for (auto &[Shard, Owner] : Owners_)
+    if (Owner.Session_ == Session)
+      Owner.Session_ = 0;
+}
+
+auto TaskHost::queued() const -> std::uint32_t {
+  return std::count_if(Tasks_.begin(), Tasks_.end(), [](const auto &Each) {
+    return Each.second.Phase_ == TaskPhase::Queued;
+  });
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/TaskHost.h
@@ -0,0 +1,87 @@
+/// \file
+/// Defines the agent's keeping of tasks: queue, start, renew, stop, report.
+#pragma once
+
+#include "core/AgentOutput.h"
+#include "core/StartPermits.h"
+
+#include <map>
+
+namespace skylark {
+
+/// The only authority over which tasks its worker runs.
+class TaskHost {
+public:
+  explicit TaskHost(const Resources &Capacity) : Ledger_(Capacity) {}
+
+  /// Takes over what the worker holds, after the agent process started.
+  auto adopt(const WorkerInventory &Inventory) -> void;
+  /// Brings the tasks up to date with the worker's list.
+  auto update(TimePoint Now, const WorkerInventory &Inventory, AgentOutbox &Out)
+      -> void;
+
+  auto claim(SessionNumber Session, const ClaimOwnership &Claim,
+             AgentOutbox &Out) -> void;
+  auto bind(SessionNumber Session, const BindTask &Bind, AgentOutbox &Out)
+      -> void;
+  auto stop(const StopTask &Stop, AgentOutbox &Out) -> void;
+  auto acknowledge(const TaskReportAck &Ack, AgentOutbox &Out) -> void;
+
+  /// Starts queued tasks that fit, where starting is allowed at all.
+  auto startQueued(TimePoint Now, const StartPermits &Permits, AgentOutbox &Out)
+      -> void;
+  /// Hands everything back: watchers at once, batch tasks a few at a time.
+  auto drain(ErrorKind Reason, AgentOutbox &Out) -> void;
+  /// Repeats the reports that the owner has not acknowledged.
+  auto repeatReports(AgentOutbox &Out) -> void;
+  /// Asks the worker for its list and renews the leases it may renew.
+  auto poll(const StartPermits &Permits, AgentOutbox &Out) -> void;
+  /// Forgets which connection owns shards; epochs stay.
+  auto close(SessionNumber Session) -> void;
+
+  auto free() const -> Resources { return Ledger_.free(); }
+  auto empty() const -> bool { return Tasks_.empty(); }
+  auto queued() const -> std::uint32_t;
+  auto worker() const -> Incarnation { return Worker_; }
+
+private:
+  struct HeldTask {
+    BindTask Bind_;
+    TaskPhase Phase_ = TaskPhase::Queued;
+    CheckpointId Checkpoint_;
+    ErrorKind Reason_ = ErrorKind::None;
+    /// On the worker's clock: after this a start can no longer take effect.
+    Micros StartLeaseUntil_{0};
+  };
+  struct Owner {
+    Epoch Epoch_ = 0;
+    SessionNumber Session_ = 0;
+  };
+
+  auto obey(ShardNumber Shard, Epoch Epoch, SessionNumber Session) -> bool;
+  auto adoptTask(const WorkerTask &Task) -> void;
+  auto updateTask(HeldTask &Held, const WorkerTask &Seen, AgentOutbox &Out)
+      -> void;
+  auto settleMissing(HeldTask &Held, const WorkerInventory &Inventory,
+                     AgentOutbox &Out) -> void;
+  auto dropUnheld(const WorkerInventory &Inventory, AgentOutbox &Out) -> void;
+  auto end(HeldTask &Held, TaskPhase Phase, ErrorKind Reason, AgentOutbox &Out)
+      -> void;
+  auto report(const HeldTask &Held, AgentOutbox &Out) const -> void;
+  auto startTask(HeldTask &Held, TimePoint RunUntil, AgentOutbox &Out) -> void;
+  auto stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out) -> void;
+  auto runUntil(const HeldTask &Held, const StartPermits &Permits) const
+      -> TimePoint;
+  auto sessionOf(ShardNumber Shard) const -> SessionNumber;
+  auto startOrder() -> std::vector<HeldTask *>;
+  auto onWorkerClock(TimePoint Until) const -> Micros;
+
+  ResourceLedger Ledger_;
+  Incarnation Worker_ = 0;
+  Micros WorkerClock_{0};
+  TimePoint WorkerClockAt_{};
+  std::map<TaskId, HeldTask> Tasks_;
+  std::map<ShardNumber, Owner> Owners_;
+};
+
+} // namespace skylark
--- /dev/null
+++ b/entry/EntryProcess.h
@@ -0,0 +1,13 @@
+/// \file
+/// Defines the entry process: HTTP, websockets, store and clock around the
+/// entry's decisions.
+#pragma once
+
+#include "wire/Settings.h"
+
+namespace skylark {
+
+/// Runs an entry until it is told to stop. Returns the exit status.
+auto runEntry(const Settings &Settings) -> int;
+
+} // namespace skylark
--- /dev/null
+++ b/entry/Metrics.cpp
@@ -0,0 +1,106 @@
+#include "entry/Metrics.h"
+
+#include <boost/histogram.hpp>
+
+#include <sstream>
+
+namespace skylark {
+namespace {
+
+namespace bh = boost::histogram;
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+
+constexpr unsigned BucketCount = 60;
+constexpr double LeastSeconds = 1e-4;
+constexpr double MostSeconds = 100.0;
+
+struct NamedCount {
+  const char *Name_;
+  std::uint64_t Counters::*Member_;
+};
+
+constexpr NamedCount Counts[] = {
+    {"skylark_answered_total", &Counters::Answered_},
+    {"skylark_dispatched_total", &Counters::Dispatched_},
+    {"skylark_tasks_bound_total", &Counters::TasksBound_},
+    {"skylark_tasks_finished_total", &Counters::TasksFinished_},
+    {"skylark_evictions_total", &Counters::Evictions_},
+    {"skylark_store_calls_total", &Counters::StoreCalls_},
+    {"skylark_store_failures_total", &Counters::StoreFailures_},
+};
+
+struct NamedGauge {
+  const char *Name_;
+  std::size_t Gauges::*Member_;
+};
+
+constexpr NamedGauge GaugeNames[] = {
+    {"skylark_targets", &Gauges::Targets_},
+    {"skylark_owned_shards", &Gauges::OwnedShards_},
+    {"skylark_in_flight", &Gauges::InFlight_},
+};
+
+} // namespace
+
+class LatencyHistogram::Implementation {
+public:
+  using Histogram =
+      decltype(bh::make_histogram(LogAxis(BucketCount, LeastSeconds, 1.0)));
+  Histogram Histogram_ =
+      bh::make_histogram(LogAxis(BucketCount, LeastSeconds, MostSeconds));
+  double Sum_ = 0;
+  std::uint64_t Count_ = 0;
+};
+
+LatencyHistogram::LatencyHistogram()
+    : Implementation_(std::make_unique<Implementation>()) {}
+LatencyHistogram::~LatencyHistogram() = default;
+
+auto LatencyHistogram::record(Micros Took) -> void {
+  const auto InSeconds = std::chrono::duration<double>(Took).count();
+  Implementation_->Histogram_(InSeconds);
+  Implementation_->Sum_ += InSeconds;
+  ++Implementation_->Count_;
+}
+
+auto LatencyHistogram::render(const std::string &Name) const -> std::string {
+  std::ostringstream Out;
+  const auto &Histogram = Implementation_->Histogram_;
+  Out << "# TYPE " << Name << " histogram\n";
+  auto Below = static_cast<double>(Histogram.at(-1));
+  for (const auto &Bin : bh::indexed(Histogram)) {
+    Below += static_cast<double>(*Bin);
+    Out << Name << "_bucket{le=\"" << Bin.bin().upper() << "\"} " << Below
+        << '\n';
+  }
+  Out << Name << "_bucket{le=\"+Inf\"} " << Implementation_->Count_ << '\n'
+      << Name << "_sum " << Implementation_->Sum_ << '\n'
+      << Name << "_count " << Implementation_->Count_ << '\n';
+  return Out.str();
+}
+
+auto renderMetrics(const Counters &Values, const Gauges &Present)
+    -> std::string {
+  std::ostringstream Out;
+  for (const auto &Each : Counts)
+    Out << "# TYPE " << Each.Name_ << " counter\n"
+        << Each.Name_ << ' ' << Values.*Each.Member_ << '\n';
+  Out << "# TYPE skylark_refusals_total counter\n";
+  for (std::size_t Index = 1; Index < Values.Refusals_.size(); ++Index)
+    Out << "skylark_refusals_total{reason=\""
+        << errorAnswer(static_cast<ErrorKind>(Index)).Code_ << "\"} "
+        << Values.Refusals_[Index] << '\n';
+  Out << "# TYPE skylark_retries_total counter\n";
+  for (std::size_t Index = 0; Index < Values.Retries_.size(); ++Index)
+    Out << "skylark_retries_total{reason=\""
+        << retryReasonText(static_cast<RetryReason>(Index)) << "\"} "
+        << Values.Retries_[Index] << '\n';
+  for (const auto &Each : GaugeNames)
+    Out << "# TYPE " << Each.Name_ << " gauge\n"
+        << Each.Name_ << ' ' << Present.*Each.Member_ << '\n';
+  Out << "# TYPE skylark_revision gauge\nskylark_revision " << Present.Revision_
+      << '\n';
+  return Out.str();
+}
+
+} // namespace skylark
--- /dev/null
+++ b/wire/Link.cpp
@@ -0,0 +1,313 @@
+#include "wire/Link.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace skylark {
+namespace {
+
+using Server = websocketpp::server<websocketpp::config::asio>;
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Handle = websocketpp::connection_hdl;
+
+constexpr long HandshakeTimeoutMs = 2000;
+constexpr long CloseTimeoutMs = 500;
+constexpr Millis FirstReconnectDelay{100};
+constexpr Millis LongestReconnectDelay{2000};
+
+template <typename Endpoint> auto configure(Endpoint &Each) -> void {
+  Each.clear_access_channels(websocketpp::log::alevel::all);
+  Each.clear_error_channels(websocketpp::log::elevel::all);
+  Each.set_max_message_size(LinkMessageLimit);
+  Each.set_open_handshake_timeout(HandshakeTimeoutMs);
+  Each.set_close_handshake_timeout(CloseTimeoutMs);
+}
+
+/// Sends on an open connection; a reader that is too slow loses it.
+template <typename Endpoint>
+auto sendOn(Endpoint &Each, const Handle &Connection, const std::string &Bytes)
+    -> void {
+  websocketpp::lib::error_code Error;
+  const auto Open = Each.get_con_from_hdl(Connection, Error);
+  if (Error)
+    return;
+  if (Open->get_buffered_amount() > LinkBufferLimit) {
+    Open->terminate(websocketpp::lib::error_code());
+    return;
+  }
+  Each.send(Connection, Bytes, websocketpp::frame::opcode::binary, Error);
+}
+
+/// Drops a connection without waiting for its other end, which may be gone.
+template <typename Endpoint>
+auto dropOn(Endpoint &Each, const Handle &Connection) -> void {
+  websocketpp::lib::error_code Error;
+  Each.close(Connection, websocketpp::close::status::going_away, "", Error);
+}
+
+} // namespace
+
+class LinkServer::Implementation
+    : public std::enable_shared_from_this<Implementation> {
+public:
+  Implementation(asio::io_context &Traffic, LinkHandlers Handlers)
+      : Traffic_(Traffic), Handlers_(std::move(Handlers)) {
+    configure(Server_);
+    Server_.init_asio(&Traffic_);
+    Server_.set_reuse_addr(true);
+    Server_.set_tcp_pre_init_handler([](const Handle &) {});
+    Server_.set_open_handler([this](const Handle &Each) { opened(Each); });
+    Server_.set_close_handler([this](const Handle &Each) { closed(Each); });
+    Server_.set_message_handler(
+        [this](const Handle &Each, const Server::message_ptr &Message) {
+          received(Each, Message->get_payload());
+        });
+  }
+
+  auto listen(const std::string &Host, std::uint16_t Port) -> void {
+    const auto Address = asio::ip::make_address(Host);
+    websocketpp::lib::error_code Error;
+    Server_.listen(asio::ip::tcp::endpoint(Address, Port), Error);
+    if (Error)
+      throw std::system_error(Error,
+                              "listen on " + Host + ":" + std::to_string(Port));
+    Server_.start_accept();
+  }
+
+  auto send(SessionNumber Session, const std::string &Bytes) -> void {
+    const auto Found = Handles_.find(Session);
+    if (Found != Handles_.end())
+      sendOn(Server_, Found->second, Bytes);
+  }
+
+  auto close(SessionNumber Session) -> void {
+    const auto Found = Handles_.find(Session);
+    if (Found == Handles_.end())
+      return;
+    const auto Connection = Found->second;
+    Sessions_.erase(Connection);
+    Handles_.erase(Found);
+    dropOn(Server_, Connection);
+  }
+
+  auto stop() -> void {
+    websocketpp::lib::error_code Error;
+    Server_.stop_listening(Error);
+    const auto Open = Handles_;
+    for (const auto &Each : Open)
+      close(Each.first);
+  }
+
+  auto traffic() -> asio::io_context & { return Traffic_; }
+
+private:
+  auto opened(const Handle &Each) -> void {
+    const auto Session = ++NextSession_;
+    Handles_[Session] = Each;
+    Sessions_[Each] = Session;
+    websocketpp::lib::error_code Error;
+    const auto Connection = Server_.get_con_from_hdl(Each, Error);
+    Handlers_.Opened_(Session, Error ? "" : Connection->get_resource());
+  }
+
+  auto closed(const Handle &Each) -> void {
+    const auto Found = Sessions_.find(Each);
+    if (Found == Sessions_.end())
+      return;
+    const auto Session = Found->second;
+    Sessions_.erase(Found);
+    Handles_.erase(Session);
+    Handlers_.Closed_(Session);
+  }
+
+  auto received(const Handle &Each, const std::string &Bytes) -> void {
+    const auto Found = Sessions_.find(Each);
+    if (Found != Sessions_.end())
+      Handlers_.Received_(Found->second, Bytes);
+  }
+
+  asio::io_context &Traffic_;
+  LinkHandlers Handlers_;
+  Server Server_;
+  SessionNumber NextSession_ = 0;
+  std::map<SessionNumber, Handle> Handles_;
+  std::map<Handle, SessionNumber, std::owner_less<Handle>> Sessions_;
+};
+
+LinkServer::LinkServer(asio::io_context &Traffic, LinkHandlers Handlers)
+    : Implementation_(
+          std::make_shared<Implementation>(Traffic, std::move(Handlers))) {}
+
+LinkServer::~LinkServer() = default;
+
+auto LinkServer::listen(const std::string &Host, std::uint16_t Port) -> void {
+  Implementation_->listen(Host, Port);
+}
+
+auto LinkServer::send(SessionNumber Session, std::string Bytes) -> void {
+  asio::post(Implementation_->traffic(),
+             [Self = Implementation_, Session, Sent = std::move(Bytes)] {
+               Self->send(Session, Sent);
+             });
+}
+
+auto LinkServer::close(SessionNumber Session) -> void {
+  asio::post(Implementation_->traffic(),
+             [Self = Implementation_, Session] { Self->close(Session); });
+}
+
+auto LinkServer::stop() -> void {
+  asio::post(Implementation_->traffic(),
+             [Self = Implementation_] { Self->stop(); });
+}
+
+class LinkClient::Implementation
+    : public std::enable_shared_from_this<Implementation> {
+public:
+  Implementation(asio::io_context &Traffic, std::string Address,
+                 std::string Path, std::function<SessionNumber()> NextSession,
+                 LinkHandlers Handlers)
+      : Traffic_(Traffic), Address_(std::move(Address)), Path_(std::move(Path)),
+        NextSession_(std::move(NextSession)), Handlers_(std::move(Handlers)),
+        Retry_(Traffic) {
+    configure(Client_);
+    Client_.init_asio(&Traffic_);
+  }
+
+  auto connect() -> void {
+    if (Stopped_)
+      return;
+    websocketpp::lib::error_code Error;
+    const auto Connection =
+        Client_.get_connection("ws://" + Address_ + Path_, Error);
+    if (Error) {
+      reconnectLater();
+      return;
+    }
+    const auto Self = shared_from_this();
+    const auto Session = NextSession_();
+    Current_ = Session;
+    Connection->set_open_handler(
+        [Self, Session](const Handle &Each) { Self->opened(Session, Each); });
+    Connection->set_fail_handler(
+        [Self, Session](const Handle &) { Self->closed(Session); });
+    Connection->set_close_handler(
+        [Self, Session](const Handle &) { Self->closed(Session); });
+    Connection->set_message_handler(
+        [Self, Session](const Handle &, const Client::message_ptr &Message) {
+          if (Self->Current_ == Session)
+            Self->Handlers_.Received_(Session, Message->get_payload());
+        });
+    Client_.connect(Connection);
+  }
+
+  auto send(SessionNumber Session, const std::string &Bytes) -> void {
+    if (Session == Current_ && Open_)
+      sendOn(Client_, Handle_, Bytes);
+  }
+
+  auto replace(SessionNumber Session) -> void {
+    if (Session != Current_ || !Open_)
+      return;
+    dropOn(Client_, Handle_);
+    closed(Session);
+  }
+
+  auto stop() -> void {
+    Stopped_ = true;
+    Retry_.cancel();
+    if (Open_)
+      dropOn(Client_, Handle_);
+    Current_ = 0;
+  }
+
+  auto traffic() -> asio::io_context & { return Traffic_; }
+
+private:
+  auto opened(SessionNumber Session, const Handle &Each) -> void {
+    if (Session != Current_) {
+      dropOn(Client_, Each);
+      return;
+    }
+    Open_ = true;
+    Handle_ = Each;
+    Delay_ = FirstReconnectDelay;
+    Handlers_.Opened_(Session, Path_);
+  }
+
+  auto closed(SessionNumber Session) -> void {
+    if (Session != Current_)
+      return;
+    const auto WasOpen = Open_;
+    Open_ = false;
+    Current_ = 0;
+    if (WasOpen)
+      Handlers_.Closed_(Session);
+    reconnectLater();
+  }
+
+  auto reconnectLater() -> void {
+    if (Stopped_)
+      return;
+    Retry_.expires_after(Delay_);
+    Delay_ = std::min(Delay_ * 2, LongestReconnectDelay);
+    Retry_.async_wait([Self = shared_from_this()](std::error_code Error) {
+      if (!Error)
+        Self->connect();
+    });
+  }
+
+  asio::io_context &Traffic_;
+  std::string Address_;
+  std::string Path_;
+  std::function<SessionNumber()> NextSession_;
+  LinkHandlers Handlers_;
+  Client Client_;
+  asio::steady_timer Retry_;
+  Millis Delay_ = FirstReconnectDelay;
+  Handle Handle_;
+  SessionNumber Current_ = 0;
+  bool Open_ = false;
+  bool Stopped_ = false;
+};
+
+LinkClient::LinkClient(asio::io_context &Traffic, std::string Address,
+                       std::string Path,
+                       std::function<SessionNumber()> NextSession,
+                       LinkHandlers Handlers)
+    : Implementation_(std::make_shared<Implementation>(
+          Traffic, std::move(Address), std::move(Path), std::move(NextSession),
+          std::move(Handlers))) {}
+
+LinkClient::~LinkClient() = default;
+
+auto LinkClient::start() -> void {
+  asio::post(Implementation_->traffic(),
+             [Self = Implementation_] { Self->connect(); });
+}
+
+auto LinkClient::send(SessionNumber Session, std::string Bytes) -> void {
+  asio::post(Implementation_->traffic(),
+             [Self = Implementation_, Session, Sent = std::move(Bytes)] {
+               Self->send(Session, Sent);
+             });
+}
+
+auto LinkClient::replace(SessionNumber Session) -> void {
+  asio::post(Implementation_->traffic(),
+             [Self = Implementation_, Session] { Self->replace(Session); });
+}
+
+auto LinkClient::stop() -> void {
+  asio::post(Implementation_->traffic(),
+             [Self = Implementation_] { Self->stop(); });
+}
+
+} // namespace skylark
--- /dev/null
+++ b/wire/WorkerText.cpp
@@ -0,0 +1,177 @@
+#include "wire/WorkerText.h"
+
+#include <nlohmann/json.hpp>
+
+namespace skylark {
+namespace {
+
+using Json = nlohmann::json;
+
+auto phaseText(TaskPhase Phase) -> const char * {
+  switch (Phase) {
+  case TaskPhase::Finished:
+    return "finished";
+  case TaskPhase::Failed:
+    return "failed";
+  case TaskPhase::Stopped:
+    return "stopped";
+  case TaskPhase::Stopping:
+    return "stopping";
+  default:
+    return "running";
+  }
+}
+
+auto phaseOf(const std::string &Text) -> TaskPhase {
+  for (const auto Phase : {TaskPhase::Finished, TaskPhase::Failed,
+                           TaskPhase::Stopped, TaskPhase::Stopping})
+    if (Text == phaseText(Phase))
+      return Phase;
+  return TaskPhase::Running;
+}
+
+auto attemptJson(const TaskId &Task, AttemptNumber Attempt) -> Json {
+  return {
+      {"job", Task.Job_.Value_}, {"index", Task.Index_}, {"attempt", Attempt}};
+}
+
+auto taskOf(const Json &Value) -> TaskId {
+  return {{Value.at("job").get<std::string>()},
+          Value.at("index").get<std::uint32_t>()};
+}
+
+auto bindJson(const BindTask &Bind) -> Json {
+  auto Value = attemptJson(Bind.Task_, Bind.Attempt_);
+  Value["shard"] = Bind.Shard_;
+  Value["kind"] = workKindText(Bind.Kind_);
+  Value["millicores"] = Bind.Resources_.MilliCores_;
+  Value["memory_mb"] = Bind.Resources_.MemoryMegabytes_;
+  Value["accelerators"] = Bind.Resources_.Accelerators_;
+  Value["run_time_ms"] = Bind.RunTime_.count();
+  Value["checkpoint"] = Bind.Checkpoint_.Value_;
+  Value["payload"] = Bind.Payload_;
+  return Value;
+}
+
+auto bindOf(const Json &Value) -> BindTask {
+  BindTask Bind;
+  Bind.Task_ = taskOf(Value);
+  Bind.Attempt_ = Value.at("attempt").get<AttemptNumber>();
+  Bind.Shard_ = Value.at("shard").get<ShardNumber>();
+  Bind.Kind_ =
+      Value.at("kind") == "watcher" ? WorkKind::Watcher : WorkKind::Batch;
+  Bind.Resources_ = {Value.at("millicores").get<std::int64_t>(),
+                     Value.at("memory_mb").get<std::int64_t>(),
+                     Value.at("accelerators").get<std::int64_t>()};
+  Bind.RunTime_ = Millis{Value.at("run_time_ms").get<std::int64_t>()};
+  Bind.Checkpoint_ = {Value.at("checkpoint").get<std::string>()};
+  Bind.Payload_ = Value.at("payload").get<std::string>();
+  return Bind;
+}
+
+template <typename Result>
+auto guarded(const std::string &Text, Result (*Read)(const Json &))
+    -> std::optional<Result> {
+  try {
+    return Read(Json::parse(Text));
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+auto dump(const Json &Value) -> std::string {
+  return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace
+
+auto renderStart(const StartOnWorker &Start, Incarnation Agent) -> std::string {
+  auto Value = bindJson(Start.Bind_);
+  Value["lease_until_us"] = Start.LeaseUntil_.count();
+  Value["agent_incarnation"] = Agent;
+  return dump(Value);
+}
+
+auto renderAttempt(const TaskId &Task, AttemptNumber Attempt, Incarnation Agent)
+    -> std::string {
+  auto Value = attemptJson(Task, Attempt);
+  Value["agent_incarnation"] = Agent;
+  return dump(Value);
+}
+
+auto renderPoll(const PollWorker &Poll, Incarnation Agent) -> std::string {
+  auto Leases = Json::array();
+  for (const auto &Lease : Poll.Leases_) {
+    auto Value = attemptJson(Lease.Task_, Lease.Attempt_);
+    Value["lease_until_us"] = Lease.LeaseUntil_.count();
+    Leases.push_back(std::move(Value));
+  }
+  return dump({{"agent_incarnation", Agent}, {"leases", std::move(Leases)}});
+}
+
+auto renderInventory(const WorkerInventory &Inventory) -> std::string {
+  auto Tasks = Json::array();
+  for (const auto &Task : Inventory.Tasks_) {
+    auto Value = bindJson(Task.Bind_);
+    Value["phase"] = phaseText(Task.Phase_);
+    Value["checkpoint"] = Task.Checkpoint_.Value_;
+    Value["lapsed"] = Task.Reason_ == ErrorKind::LeaseLapsed;
+    Tasks.push_back(std::move(Value));
+  }
+  return dump({{"worker_incarnation", Inventory.Worker_},
+               {"clock_us", Inventory.Clock_.count()},
+               {"tasks", std::move(Tasks)}});
+}
+
+auto parseStart(const std::string &Text) -> std::optional<WorkerStart> {
+  return guarded<WorkerStart>(Text, [](const Json &Value) {
+    WorkerStart Start;
+    Start.Start_.Bind_ = bindOf(Value);
+    Start.Start_.LeaseUntil_ =
+        Micros{Value.at("lease_until_us").get<std::int64_t>()};
+    Start.Agent_ = Value.at("agent_incarnation").get<Incarnation>();
+    return Start;
+  });
+}
+
+auto parseAttempt(const std::string &Text) -> std::optional<WorkerAttempt> {
+  return guarded<WorkerAttempt>(Text, [](const Json &Value) {
+    return WorkerAttempt{taskOf(Value),
+                         Value.at("attempt").get<AttemptNumber>(),
+                         Value.at("agent_incarnation").get<Incarnation>()};
+  });
+}
+
+auto parsePoll(const std::string &Text) -> std::optional<WorkerPoll> {
+  return guarded<WorkerPoll>(Text, [](const Json &Value) {
+    WorkerPoll Poll;
+    Poll.Agent_ = Value.at("agent_incarnation").get<Incarnation>();
+    for (const auto &Each : Value.at("leases"))
+      Poll.Poll_.Leases_.push_back(
+          {taskOf(Each), Each.at("attempt").get<AttemptNumber>(),
+           Micros{Each.at("lease_until_us").get<std::int64_t>()}});
+    return Poll;
+  });
+}
+
+auto parseInventory(const std::string &Text) -> std::optional<WorkerInventory> {
+  return guarded<WorkerInventory>(Text, [](const Json &Value) {
+    WorkerInventory Inventory;
+    Inventory.Worker_ = Value.at("worker_incarnation").get<Incarnation>();
+    Inventory.Clock_ = Micros{Value.at("clock_us").get<std::int64_t>()};
+    for (const auto &Each : Value.at("tasks")) {
+      WorkerTask Task;
+      Task.Bind_ = bindOf(Each);
+      Task.Phase_ = phaseOf(Each.at("phase").get<std::string>());
+      Task.Checkpoint_ = {Each.at("checkpoint").get<std::string>()};
+      if (Each.at("lapsed").get<bool>())
+        Task.Reason_ = ErrorKind::LeaseLapsed;
+      else if (Task.Phase_ == TaskPhase::Failed)
+        Task.Reason_ = ErrorKind::TaskFailed;
+      Inventory.Tasks_.push_back(std::move(Task));
+    }
+    return Inventory;
+  });
+}
+
+} // namespace skylark
