Forward only to entries whose answers can arrive

Cause: an entry sent a keyed request to the shard's owner as soon as its own connection was open; the answer travels on the connection that the owner opens, which was not there yet, so it was lost and the caller waited 10 s for "outcome unknown". Ruled out: the claim itself (the target ran it once).

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -147,8 +147,7 @@
     return;
   }
   const auto Owner = entryOfRequest(Request.Request_);
-  const auto Known = Peers_.find(Owner);
-  if (Owner != Identity_.Entry_ && Known != Peers_.end() && Known->second.Open_)
+  if (Owner != Identity_.Entry_ && canAsk(Now, Owner))
     forward(Now, Token, Owner, Request, ForwardPatience, Out);
   else
     refuse(Token, ErrorKind::NotKnown, Request.Request_.Value_, Out);
@@ -212,10 +211,8 @@
                                const CallerRequest &Request, Duration Patience,
                                EntryOutbox &Out) -> void {
   const auto Owner = preferredOwner(Shard);
-  const auto Known = Peers_.find(Owner);
   const auto FromPeer = Token >= FirstPeerToken;
-  if (Owner == Identity_.Entry_ || FromPeer || Known == Peers_.end() ||
-      !Known->second.Open_) {
+  if (Owner == Identity_.Entry_ || FromPeer || !canAsk(Now, Owner)) {
     const auto Down = View_.contact(Now) == StoreContact::Outage;
     refuse(Token, Down ? ErrorKind::StoreUnavailable : ErrorKind::ShardMoving,
            "shard " + std::to_string(Shard), Out);
@@ -239,11 +236,26 @@
   Out.push_back(SendToPeer{Owner, Forward{Number, Request}});
 }
 
+auto EntryCore::canAsk(Moment Now, const EntryId &Peer) const -> bool {
+  // The answer comes on a connection that the peer opened. Until something
+  // has come on it, an answer would be lost.
+  const auto Known = Peers_.find(Peer);
+  const auto SilentAfter = View_.configuration().Document_.Policy_.SilentAfter_;
+  return Known != Peers_.end() && Known->second.Open_ &&
+         Known->second.HeardAt_ != TimePoint{} &&
+         Known->second.HeardAt_ + SilentAfter >= Now.Steady_;
+}
+
+auto EntryCore::peerCount(Moment Now) const -> std::size_t {
+  return std::count_if(Peers_.begin(), Peers_.end(), [&](const auto &Each) {
+    return canAsk(Now, Each.first);
+  });
+}
+
 auto EntryCore::expireForwards(Moment Now, EntryOutbox &Out) -> void {
   for (auto Each = Forwards_.begin(); Each != Forwards_.end();) {
-    const auto Known = Peers_.find(Each->second.Owner_);
-    const auto Gone = Known == Peers_.end() || !Known->second.Open_;
-    if (!Gone && Each->second.GiveUpAt_ > Now.Steady_) {
+    const auto Reachable = canAsk(Now, Each->second.Owner_);
+    if (Reachable && Each->second.GiveUpAt_ > Now.Steady_) {
       ++Each;
       continue;
     }
@@ -275,9 +287,10 @@
   complete(Now, Out);
 }
 
-auto EntryCore::handle(Moment /*Now*/, const EntryId &Peer,
-                       const PeerBeat &Message, EntryOutbox & /*Out*/) -> void {
+auto EntryCore::handle(Moment Now, const EntryId &Peer, const PeerBeat &Message,
+                       EntryOutbox & /*Out*/) -> void {
   auto &Known = Peers_[Peer];
+  Known.HeardAt_ = Now.Steady_;
   Known.SeenRevision_ = std::max(Known.SeenRevision_, Message.SeenRevision_);
   Known.ConfirmedRevision_ =
       std::max(Known.ConfirmedRevision_, Message.ConfirmedRevision_);
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -56,12 +56,15 @@
   auto ownedShards() const -> std::size_t;
   auto inFlight() const -> std::size_t { return Desk_.inFlight(); }
   auto healthy(Moment Now) const -> bool;
+  /// Peers that can be asked and have been heard of lately.
+  auto peerCount(Moment Now) const -> std::size_t;
   auto leaving() const -> bool { return Leaving_; }
   auto shardState(ShardNumber Shard) const -> const ShardState *;
 
 private:
   struct Peer {
     bool Open_ = false;
+    TimePoint HeardAt_{};
     Revision SeenRevision_ = 0;
     Revision ConfirmedRevision_ = 0;
   };
@@ -127,6 +130,7 @@
   auto forwardToShard(Moment Now, CallerToken Token, ShardNumber Shard,
                       const CallerRequest &Request, Duration Patience,
                       EntryOutbox &Out) -> void;
+  auto canAsk(Moment Now, const EntryId &Peer) const -> bool;
   auto expireForwards(Moment Now, EntryOutbox &Out) -> void;
   auto preferredOwner(ShardNumber Shard) const -> EntryId;
   auto balanceShards() -> void;
--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -212,6 +212,7 @@
   auto metrics() -> HttpAnswer {
     Gauges Present;
     Present.Targets_ = Core_.targetCount();
+    Present.Peers_ = Core_.peerCount(currentMoment());
     Present.OwnedShards_ = Core_.ownedShards();
     Present.InFlight_ = Core_.inFlight();
     Present.Revision_ = Core_.configuration().Head_.Revision_;
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -36,6 +36,7 @@
 
 constexpr NamedGauge GaugeNames[] = {
     {"skylark_targets", &Gauges::Targets_},
+    {"skylark_peers", &Gauges::Peers_},
     {"skylark_owned_shards", &Gauges::OwnedShards_},
     {"skylark_in_flight", &Gauges::InFlight_},
 };
--- a/entry/Metrics.h
+++ b/entry/Metrics.h
@@ -13,6 +13,7 @@
 /// Gauges of an entry at one moment.
 struct Gauges {
   std::size_t Targets_ = 0;
+  std::size_t Peers_ = 0;
   std::size_t OwnedShards_ = 0;
   std::size_t InFlight_ = 0;
   std::uint64_t Revision_ = 0;
--- a/test/process/Cluster.cpp
+++ b/test/process/Cluster.cpp
@@ -255,7 +255,8 @@
     waitFor("all targets at " + entryName(Index), [&] {
       return ask(Index, "GET", "/v1/health").Status_ == 200 &&
              metric(Index, "skylark_targets") ==
-                 static_cast<double>(Workers_.size());
+                 static_cast<double>(Workers_.size()) &&
+             metric(Index, "skylark_peers") == Plan_.Entries_ - 1;
     });
   waitFor("an owner for each shard", [&] {
     double Owned = 0;
