--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -1,6 +1,7 @@
 #include "core/AgentCore.h"
 
 #include "core/Assert.h"
+#include "core/Mutation.h"
 
 namespace skylark {
 namespace {
@@ -36,6 +37,7 @@
   if (Found == Sessions_.end() || !Ready_)
     return;
   Found->second.HeardAt_ = Now.Steady_;
+  Tasks_.refreshLeases(Now.Steady_, Permits_, Out);
   std::visit([&](const auto &Each) { handle(Now, Number, Each, Out); },
              Message);
 }
@@ -71,6 +73,7 @@
   Heartbeat Message;
   Message.Sequence_ = ++Session.HeartbeatSequence_;
   Message.Revision_ = Current_.Head_.Revision_;
+  Message.InForceRevision_ = Tasks_.revisionInForce(Message.Revision_);
   Message.Load_ = load();
   Message.Leaving_ = Leaving_;
   Message.OtherEntryFresh_ = Permits_.otherFresh(
@@ -135,16 +138,18 @@
 auto AgentCore::isDuplicate(SessionNumber Number, std::uint64_t Sequence)
     -> bool {
   auto &Session = Sessions_[Number];
+  if (isBroken(Mutation::AcceptDuplicates))
+    return false;
   if (Sequence <= Session.WorkSequence_)
     return true;
   Session.WorkSequence_ = Sequence;
   return false;
 }
 
-auto AgentCore::handle(Moment /*Now*/, SessionNumber Number,
-                       const BindTask &Bind, AgentOutbox &Out) -> void {
+auto AgentCore::handle(Moment Now, SessionNumber Number, const BindTask &Bind,
+                       AgentOutbox &Out) -> void {
   if (!isDuplicate(Number, Bind.Sequence_))
-    Tasks_.bind(Number, Bind, Out);
+    Tasks_.bind(Now.Steady_, Number, Bind, Permits_, Out);
 }
 
 auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
@@ -172,7 +177,9 @@
 auto AgentCore::workerListed(Moment Now, const WorkerInventory &Inventory,
                              AgentOutbox &Out) -> void {
   if (!Ready_) {
-    Tasks_.adopt(Inventory);
+    Tasks_.adopt(isBroken(Mutation::ForgetRunningTasks)
+                     ? WorkerInventory{Inventory.Worker_, Inventory.Clock_, {}}
+                     : Inventory);
     Ready_ = true;
     for (const auto &Each : Sessions_)
       sayHello(Each.first, Out);
@@ -201,6 +208,7 @@
   }
   if (!Ready_)
     return;
+  Tasks_.refreshLeases(Now.Steady_, Permits_, Out);
   if (Now.Steady_ >= NextHeartbeat_)
     sendHeartbeats(Now, Out);
   if (Now.Steady_ >= NextRepeat_) {
@@ -210,8 +218,8 @@
   const auto Reason = refuseReason();
   if (Reason != ErrorKind::None)
     Tasks_.drain(Reason, Out);
-  else if (Permits_.mayStart(Now.Steady_, Current_.Head_.Revision_))
-    Tasks_.startQueued(Now.Steady_, Permits_, Out);
+  else
+    Tasks_.startQueued(Now.Steady_, Permits_, Current_.Head_.Revision_, Out);
   Requests_.advance(Now.Steady_, Out);
   if (Leaving_ && !ExitSent_ && Requests_.idle() && Tasks_.empty()) {
     ExitSent_ = true;
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -1,6 +1,7 @@
 #include "core/EntryCore.h"
 
 #include "core/Assert.h"
+#include "core/Mutation.h"
 
 #include <algorithm>
 
@@ -64,11 +65,26 @@
   Out.push_back(AnswerCaller{Token, ErrorReply{Kind, std::move(Detail), {}}});
 }
 
+auto EntryCore::refuseRequest(CallerToken Token, const CallerRequest &Request,
+                              ErrorKind Kind, std::string Detail,
+                              EntryOutbox &Out) -> void {
+  // Without a look into the ledger nobody can say that the work of a key did
+  // not run: an earlier request with the same key may have.
+  const auto *Quick = std::get_if<QuickRequest>(&Request);
+  const auto *Job = std::get_if<SubmitJob>(&Request);
+  const auto Keyed =
+      (Quick != nullptr && !Quick->Idempotent_ && !Quick->Key_.empty()) ||
+      (Job != nullptr && !Job->Key_.empty());
+  refuse(Token, Keyed ? ErrorKind::KeyNotChecked : Kind, std::move(Detail),
+         Out);
+}
+
 auto EntryCore::callerAsked(Moment Now, CallerToken Token,
                             const CallerRequest &Request, EntryOutbox &Out)
     -> void {
   if (Leaving_)
-    refuse(Token, ErrorKind::EntryStopping, Identity_.Entry_.Value_, Out);
+    refuseRequest(Token, Request, ErrorKind::EntryStopping,
+                  Identity_.Entry_.Value_, Out);
   else
     std::visit([&](const auto &Each) { handle(Now, Token, Each, Out); },
                Request);
@@ -80,7 +96,8 @@
   const auto *Service =
       View_.configuration().Document_.findService(Request.Service_);
   if (Service == nullptr) {
-    refuse(Token, ErrorKind::UnknownService, Request.Service_.Value_, Out);
+    refuseRequest(Token, Request, ErrorKind::UnknownService,
+                  Request.Service_.Value_, Out);
     return;
   }
   auto Wanted = Request;
@@ -214,8 +231,9 @@
   const auto FromPeer = Token >= FirstPeerToken;
   if (Owner == Identity_.Entry_ || FromPeer || !canAsk(Now, Owner)) {
     const auto Down = View_.contact(Now) == StoreContact::Outage;
-    refuse(Token, Down ? ErrorKind::StoreUnavailable : ErrorKind::ShardMoving,
-           "shard " + std::to_string(Shard), Out);
+    refuseRequest(Token, Request,
+                  Down ? ErrorKind::StoreUnavailable : ErrorKind::ShardMoving,
+                  "shard " + std::to_string(Shard), Out);
     return;
   }
   forward(Now, Token, Owner, Request, Patience, Out);
@@ -225,7 +243,8 @@
                         const CallerRequest &Request, Duration Patience,
                         EntryOutbox &Out) -> void {
   if (Forwards_.size() >= ForwardLimit) {
-    refuse(Token, ErrorKind::TooManyInFlight, "forwarded requests", Out);
+    refuseRequest(Token, Request, ErrorKind::TooManyInFlight,
+                  "forwarded requests", Out);
     return;
   }
   const auto Number = ++NextForward_;
@@ -301,7 +320,8 @@
   const auto Token = ++NextPeerToken_;
   PeerCallers_[Token] = {Peer, Message.Number_};
   if (Leaving_)
-    refuse(Token, ErrorKind::EntryStopping, Identity_.Entry_.Value_, Out);
+    refuseRequest(Token, Message.Request_, ErrorKind::EntryStopping,
+                  Identity_.Entry_.Value_, Out);
   else
     std::visit([&](const auto &Each) { handle(Now, Token, Each, Out); },
                Message.Request_);
@@ -352,7 +372,7 @@
   if (RemovedGrantsEnd_ > Now.Steady_)
     return 0;
   for (const auto *Each : Targets_.all())
-    if (Each->StartGrantUntil_ > Now.Steady_ && Each->Revision_ < Seen)
+    if (Each->StartGrantUntil_ > Now.Steady_ && Each->InForceRevision_ < Seen)
       return 0;
   return Seen;
 }
@@ -360,9 +380,11 @@
 auto EntryCore::missingFor(Moment Now, Revision Wanted) const
     -> std::vector<std::string> {
   std::vector<std::string> Missing;
+  if (isBroken(Mutation::InForceWithoutConfirmation))
+    return Missing;
   if (confirmedRevision(Now) < Wanted) {
     for (const auto *Each : Targets_.all())
-      if (Each->Revision_ < Wanted)
+      if (Each->InForceRevision_ < Wanted)
         Missing.push_back("target " + Each->agent().Value_);
     if (Missing.empty())
       Missing.push_back("entry " + Identity_.Entry_.Value_);
@@ -400,6 +422,8 @@
 }
 
 auto EntryCore::mayStart(Moment Now) const -> bool {
+  if (isBroken(Mutation::GrantOnStaleView))
+    return View_.revision() > 0;
   if (!View_.mayGrant(Now))
     return false;
   // An entry that is alone in not reaching the store must not go on granting:
@@ -479,6 +503,7 @@
     for (const auto Shard : From.ConfirmedShards_)
       if (ownerOf(Shard).owning() && !ownerOf(Shard).releasing())
         Ack.Shards_.push_back(Shard);
+    From.GrantedShards_.insert(Ack.Shards_.begin(), Ack.Shards_.end());
     Grants_.extend({From.agent(), From.Hello_.Worker_},
                    Now.Steady_ + withClockMargin(Policy.TaskLease_));
   }
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -124,6 +124,9 @@
                    EntryOutbox &Out) -> void;
   auto refuse(CallerToken Token, ErrorKind Kind, std::string Detail,
               EntryOutbox &Out) -> void;
+  auto refuseRequest(CallerToken Token, const CallerRequest &Request,
+                     ErrorKind Kind, std::string Detail, EntryOutbox &Out)
+      -> void;
   auto forward(Moment Now, CallerToken Token, const EntryId &Owner,
                const CallerRequest &Request, Duration Patience,
                EntryOutbox &Out) -> void;
--- a/core/EnvironmentView.cpp
+++ b/core/EnvironmentView.cpp
@@ -239,6 +239,10 @@
   Registered_ = false;
   Store_.call(DeleteValue{grantorKey(Environment_, Self_.Entry_), 0},
               [this](Moment, const StoreResult &, EntryOutbox &) {
+                if (Lease_.empty()) {
+                  Left_ = true;
+                  return;
+                }
                 Store_.call(EndLease{Lease_},
                             [this](Moment, const StoreResult &, EntryOutbox &) {
                               Left_ = true;
--- a/core/ErrorKind.h
+++ b/core/ErrorKind.h
@@ -17,6 +17,7 @@
   KeyTooOld,
   KeyReused,
   KeyInProgress,
+  KeyNotChecked,
   UnknownService,
   UnknownTeam,
   UnknownJob,
--- a/core/Job.h
+++ b/core/Job.h
@@ -26,6 +26,10 @@
   /// When the whole job is to be finished.
   WallTime Deadline_{};
   bool Urgent_ = false;
+  /// Whether a task is run again, from its last checkpoint, when its worker was
+  /// lost and nobody knows whether it finished. Otherwise it ends as failed
+  /// with an unknown outcome.
+  bool RerunWhenLost_ = true;
   /// Opaque to the system; handed to the worker.
   std::string Payload_;
 
@@ -34,7 +38,8 @@
         &JobDeclaration::Team_, &JobDeclaration::Kind_,
         &JobDeclaration::TaskCount_, &JobDeclaration::TaskResources_,
         &JobDeclaration::RunTime_, &JobDeclaration::Deadline_,
-        &JobDeclaration::Urgent_, &JobDeclaration::Payload_);
+        &JobDeclaration::Urgent_, &JobDeclaration::RerunWhenLost_,
+        &JobDeclaration::Payload_);
   }
 };
 
--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -1,6 +1,7 @@
 #include "core/LedgerWriter.h"
 
 #include "core/Assert.h"
+#include "core/Mutation.h"
 
 #include <algorithm>
 #include <utility>
@@ -136,6 +137,11 @@
     swapSettled(Now, true, Index);
     return;
   }
+  if (Index != HeadIndex_ && isBroken(Mutation::WriteOnLeaseAlone)) {
+    HeadIndex_ = Index;
+    swapHead(ShardHead(*Swapping_));
+    return;
+  }
   if (Index != HeadIndex_) {
     swapSettled(Now, false, Index);
     return;
@@ -158,6 +164,8 @@
   HeadIndex_ = Index;
   if (Phase_ == Phase::Taking) {
     OldGrantsUntil_ = Now.Steady_ + OldGrantsFor_;
+    if (isBroken(Mutation::SkipOldGrants))
+      OldGrantsUntil_ = {};
     State_ = {};
     SegmentsLoaded_ = 0;
     Phase_ = Phase::Loading;
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -164,6 +164,8 @@
 struct Heartbeat {
   std::uint64_t Sequence_ = 0;
   Revision Revision_ = 0;
+  /// Nothing can start on this worker any more under a revision below this.
+  Revision InForceRevision_ = 0;
   AgentLoad Load_;
   bool Leaving_ = false;
   /// True if an entry other than the receiver has just read the store.
@@ -171,8 +173,8 @@
 
   static constexpr auto fields() {
     return std::make_tuple(&Heartbeat::Sequence_, &Heartbeat::Revision_,
-                           &Heartbeat::Load_, &Heartbeat::Leaving_,
-                           &Heartbeat::OtherEntryFresh_);
+                           &Heartbeat::InForceRevision_, &Heartbeat::Load_,
+                           &Heartbeat::Leaving_, &Heartbeat::OtherEntryFresh_);
   }
 };
 
--- a/core/RequestDesk.cpp
+++ b/core/RequestDesk.cpp
@@ -1,6 +1,7 @@
 #include "core/RequestDesk.h"
 
 #include "core/Assert.h"
+#include "core/Mutation.h"
 
 #include <algorithm>
 #include <utility>
@@ -27,6 +28,8 @@
 }
 
 auto isDamaged(const DispatchAnswer &Answer) -> bool {
+  if (isBroken(Mutation::PassOnDamagedAnswers))
+    return false;
   return Answer.Length_ != Answer.Body_.size() ||
          Answer.Digest_ != digest64(Answer.Body_);
 }
@@ -280,7 +283,10 @@
     Due_.emplace(Now.Steady_ + ConfirmWithin, Each.Id_);
     return;
   }
-  settle(Now, Each, ErrorKind::OutcomeUnknown, anyAnswer(), Out);
+  const auto Told = isBroken(Mutation::NotRunOnTimeout)
+                        ? ErrorKind::ExpiredInQueue
+                        : ErrorKind::OutcomeUnknown;
+  settle(Now, Each, Told, anyAnswer(), Out);
 }
 
 auto RequestDesk::tick(Moment Now, Random &Generator, EntryOutbox &Out)
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1,6 +1,7 @@
 #include "core/ShardOwner.h"
 
 #include "core/Assert.h"
+#include "core/Mutation.h"
 
 #include <algorithm>
 #include <ctime>
@@ -182,12 +183,17 @@
     return;
   }
   if (Ledger_.queued() >= QueuedRecordLimit) {
-    refuse(Token, ErrorKind::QueueFull, "ledger of the shard", Out);
+    refuse(Token, ErrorKind::KeyNotChecked, "ledger of the shard", Out);
     return;
   }
   PendingClaims_[Quick.Key_] = {Token, Request, Quick,
                                 Now.Steady_ + Quick.Within_};
   Ledger_.append(ClaimOpened{Quick.Key_, Digest, Request, Now.Wall_});
+  if (isBroken(Mutation::DispatchBeforeClaim)) {
+    PendingClaims_.erase(Quick.Key_);
+    Dispatched_.insert(Request);
+    Claimed_.push_back({Request, Token, Quick});
+  }
   Ledger_.advance();
 }
 
@@ -278,7 +284,7 @@
     });
     if (!Withdrawn)
       AbandonedKeys_.insert(Each->first);
-    refuse(Each->second.Token_, ErrorKind::StoreUnavailable,
+    refuse(Each->second.Token_, ErrorKind::KeyNotChecked,
            "the claim was not committed in time", Out);
     Each = PendingClaims_.erase(Each);
   }
@@ -301,8 +307,7 @@
         Cancelling_.erase(Job);
       for (const auto &Caller : Each->second)
         refuse(Caller.Token_,
-               Withdrawn ? ErrorKind::StoreUnavailable
-                         : ErrorKind::OutcomeUnknown,
+               Withdrawn ? Caller.Refusal_ : ErrorKind::OutcomeUnknown,
                Job.Value_, Out);
       Each = Waiting->erase(Each);
     }
@@ -363,7 +368,9 @@
     return;
   }
   auto &Waiting = WaitingAdd_[Id];
-  Waiting.push_back({Token, Now.Steady_ + CallerPatience});
+  const auto Refusal = Submission.Key_.empty() ? ErrorKind::StoreUnavailable
+                                               : ErrorKind::KeyNotChecked;
+  Waiting.push_back({Token, Now.Steady_ + CallerPatience, Refusal});
   if (Waiting.size() > 1)
     return;
   Job New;
@@ -399,7 +406,8 @@
     return;
   }
   auto &Waiting = WaitingCancel_[Id];
-  Waiting.push_back({Token, Now.Steady_ + CallerPatience});
+  Waiting.push_back(
+      {Token, Now.Steady_ + CallerPatience, ErrorKind::StoreUnavailable});
   if (Waiting.size() > 1)
     return;
   Cancelling_.insert(Id);
@@ -499,7 +507,7 @@
   auto *Where = View_.Targets_.findAgent(Record.Agent_);
   if (Record.State_ == TaskState::Bound) {
     ++View_.Counters_.TasksBound_;
-    if (Where != nullptr && Where->ConfirmedShards_.count(Shard_) != 0)
+    if (Where != nullptr && Where->GrantedShards_.count(Shard_) != 0)
       sendBind(Now, Record.Task_, *Where, Out);
     return;
   }
@@ -539,10 +547,9 @@
     auto *Each = All[(First + Draw * Stride) % All.size()];
     if (!mayHost(Now, *Each, Need))
       continue;
-    if (Each->ConfirmedShards_.count(Shard_) == 0) {
-      claimTowards(*Each, Out);
+    claimTowards(*Each, Out);
+    if (Each->GrantedShards_.count(Shard_) == 0)
       continue;
-    }
     const auto Freer =
         Best == nullptr ||
         Each->free().MilliCores_ * Best->Hello_.Capacity_.MilliCores_ >
@@ -712,10 +719,7 @@
                        Task->Agent_ == From.agent() &&
                        Task->Worker_ == From.Hello_.Worker_;
   if (!Current) {
-    // The ledger has moved on, so the agent may forget the attempt.
-    if (isEnded(Report.Phase_) && Proposed_.count(Report.Task_) == 0)
-      Out.push_back(SendToAgent{From.Session_,
-                                TaskReportAck{Report.Task_, Report.Attempt_}});
+    dismiss(From, Report, Out);
     return;
   }
   auto &Soft = Bound_[Report.Task_];
@@ -727,6 +731,18 @@
   Ledger_.advance();
 }
 
+auto ShardOwner::dismiss(const Target &From, const TaskReport &Report,
+                         EntryOutbox &Out) const -> void {
+  // The ledger has moved on, so the agent may forget the attempt.
+  if (isEnded(Report.Phase_) && Proposed_.count(Report.Task_) == 0)
+    Out.push_back(SendToAgent{From.Session_,
+                              TaskReportAck{Report.Task_, Report.Attempt_}});
+  if (!isEnded(Report.Phase_))
+    Out.push_back(SendToAgent{
+        From.Session_, StopTask{Shard_, Ledger_.epoch(), Report.Task_,
+                                Report.Attempt_, ErrorKind::StaleEpoch}});
+}
+
 auto ShardOwner::settleEnded(Moment Now, Target &From, const TaskReport &Report)
     -> void {
   const auto &Job = *state().findJob(Report.Task_.Job_);
@@ -783,8 +799,20 @@
   const auto GrantedUntil =
       std::max(View_.Grants_.until({Task.Agent_, Task.Worker_}),
                Ledger_.oldGrantsUntil() + Lease);
-  if (Now.Steady_ > GrantedUntil)
+  if (Now.Steady_ > GrantedUntil || isBroken(Mutation::ResumeBeforeLeaseEnds))
+    loseTask(Now, Id);
+}
+
+auto ShardOwner::loseTask(Moment Now, const TaskId &Id) -> void {
+  const auto &Job = *state().findJob(Id.Job_);
+  const auto &Task = Job.Tasks_[Id.Index_];
+  if (Job.Declaration_.RerunWhenLost_ ||
+      Job.Declaration_.Kind_ == WorkKind::Watcher) {
     requeue(Now, Id, ErrorKind::WorkerGone, Task.Checkpoint_, false);
+    return;
+  }
+  propose(Id,
+          changeOf(Task, TaskState::Failed, ErrorKind::OutcomeUnknown, Now));
 }
 
 auto ShardOwner::watchBound(Moment Now, EntryOutbox &Out) -> void {
@@ -808,7 +836,7 @@
 
 auto ShardOwner::lost(EntryOutbox &Out) -> void {
   for (const auto &[Key, Claim] : PendingClaims_)
-    refuse(Claim.Token_, ErrorKind::ShardMoving, Key.Value_, Out);
+    refuse(Claim.Token_, ErrorKind::KeyNotChecked, Key.Value_, Out);
   PendingClaims_.clear();
   for (auto *Waiting : {&WaitingAdd_, &WaitingCancel_}) {
     for (const auto &[Job, Callers] : *Waiting)
@@ -819,6 +847,7 @@
   for (auto *Each : View_.Targets_.all()) {
     Each->ClaimedShards_.erase(Shard_);
     Each->ConfirmedShards_.erase(Shard_);
+    Each->GrantedShards_.erase(Shard_);
   }
   Indexed_ = false;
 }
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -128,6 +128,8 @@
   struct WaitingCaller {
     CallerToken Token_ = 0;
     TimePoint GiveUpAt_{};
+    /// What the caller is told if the record was certainly never written.
+    ErrorKind Refusal_ = ErrorKind::StoreUnavailable;
   };
 
   auto checkKey(Moment Now, const IdempotencyKey &Key) const -> ErrorKind;
@@ -138,6 +140,7 @@
   auto propose(const TaskId &Task, TaskChanged Change) -> void;
   auto requeue(Moment Now, const TaskId &Task, ErrorKind Reason,
                const CheckpointId &Checkpoint, bool Failed) -> void;
+  auto loseTask(Moment Now, const TaskId &Task) -> void;
   auto reindex() -> void;
   auto index(const Job &Job) -> void;
   auto indexTask(const Job &Job, std::uint32_t Index) -> void;
@@ -155,6 +158,8 @@
   auto watchBound(Moment Now, EntryOutbox &Out) -> void;
   auto watchTask(Moment Now, const TaskId &Task, BoundTask &Soft,
                  EntryOutbox &Out) -> void;
+  auto dismiss(const Target &From, const TaskReport &Report,
+               EntryOutbox &Out) const -> void;
   auto settleEnded(Moment Now, Target &From, const TaskReport &Report) -> void;
   auto noteOutcome(Moment Now, Target &From, bool Failed) -> void;
   auto giveUpWaiting(Moment Now, EntryOutbox &Out) -> void;
--- a/core/StartPermits.cpp
+++ b/core/StartPermits.cpp
@@ -1,5 +1,7 @@
 #include "core/StartPermits.h"
 
+#include "core/Mutation.h"
+
 #include <algorithm>
 
 namespace skylark {
@@ -25,10 +27,17 @@
   Grants_.erase(Session);
 }
 
-auto StartPermits::mayStart(TimePoint Now, Revision Seen) const -> bool {
-  return std::any_of(Grants_.begin(), Grants_.end(), [&](const auto &Each) {
-    return Each.second.Revision_ >= Seen && Each.second.StartUntil_ > Now;
-  });
+auto StartPermits::startUntil(Revision Seen) const -> TimePoint {
+  TimePoint Until{};
+  for (const auto &[Session, Grant] : Grants_) {
+    // A grant under a newer revision counts only once the agent has applied
+    // that revision: it may say that nothing starts here.
+    const auto Current =
+        Grant.Revision_ == Seen || isBroken(Mutation::StartUnderOldRevision);
+    if (Current)
+      Until = std::max(Until, Grant.StartUntil_);
+  }
+  return Until;
 }
 
 auto StartPermits::runUntil(SessionNumber Session, ShardNumber Shard) const
--- a/core/StartPermits.h
+++ b/core/StartPermits.h
@@ -19,8 +19,9 @@
   /// out by itself.
   auto close(SessionNumber Session) -> void;
 
-  /// True if some entry grants starts under a revision of at least `Seen`.
-  auto mayStart(TimePoint Now, Revision Seen) const -> bool;
+  /// Until when tasks may start under the revision `Seen`, the highest that the
+  /// agent knows; in the past where no entry grants that.
+  auto startUntil(Revision Seen) const -> TimePoint;
   /// Until when tasks of `Shard` may run by the word of the entry on `Session`.
   auto runUntil(SessionNumber Session, ShardNumber Shard) const -> TimePoint;
   /// True if an entry other than `Session` read the store within `Within`.
--- a/core/TargetTable.cpp
+++ b/core/TargetTable.cpp
@@ -70,6 +70,8 @@
   Known->Load_ = Beat.Load_;
   Known->Leaving_ = Known->Leaving_ || Beat.Leaving_;
   Known->Revision_ = std::max(Known->Revision_, Beat.Revision_);
+  Known->InForceRevision_ =
+      std::max(Known->InForceRevision_, Beat.InForceRevision_);
   Known->OtherEntryFresh_ = Beat.OtherEntryFresh_;
   Known->SentSinceReport_ = 0;
   if (Known->PromisedAt_ + PromiseFor < Now.Steady_)
--- a/core/TargetTable.h
+++ b/core/TargetTable.h
@@ -18,6 +18,7 @@
   SessionNumber Session_ = 0;
   AgentLoad Load_;
   Revision Revision_ = 0;
+  Revision InForceRevision_ = 0;
   TimePoint HeardAt_{};
   /// When the last heartbeat of this agent was acknowledged.
   TimePoint AckedAt_{};
@@ -33,6 +34,9 @@
   std::uint64_t NextSequence_ = 0;
   std::set<ShardNumber> ClaimedShards_;
   std::set<ShardNumber> ConfirmedShards_;
+  /// Shards that an acknowledged heartbeat has named, so that the agent may
+  /// take tasks of them.
+  std::set<ShardNumber> GrantedShards_;
   /// Resources promised to tasks that no heartbeat has shown yet.
   Resources Promised_;
   TimePoint PromisedAt_{};
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -1,6 +1,7 @@
 #include "core/TaskHost.h"
 
 #include "core/Assert.h"
+#include "core/Mutation.h"
 
 #include <algorithm>
 
@@ -147,8 +148,8 @@
   Out.push_back(SendToEntry{Session, std::move(Confirm)});
 }
 
-auto TaskHost::bind(SessionNumber Session, const BindTask &Bind,
-                    AgentOutbox &Out) -> void {
+auto TaskHost::bind(TimePoint Now, SessionNumber Session, const BindTask &Bind,
+                    const StartPermits &Permits, AgentOutbox &Out) -> void {
   const auto Owner = Owners_.find(Bind.Shard_);
   const auto Current = Owner != Owners_.end() &&
                        Owner->second.Session_ == Session &&
@@ -170,10 +171,14 @@
   Held = HeldTask{};
   Held.Bind_ = Bind;
   Held.Checkpoint_ = Bind.Checkpoint_;
-  if (Ledger_.capacity().holds(Bind.Resources_))
-    report(Held, Out);
-  else
+  Held.LeaseUntil_ = runUntil(Held, Permits);
+  if (!Ledger_.capacity().holds(Bind.Resources_))
     end(Held, TaskPhase::NotStarted, ErrorKind::NeverFits, Out);
+  else if (Held.LeaseUntil_ <= Now)
+    // The message lay about for so long that the owner may have moved on.
+    end(Held, TaskPhase::NotStarted, ErrorKind::LeaseLapsed, Out);
+  else
+    report(Held, Out);
 }
 
 auto TaskHost::stop(const StopTask &Stop, AgentOutbox &Out) -> void {
@@ -209,6 +214,18 @@
   Tasks_.erase(Found);
 }
 
+auto TaskHost::refreshLeases(TimePoint Now, const StartPermits &Permits,
+                             AgentOutbox &Out) -> void {
+  for (auto &[Task, Held] : Tasks_) {
+    if (Held.Phase_ != TaskPhase::Queued)
+      continue;
+    if (Held.LeaseUntil_ <= Now)
+      end(Held, TaskPhase::NotStarted, ErrorKind::LeaseLapsed, Out);
+    else
+      Held.LeaseUntil_ = std::max(Held.LeaseUntil_, runUntil(Held, Permits));
+  }
+}
+
 auto TaskHost::startOrder() -> std::vector<HeldTask *> {
   std::vector<HeldTask *> Order;
   for (auto &[Task, Held] : Tasks_)
@@ -232,16 +249,31 @@
 }
 
 auto TaskHost::startQueued(TimePoint Now, const StartPermits &Permits,
-                           AgentOutbox &Out) -> void {
+                           Revision Seen, AgentOutbox &Out) -> void {
+  const auto StartUntil = Permits.startUntil(Seen);
+  if (StartUntil <= Now || WorkerClock_ == Micros{0})
+    return;
   for (auto *Held : startOrder()) {
-    const auto RunUntil = runUntil(*Held, Permits);
-    if (RunUntil <= Now || WorkerClock_ == Micros{0})
+    // The first lease ends with the permit, so that a start which is held up
+    // on its way to the worker can't outlive the permission to start.
+    const auto LeaseUntil =
+        std::min({Held->LeaseUntil_, runUntil(*Held, Permits), StartUntil});
+    if (LeaseUntil <= Now)
       continue;
-    if (Ledger_.fits(Held->Bind_.Resources_))
-      startTask(*Held, RunUntil, Out);
+    if (Ledger_.fits(Held->Bind_.Resources_) ||
+        isBroken(Mutation::StartWithoutRoom))
+      startTask(*Held, LeaseUntil, Seen, Out);
   }
 }
 
+auto TaskHost::revisionInForce(Revision Seen) const -> Revision {
+  auto InForce = Seen;
+  for (const auto &[Task, Held] : Tasks_)
+    if (Held.Phase_ == TaskPhase::Starting)
+      InForce = std::min(InForce, Held.StartRevision_);
+  return InForce;
+}
+
 auto TaskHost::onWorkerClock(TimePoint Until) const -> Micros {
   // The worker made its list before it arrived here, so counting from the
   // arrival ends the lease early rather than late; so does the rate error.
@@ -251,11 +283,12 @@
   return WorkerClock_ + std::min(Left, Shortened);
 }
 
-auto TaskHost::startTask(HeldTask &Held, TimePoint RunUntil, AgentOutbox &Out)
-    -> void {
+auto TaskHost::startTask(HeldTask &Held, TimePoint LeaseUntil, Revision Seen,
+                         AgentOutbox &Out) -> void {
   Ledger_.reserve(Held.Bind_.Task_, Held.Bind_.Resources_);
   Held.Phase_ = TaskPhase::Starting;
-  Held.StartLeaseUntil_ = onWorkerClock(RunUntil);
+  Held.StartRevision_ = Seen;
+  Held.StartLeaseUntil_ = onWorkerClock(LeaseUntil);
   Out.push_back(StartOnWorker{Held.Bind_, Held.StartLeaseUntil_});
 }
 
@@ -288,8 +321,9 @@
   PollWorker Poll;
   for (const auto &[Task, Held] : Tasks_) {
     const auto RunUntil = runUntil(Held, Permits);
-    const auto Renewable =
-        Held.Phase_ == TaskPhase::Running || Held.Phase_ == TaskPhase::Stopping;
+    const auto Renewable = Held.Phase_ == TaskPhase::Starting ||
+                           Held.Phase_ == TaskPhase::Running ||
+                           Held.Phase_ == TaskPhase::Stopping;
     if (Renewable && RunUntil != TimePoint{} && WorkerClock_ != Micros{0})
       Poll.Leases_.push_back(
           {Task, Held.Bind_.Attempt_, onWorkerClock(RunUntil)});
--- a/core/TaskHost.h
+++ b/core/TaskHost.h
@@ -22,14 +22,23 @@
 
   auto claim(SessionNumber Session, const ClaimOwnership &Claim,
              AgentOutbox &Out) -> void;
-  auto bind(SessionNumber Session, const BindTask &Bind, AgentOutbox &Out)
-      -> void;
+  auto bind(TimePoint Now, SessionNumber Session, const BindTask &Bind,
+            const StartPermits &Permits, AgentOutbox &Out) -> void;
   auto stop(const StopTask &Stop, AgentOutbox &Out) -> void;
   auto acknowledge(const TaskReportAck &Ack, AgentOutbox &Out) -> void;
 
+  /// Gives back queued tasks whose lease has run out, and extends the others.
+  /// Must run before a message is handled: the owner may have bound a task
+  /// elsewhere once its lease has run out, so a lapsed one never revives.
+  auto refreshLeases(TimePoint Now, const StartPermits &Permits,
+                     AgentOutbox &Out) -> void;
   /// Starts queued tasks that fit, where starting is allowed at all.
-  auto startQueued(TimePoint Now, const StartPermits &Permits, AgentOutbox &Out)
-      -> void;
+  /// \param Seen the highest revision that the agent knows of.
+  auto startQueued(TimePoint Now, const StartPermits &Permits, Revision Seen,
+                   AgentOutbox &Out) -> void;
+  /// The revision below which nothing can start any more: `Seen`, or lower
+  /// while a start under a lower one may still be on its way to the worker.
+  auto revisionInForce(Revision Seen) const -> Revision;
   /// Hands everything back: watchers at once, batch tasks a few at a time.
   auto drain(ErrorKind Reason, AgentOutbox &Out) -> void;
   /// Repeats the reports that the owner has not acknowledged.
@@ -50,8 +59,12 @@
     TaskPhase Phase_ = TaskPhase::Queued;
     CheckpointId Checkpoint_;
     ErrorKind Reason_ = ErrorKind::None;
+    /// Until when the owner leaves a queued task to this agent.
+    TimePoint LeaseUntil_{};
     /// On the worker's clock: after this a start can no longer take effect.
     Micros StartLeaseUntil_{0};
+    /// The revision under which it was started.
+    Revision StartRevision_ = 0;
   };
   struct Owner {
     Epoch Epoch_ = 0;
@@ -68,7 +81,8 @@
   auto end(HeldTask &Held, TaskPhase Phase, ErrorKind Reason, AgentOutbox &Out)
       -> void;
   auto report(const HeldTask &Held, AgentOutbox &Out) const -> void;
-  auto startTask(HeldTask &Held, TimePoint RunUntil, AgentOutbox &Out) -> void;
+  auto startTask(HeldTask &Held, TimePoint LeaseUntil, Revision Seen,
+                 AgentOutbox &Out) -> void;
   auto stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out) -> void;
   auto runUntil(const HeldTask &Held, const StartPermits &Permits) const
       -> TimePoint;
--- /dev/null
+++ b/test/fuzz/FakeStore.cpp
@@ -0,0 +1,117 @@
+#include "test/fuzz/FakeStore.h"
+
+namespace skylark::Fuzz {
+namespace {
+
+auto resultOf(StoreStatus Status, std::uint64_t Index = 0) -> StoreResult {
+  StoreResult Result;
+  Result.Status_ = Status;
+  Result.Index_ = Index;
+  return Result;
+}
+
+} // namespace
+
+auto FakeStore::apply(Micros Now, const StoreOperation &Operation)
+    -> StoreResult {
+  std::vector<LeaseId> Lapsed;
+  for (const auto &[Name, Each] : Leases_)
+    if (Each.EndsAt_ < Now)
+      Lapsed.push_back(Name);
+  for (const auto &Name : Lapsed)
+    endLease(Name);
+  return std::visit([&](const auto &Each) { return run(Now, Each); },
+                    Operation);
+}
+
+auto FakeStore::run(Micros /*Now*/, const ReadLive &Operation) -> StoreResult {
+  auto Result = resultOf(StoreStatus::Ok);
+  const auto Prefix =
+      "skylark/environments/" + Operation.Environment_.Value_ + "/";
+  for (const auto &[Key, Each] : Keys_) {
+    if (Key.Path_.rfind(Prefix, 0) != 0)
+      continue;
+    if (const auto *Head = std::get_if<EnvironmentHead>(&Each.Value_)) {
+      Result.Live_.Head_ = *Head;
+      Result.Live_.HeadIndex_ = Each.Index_;
+      continue;
+    }
+    auto &List =
+        Each.Lease_.empty() ? Result.Live_.Grantors_ : Result.Live_.Leases_;
+    List.push_back({std::get<EntryRegistration>(Each.Value_), Each.Index_});
+  }
+  return Result;
+}
+
+auto FakeStore::run(Micros /*Now*/, const ReadValue &Operation) -> StoreResult {
+  const auto Found = Keys_.find(Operation.Key_);
+  if (Found == Keys_.end())
+    return resultOf(StoreStatus::NotFound);
+  auto Result = resultOf(StoreStatus::Ok, Found->second.Index_);
+  Result.Value_ = Found->second.Value_;
+  return Result;
+}
+
+auto FakeStore::run(Micros /*Now*/, const CompareAndSwap &Operation)
+    -> StoreResult {
+  const auto Found = Keys_.find(Operation.Key_);
+  const auto Present = Found == Keys_.end() ? 0 : Found->second.Index_;
+  if (Present != Operation.ExpectedIndex_)
+    return resultOf(StoreStatus::Conflict);
+  Keys_[Operation.Key_] = {Operation.Value_, ++Index_, {}};
+  return resultOf(StoreStatus::Ok, Index_);
+}
+
+auto FakeStore::run(Micros /*Now*/, const WriteValue &Operation)
+    -> StoreResult {
+  Keys_[Operation.Key_] = {Operation.Value_, ++Index_, {}};
+  return resultOf(StoreStatus::Ok, Index_);
+}
+
+auto FakeStore::run(Micros /*Now*/, const DeleteValue &Operation)
+    -> StoreResult {
+  const auto Found = Keys_.find(Operation.Key_);
+  const auto Matches = Found != Keys_.end() &&
+                       (Operation.ExpectedIndex_ == 0 ||
+                        Operation.ExpectedIndex_ == Found->second.Index_);
+  if (Matches)
+    Keys_.erase(Found);
+  return resultOf(StoreStatus::Ok);
+}
+
+auto FakeStore::run(Micros Now, const OpenLease &Operation) -> StoreResult {
+  auto Result = resultOf(StoreStatus::Ok);
+  Result.Lease_ = {"lease-" + std::to_string(++Index_)};
+  Leases_[Result.Lease_] = {Operation.TimeToLive_, Now + Operation.TimeToLive_};
+  return Result;
+}
+
+auto FakeStore::run(Micros Now, const RenewLease &Operation) -> StoreResult {
+  const auto Found = Leases_.find(Operation.Lease_);
+  if (Found == Leases_.end())
+    return resultOf(StoreStatus::NotFound);
+  Found->second.EndsAt_ = Now + Found->second.TimeToLive_;
+  return resultOf(StoreStatus::Ok);
+}
+
+auto FakeStore::run(Micros /*Now*/, const EndLease &Operation) -> StoreResult {
+  endLease(Operation.Lease_);
+  return resultOf(StoreStatus::Ok);
+}
+
+auto FakeStore::run(Micros /*Now*/, const WriteUnderLease &Operation)
+    -> StoreResult {
+  if (Leases_.count(Operation.Lease_) == 0)
+    return resultOf(StoreStatus::NotFound);
+  Keys_[Operation.Key_] = {Operation.Value_, ++Index_, Operation.Lease_};
+  return resultOf(StoreStatus::Ok, Index_);
+}
+
+auto FakeStore::endLease(const LeaseId &Gone) -> void {
+  if (Leases_.erase(Gone) == 0)
+    return;
+  for (auto Each = Keys_.begin(); Each != Keys_.end();)
+    Each = Each->second.Lease_ == Gone ? Keys_.erase(Each) : std::next(Each);
+}
+
+} // namespace skylark::Fuzz
--- a/wire/ApiText.cpp
+++ b/wire/ApiText.cpp
@@ -167,6 +167,7 @@
     Job.Deadline_ =
         Now + Millis{Top.integer("deadline_in_ms", {1, Year}, 3600000)};
     Job.Urgent_ = Top.flag("urgent", false);
+    Job.RerunWhenLost_ = Top.flag("rerun_when_lost", true);
     Job.Payload_ = Top.text("payload", "");
   });
   return Result;
