--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t DrawCount = 24;
 /// Bound tasks that may wait in one agent's queue.
 constexpr std::uint32_t QueueLimit = 4;
-constexpr Millis ResendBindAfter{2000};
+constexpr Millis ResendAfter{2000};
 constexpr Millis CallerPatience{5000};
 constexpr Millis FailureBackoff{500};
 constexpr Millis ForgetEvery{60000};
@@ -781,10 +781,12 @@
                        Where->Hello_.Worker_ == Task.Worker_ &&
                        Where->ConfirmedShards_.count(Shard_) != 0;
   if (Present) {
-    if (!Soft.Reported_ && Soft.SentAt_ + ResendBindAfter < Now.Steady_)
+    if (!Soft.Reported_ && Soft.SentAt_ + ResendAfter < Now.Steady_)
       sendBind(Now, Id, *Where, Out);
-    if (Job.Cancelled_ && !Soft.StopSent_) {
-      Soft.StopSent_ = true;
+    // The request may be lost, or reach the agent while the start is under
+    // way and can't be stopped yet, so it is repeated until the task ends.
+    if (Job.Cancelled_ && Soft.StopSentAt_ + ResendAfter < Now.Steady_) {
+      Soft.StopSentAt_ = Now.Steady_;
       Out.push_back(SendToAgent{Where->Session_,
                                 StopTask{Shard_, Ledger_.epoch(), Id,
                                          Task.Attempt_, ErrorKind::Cancelled}});
@@ -792,6 +794,12 @@
     return;
   }
   Soft = {};
+  // An agent that joined before the task was bound to it has not been asked
+  // yet what it holds of this shard.
+  if (Where != nullptr && Where->Hello_.Worker_ == Task.Worker_) {
+    claimTowards(*Where, Out);
+    return;
+  }
   // The worker stops the task by itself once its lease has run out; only
   // then may another worker get it.
   const auto Lease =
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -111,8 +111,9 @@
   struct BoundTask {
     bool Sent_ = false;
     bool Reported_ = false;
-    bool StopSent_ = false;
     TimePoint SentAt_{};
+    /// When the agent was last asked to stop it.
+    TimePoint StopSentAt_{};
   };
   struct PendingClaim {
     CallerToken Token_ = 0;
--- a/test/fuzz/World.h
+++ b/test/fuzz/World.h
@@ -157,6 +157,7 @@
   auto applyDocument(Revision Expected, int Left) -> void;
   auto bringAllBack(int Left) -> void;
   auto settleFaults() -> void;
+  auto describeRest(const Job &Each) const -> std::string;
   auto checkRest() -> void;
 
   WorldPlan Plan_;
@@ -182,6 +183,8 @@
   int NextBody_ = 0;
   std::vector<JobId> Jobs_;
   std::map<std::string, int> DataCentreOrders_;
+  /// Orders to bring a data centre back whose outcome is open.
+  std::map<std::string, int> OpenReturns_;
   bool Busy_ = true;
 };
 
