In force means in force: six holes in the start permits closed

Also: two cancels of one job could bind a task after the first was committed. Ruled out: clock rates and late start calls (the first lease bounds them).

--- a/core/ChangeDesk.cpp
+++ b/core/ChangeDesk.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Millis OperatorPatience{8000};
-constexpr Millis InForcePatience{4000};
+constexpr Millis InForcePatience{6000};
 constexpr std::size_t QueueLimit = 256;
 constexpr std::size_t RememberedWrites = 32;
 
--- a/core/Document.h
+++ b/core/Document.h
@@ -33,6 +33,9 @@
   }
 };
 
+/// The longest start permit that a document may ask for.
+constexpr Millis LongestPermit{5000};
+
 /// Every duration and limit that operators may set.
 struct PolicySettings {
   /// How long after a heartbeat an agent may go on starting tasks.
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -309,6 +309,13 @@
 auto EntryCore::handle(Moment Now, const EntryId &Peer, const PeerBeat &Message,
                        EntryOutbox & /*Out*/) -> void {
   auto &Known = Peers_[Peer];
+  if (Message.Incarnation_ < Known.Incarnation_)
+    return;
+  if (Message.Incarnation_ > Known.Incarnation_) {
+    Known.Incarnation_ = Message.Incarnation_;
+    Known.SeenRevision_ = 0;
+    Known.ConfirmedRevision_ = 0;
+  }
   Known.HeardAt_ = Now.Steady_;
   Known.SeenRevision_ = std::max(Known.SeenRevision_, Message.SeenRevision_);
   Known.ConfirmedRevision_ =
@@ -356,8 +363,8 @@
     return;
   NextPeerBeat_ = Now.Steady_ + PeerBeatEvery;
   Out.push_back(ConnectPeers{View_.peers()});
-  const PeerBeat Beat{Identity_.Entry_, View_.revision(),
-                      confirmedRevision(Now)};
+  const PeerBeat Beat{Identity_.Entry_, Identity_.Incarnation_,
+                      View_.revision(), confirmedRevision(Now)};
   for (const auto &[Entry, Each] : Peers_)
     if (Each.Open_)
       Out.push_back(SendToPeer{Entry, Beat});
@@ -369,7 +376,7 @@
   const auto Seen = View_.revision();
   if (Now.Steady_ >= View_.oldGrantsEnd())
     return Seen;
-  if (RemovedGrantsEnd_ > Now.Steady_)
+  if (RemovedGrantsEnd_ > Now.Steady_ || View_.settlingIn(Now))
     return 0;
   for (const auto *Each : Targets_.all())
     if (Each->StartGrantUntil_ > Now.Steady_ && Each->InForceRevision_ < Seen)
@@ -389,11 +396,17 @@
     if (Missing.empty())
       Missing.push_back("entry " + Identity_.Entry_.Value_);
   }
+  // Who may be granting is known only from a read that shows this revision: a
+  // configuration learned from agents says nothing of other entries.
+  if (View_.knownRevision() < Wanted)
+    Missing.push_back("store");
   for (const auto &Each : View_.grantors()) {
-    if (Each.first == Identity_.Entry_ || Each.second <= Now.Steady_)
+    if (Each.first == Identity_.Entry_ || Each.second.Until_ <= Now.Steady_)
       continue;
     const auto Known = Peers_.find(Each.first);
-    if (Known == Peers_.end() || Known->second.ConfirmedRevision_ < Wanted)
+    if (Known == Peers_.end() ||
+        Known->second.Incarnation_ != Each.second.Incarnation_ ||
+        Known->second.ConfirmedRevision_ < Wanted)
       Missing.push_back("entry " + Each.first.Value_);
   }
   return Missing;
@@ -405,8 +418,9 @@
   for (const auto &Each : View_.grantors()) {
     if (Each.first == Identity_.Entry_)
       continue;
-    const auto Until = std::min(
-        Each.second, Now.Steady_ + Policy.OutageHorizon_ + Policy.PermitFor_);
+    const auto Until =
+        std::min(Each.second.Until_,
+                 Now.Steady_ + Policy.OutageHorizon_ + Policy.PermitFor_);
     Longest = std::max(Longest, Until - Now.Steady_);
   }
   return withClockMargin(Longest);
@@ -424,7 +438,7 @@
 auto EntryCore::mayStart(Moment Now) const -> bool {
   if (isBroken(Mutation::GrantOnStaleView))
     return View_.revision() > 0;
-  if (!View_.mayGrant(Now))
+  if (!View_.mayGrant(Now) || Leaving_)
     return false;
   // An entry that is alone in not reaching the store must not go on granting:
   // the others may have taken a newer order.
@@ -443,6 +457,10 @@
 
 auto EntryCore::handle(Moment Now, SessionNumber Session, const Hello &Message,
                        EntryOutbox &Out) -> void {
+  // A repeated hello must not start the connection's bookkeeping anew: an old
+  // confirmation would then count as the answer to a new claim.
+  if (Targets_.find(Session) != nullptr)
+    return;
   const auto *Known = Targets_.findAgent(Message.Agent_);
   const auto Stale =
       Known != nullptr &&
@@ -464,7 +482,7 @@
   }
   auto *Joined = Targets_.find(Session);
   for (const auto &Shard : Shards_)
-    Shard->agentJoined(*Joined, Out);
+    Shard->agentJoined(Now, *Joined, Out);
   Out.push_back(LogDecision{"agent-joined", Message.Agent_.Value_,
                             View_.revision(), ErrorKind::None,
                             Message.DataCentre_.Value_});
@@ -656,7 +674,11 @@
       std::all_of(Shards_.begin(), Shards_.end(),
                   [](const auto &Shard) { return Shard->idle(); });
   const auto TimeUp = Now.Steady_ >= LeaveBy_;
-  if ((Idle && HandedOver) || TimeUp)
+  // An entry stays listed until the last of its grants has ended.
+  auto GrantsEnd = RemovedGrantsEnd_;
+  for (const auto *Each : Targets_.all())
+    GrantsEnd = std::max(GrantsEnd, Each->StartGrantUntil_);
+  if (Idle && HandedOver && Now.Steady_ > GrantsEnd)
     View_.leave();
   if ((View_.left() || TimeUp) && !ExitSent_) {
     ExitSent_ = true;
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -65,6 +65,8 @@
   struct Peer {
     bool Open_ = false;
     TimePoint HeardAt_{};
+    /// Incarnation that confirmed; an earlier one can't speak for it.
+    Incarnation Incarnation_ = 0;
     Revision SeenRevision_ = 0;
     Revision ConfirmedRevision_ = 0;
   };
--- a/core/EntryOutput.h
+++ b/core/EntryOutput.h
@@ -211,12 +211,14 @@
 /// The periodic message between entries.
 struct PeerBeat {
   EntryId Entry_;
+  Incarnation Incarnation_ = 0;
   Revision SeenRevision_ = 0;
   /// No agent that this entry knows of can start under an older revision.
   Revision ConfirmedRevision_ = 0;
 
   static constexpr auto fields() {
-    return std::make_tuple(&PeerBeat::Entry_, &PeerBeat::SeenRevision_,
+    return std::make_tuple(&PeerBeat::Entry_, &PeerBeat::Incarnation_,
+                           &PeerBeat::SeenRevision_,
                            &PeerBeat::ConfirmedRevision_);
   }
 };
--- a/core/EnvironmentView.cpp
+++ b/core/EnvironmentView.cpp
@@ -3,6 +3,7 @@
 #include "core/Assert.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace skylark {
 namespace {
@@ -28,6 +29,12 @@
       Store_(Store) {}
 
 auto EnvironmentView::tick(Moment Now) -> void {
+  // An earlier incarnation of this entry may have granted just before it
+  // died, under a revision that nobody here knows.
+  if (SettledAt_ == TimePoint{}) {
+    SettledAt_ = Now.Steady_ + withClockMargin(LongestPermit);
+    OldGrantsEnd_ = SettledAt_;
+  }
   if (!ReadOpen_ && Now.Steady_ >= NextRead_)
     readLive(Now);
   keepLease(Now);
@@ -51,6 +58,7 @@
     FailedAt_ = Now.Steady_;
     return;
   }
+  KnownRevision_ = std::max(KnownRevision_, Result.Live_.Head_.Revision_);
   noteEntries(Now, Result.Live_);
   if (Result.Live_.Head_.Revision_ > revision()) {
     // Until the newer document is here, this entry's view is not fresh.
@@ -88,7 +96,8 @@
   Current_ = std::move(Next);
   SKYLARK_ASSERT(revision() > Before, "revision went down:", Before, "to",
                  revision());
-  OldGrantsEnd_ = Now.Steady_ + withClockMargin(Longest);
+  OldGrantsEnd_ =
+      std::max(OldGrantsEnd_, Now.Steady_ + withClockMargin(Longest));
 }
 
 auto EnvironmentView::learn(Moment Now, const Configuration &Learned) -> void {
@@ -108,10 +117,12 @@
     if (Each.Registration_.Entry_ != Self_.Entry_)
       Peers_.push_back(Each.Registration_);
   }
-  if (Announced_ && !contains(Live.Leases_, Self_) && !LeaseCallOpen_) {
-    // The lease lapsed: register again under a new one.
+  if (Announced_ && !Registered_ && !LeaseCallOpen_) {
+    // The lease lapsed, or a late goodbye of an earlier incarnation took the
+    // entry from the list: register again.
     Announced_ = false;
-    Lease_ = {};
+    if (!contains(Live.Leases_, Self_))
+      Lease_ = {};
   }
   noteGrantors(Now, Live);
 }
@@ -123,9 +134,11 @@
   Grantors_.clear();
   for (const auto &Each : Live.Grantors_) {
     const auto &Entry = Each.Registration_.Entry_;
+    if (Entry == Self_.Entry_)
+      GrantorIndex_ = Each.Index_;
     if (contains(Live.Leases_, Each.Registration_)) {
       LapsedAt_.erase(Entry);
-      Grantors_[Entry] = TimePoint::max();
+      Grantors_[Entry] = {Each.Registration_.Incarnation_, TimePoint::max()};
       continue;
     }
     // An entry whose lease lapsed without a goodbye may be cut off from the
@@ -133,7 +146,7 @@
     const auto LapsedAt = LapsedAt_.emplace(Entry, Now.Steady_).first->second;
     const auto EndsAt = LapsedAt + LongestGrant;
     if (Now.Steady_ < EndsAt) {
-      Grantors_[Entry] = EndsAt;
+      Grantors_[Entry] = {Each.Registration_.Incarnation_, EndsAt};
       continue;
     }
     LapsedAt_.erase(Entry);
@@ -158,7 +171,9 @@
 }
 
 auto EnvironmentView::mayGrant(Moment Now) const -> bool {
-  if (!Registered_ || Leaving_)
+  // An entry that knows of a newer revision than it holds must not go on
+  // granting under the older one.
+  if (!Registered_ || Leaving_ || revision() < KnownRevision_)
     return false;
   switch (contact(Now)) {
   case StoreContact::Fresh:
@@ -237,7 +252,11 @@
     return;
   Leaving_ = true;
   Registered_ = false;
-  Store_.call(DeleteValue{grantorKey(Environment_, Self_.Entry_), 0},
+  // The goodbye names the very registration that it ends: one that arrives
+  // late must not take a later incarnation of this entry from the list.
+  constexpr auto NeverWritten = std::numeric_limits<std::uint64_t>::max();
+  const auto Index = GrantorIndex_ == 0 ? NeverWritten : GrantorIndex_;
+  Store_.call(DeleteValue{grantorKey(Environment_, Self_.Entry_), Index},
               [this](Moment, const StoreResult &, EntryOutbox &) {
                 if (Lease_.empty()) {
                   Left_ = true;
--- a/core/EnvironmentView.h
+++ b/core/EnvironmentView.h
@@ -19,6 +19,13 @@
   Unsure
 };
 
+/// An entry that may be granting: until when at the latest, which is
+/// TimePoint::max() while its lease lives.
+struct Grantor {
+  Incarnation Incarnation_ = 0;
+  TimePoint Until_{};
+};
+
 /// Reads the environment's head and the entries' registrations in one call,
 /// several times a second, and keeps the entry's own registration alive.
 class EnvironmentView {
@@ -41,16 +48,20 @@
   auto mayGrant(Moment Now) const -> bool;
   /// When every grant that this entry gave under older revisions has ended.
   auto oldGrantsEnd() const -> TimePoint { return OldGrantsEnd_; }
+  /// True while grants of an earlier incarnation of this entry may last.
+  auto settlingIn(Moment Now) const -> bool { return Now.Steady_ < SettledAt_; }
   /// Other entries that are registered under a live lease.
   auto peers() const -> const std::vector<EntryRegistration> & {
     return Peers_;
   }
   auto isRegistered(const EntryId &Entry, Incarnation Number) const -> bool;
-  /// Entries that may still be granting; with each, until when at the latest
-  /// (TimePoint::max() where its lease lives).
-  auto grantors() const -> const std::map<EntryId, TimePoint> & {
+  /// Entries that may still be granting.
+  auto grantors() const -> const std::map<EntryId, Grantor> & {
     return Grantors_;
   }
+  /// The highest revision that a read of the store has shown, together with
+  /// the entries registered at that time.
+  auto knownRevision() const -> Revision { return KnownRevision_; }
   auto registered() const -> bool { return Registered_; }
   auto left() const -> bool { return Left_; }
 
@@ -72,7 +83,10 @@
   EntryRegistration Self_;
   StorePort &Store_;
   Configuration Current_;
+  /// The highest revision that the store is known to hold.
+  Revision KnownRevision_ = 0;
   TimePoint OldGrantsEnd_{};
+  TimePoint SettledAt_{};
   bool ReadOpen_ = false;
   bool DocumentOpen_ = false;
   TimePoint NextRead_{};
@@ -85,8 +99,10 @@
   TimePoint NextRenewal_{};
   std::vector<EntryRegistration> Peers_;
   std::vector<EntryRegistration> Leases_;
-  std::map<EntryId, TimePoint> Grantors_;
+  std::map<EntryId, Grantor> Grantors_;
   std::map<EntryId, TimePoint> LapsedAt_;
+  /// The store's index of this entry's own registration.
+  std::uint64_t GrantorIndex_ = 0;
   bool Leaving_ = false;
   bool Left_ = false;
 };
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -408,9 +408,8 @@
   auto &Waiting = WaitingCancel_[Id];
   Waiting.push_back(
       {Token, Now.Steady_ + CallerPatience, ErrorKind::StoreUnavailable});
-  if (Waiting.size() > 1)
+  if (Waiting.size() > 1 || !Cancelling_.insert(Id).second)
     return;
-  Cancelling_.insert(Id);
   Ledger_.append(JobCancelled{Id, Now.Wall_});
   Ledger_.advance();
 }
@@ -547,7 +546,7 @@
     auto *Each = All[(First + Draw * Stride) % All.size()];
     if (!mayHost(Now, *Each, Need))
       continue;
-    claimTowards(*Each, Out);
+    claimTowards(Now, *Each, Out);
     if (Each->GrantedShards_.count(Shard_) == 0)
       continue;
     const auto Freer =
@@ -560,9 +559,14 @@
   return Best;
 }
 
-auto ShardOwner::claimTowards(Target &Agent, EntryOutbox &Out) -> void {
-  if (!Agent.ClaimedShards_.insert(Shard_).second)
+auto ShardOwner::claimTowards(Moment Now, Target &Agent, EntryOutbox &Out)
+    -> void {
+  if (Agent.ConfirmedShards_.count(Shard_) != 0)
     return;
+  auto &ClaimedAt = Agent.ClaimedShards_[Shard_];
+  if (ClaimedAt != TimePoint{} && ClaimedAt + ResendAfter > Now.Steady_)
+    return;
+  ClaimedAt = Now.Steady_;
   Out.push_back(
       SendToAgent{Agent.Session_, ClaimOwnership{Shard_, Ledger_.epoch()}});
 }
@@ -650,14 +654,15 @@
 
 // What follows from the word, or the silence, of agents.
 
-auto ShardOwner::agentJoined(Target &Joined, EntryOutbox &Out) -> void {
+auto ShardOwner::agentJoined(Moment Now, Target &Joined, EntryOutbox &Out)
+    -> void {
   if (!owning() || releasing())
     return;
   for (const auto &Each : Bound_) {
     const auto *Task = state().findTask(Each.first);
     if (Task == nullptr || Task->Agent_ != Joined.agent())
       continue;
-    claimTowards(Joined, Out);
+    claimTowards(Now, Joined, Out);
     return;
   }
 }
@@ -797,7 +802,7 @@
   // An agent that joined before the task was bound to it has not been asked
   // yet what it holds of this shard.
   if (Where != nullptr && Where->Hello_.Worker_ == Task.Worker_) {
-    claimTowards(*Where, Out);
+    claimTowards(Now, *Where, Out);
     return;
   }
   // The worker stops the task by itself once its lease has run out; only
@@ -869,7 +874,7 @@
   if (!Indexed_) {
     reindex();
     for (auto *Each : View_.Targets_.all())
-      agentJoined(*Each, Out);
+      agentJoined(Now, *Each, Out);
   }
   for (const auto &Record : Ledger_.takeCommitted())
     std::visit([&](const auto &Each) { committed(Now, Each, Out); }, Record);
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -68,7 +68,7 @@
   auto reported(Moment Now, Target &From, const TaskReport &Report,
                 EntryOutbox &Out) -> void;
   /// Claims the shard towards an agent that has tasks of it.
-  auto agentJoined(Target &Joined, EntryOutbox &Out) -> void;
+  auto agentJoined(Moment Now, Target &Joined, EntryOutbox &Out) -> void;
 
   auto take(std::function<bool(const ShardHead &)> MayTake) -> void;
   /// Takes no new work, and hands the shard over once it is quiet.
@@ -153,7 +153,7 @@
                     EntryOutbox &Out) -> Target *;
   auto mayHost(Moment Now, const Target &Candidate, const Resources &Need) const
       -> bool;
-  auto claimTowards(Target &Agent, EntryOutbox &Out) -> void;
+  auto claimTowards(Moment Now, Target &Agent, EntryOutbox &Out) -> void;
   auto sendBind(Moment Now, const TaskId &Task, Target &To, EntryOutbox &Out)
       -> void;
   auto watchBound(Moment Now, EntryOutbox &Out) -> void;
--- a/core/TargetTable.h
+++ b/core/TargetTable.h
@@ -32,7 +32,8 @@
   /// Running mean of the answer times that this entry saw.
   Micros AnswerTime_{0};
   std::uint64_t NextSequence_ = 0;
-  std::set<ShardNumber> ClaimedShards_;
+  /// Shards claimed towards the agent, and when that was last said.
+  std::map<ShardNumber, TimePoint> ClaimedShards_;
   std::set<ShardNumber> ConfirmedShards_;
   /// Shards that an acknowledged heartbeat has named, so that the agent may
   /// take tasks of them.
--- a/test/fuzz/World.h
+++ b/test/fuzz/World.h
@@ -156,6 +156,7 @@
   auto setOut(const DataCentreName &Name, bool Out) -> void;
   auto applyDocument(Revision Expected, int Left) -> void;
   auto bringAllBack(int Left) -> void;
+  auto setFailing(std::size_t Agent, bool Value) -> void;
   auto settleFaults() -> void;
   auto describeRest(const Job &Each) const -> std::string;
   auto checkRest() -> void;
--- a/wire/DocumentText.cpp
+++ b/wire/DocumentText.cpp
@@ -19,7 +19,7 @@
 };
 
 constexpr PolicyField<Millis> Durations[] = {
-    {"permit_ms", &PolicySettings::PermitFor_, {500, 5000}},
+    {"permit_ms", &PolicySettings::PermitFor_, {500, LongestPermit.count()}},
     {"fresh_ms", &PolicySettings::FreshFor_, {500, 3000}},
     {"outage_horizon_ms", &PolicySettings::OutageHorizon_, {0, 3600000}},
     {"task_lease_ms", &PolicySettings::TaskLease_, {2000, 60000}},
