--- /dev/null
+++ b/test/performance/Capacity.cpp
@@ -0,0 +1,215 @@
+/// \file
+/// Measures the slopes that docs/CAPACITY.md is worked out from: processor time
+/// and bytes of each kind of message at several sizes.
+
+#include "core/AgentCore.h"
+#include "core/EntryCore.h"
+#include "wire/Cbor.h"
+
+#include <malloc.h>
+
+#include <cstdio>
+
+using namespace skylark;
+
+namespace {
+
+constexpr int Rounds = 20000;
+
+template <typename Work> auto microsEach(int Count, Work Do) -> double {
+  const auto From = SteadyClock::now();
+  for (int Index = 0; Index < Count; ++Index)
+    Do(Index);
+  const std::chrono::duration<double, std::micro> Took =
+      SteadyClock::now() - From;
+  return Took.count() / Count;
+}
+
+auto heapBytes() -> std::size_t { return mallinfo2().uordblks; }
+
+auto momentAt(int Index) -> Moment {
+  return {TimePoint(Seconds{1000}) + Micros{Index},
+          WallTime{Seconds{1800000000}}};
+}
+
+auto configuration() -> Configuration {
+  Configuration Result;
+  Result.Head_.Revision_ = 1;
+  Result.Document_.DataCentres_ = {{"hobart"}};
+  Result.Document_.Services_ = {{{"check"}, Millis{500}}};
+  Result.Document_.Teams_ = {{{"red"}, {1LL << 40, 1LL << 40, 1LL << 40}}};
+  Result.Document_.LargestWorker_ = {64000, 250000, 8};
+  Result.Head_.DocumentDigest_ = digestText(Result.Document_.Text_);
+  return Result;
+}
+
+auto helloOf(int Index) -> Hello {
+  Hello Message;
+  Message.Agent_ = {"agent-" + std::to_string(Index)};
+  Message.Worker_ = 1;
+  Message.DataCentre_ = {"hobart"};
+  Message.Rack_ = "rack-" + std::to_string(Index / 3);
+  Message.Capacity_ = {64000, 250000, 2};
+  Message.Slots_ = 8;
+  Message.Connections_ = 64;
+  Message.Services_ = {{"check"}};
+  return Message;
+}
+
+auto beatOf(int Sequence) -> Heartbeat {
+  Heartbeat Beat;
+  Beat.Sequence_ = static_cast<std::uint64_t>(Sequence);
+  Beat.Revision_ = 1;
+  Beat.Load_.Free_ = {64000, 250000, 2};
+  Beat.Load_.ServiceTime_ = Micros{5000};
+  return Beat;
+}
+
+auto measureTargets(int Targets) -> void {
+  EntryIdentity Identity;
+  Identity.Entry_ = {"entry-a"};
+  Identity.Environment_ = {"production"};
+  Identity.DataCentre_ = {"hobart"};
+  const auto Before = heapBytes();
+  EntryCore Core(Identity);
+  EntryOutbox Out;
+  for (int Index = 0; Index < Targets; ++Index)
+    Core.agentSent(momentAt(0), static_cast<SessionNumber>(Index + 1),
+                   helloOf(Index), Out);
+  Core.agentSent(momentAt(0), 1, ConfigurationUpdate{configuration()}, Out);
+  Out.clear();
+  const auto Bytes = (heapBytes() - Before) / static_cast<std::size_t>(Targets);
+  const auto Beat = microsEach(Rounds, [&](int Index) {
+    Out.clear();
+    Core.agentSent(momentAt(Index),
+                   static_cast<SessionNumber>(Index % Targets + 1),
+                   beatOf(Index), Out);
+  });
+  QuickRequest Quick;
+  Quick.Service_ = {"check"};
+  Quick.Idempotent_ = true;
+  Quick.Within_ = Millis{500};
+  Quick.Body_ = std::string(300, 'x');
+  const auto Route = microsEach(Rounds, [&](int Index) {
+    Out.clear();
+    Core.callerAsked(momentAt(Index), static_cast<CallerToken>(Index + 1),
+                     Quick, Out);
+    for (const auto &Each : EntryOutbox(Out)) {
+      const auto *Send = std::get_if<SendToAgent>(&Each);
+      const auto *Dispatch =
+          Send == nullptr ? nullptr
+                          : std::get_if<DispatchRequest>(&Send->Message_);
+      if (Dispatch == nullptr)
+        continue;
+      DispatchAnswer Answer;
+      Answer.Sequence_ = Dispatch->Sequence_;
+      Answer.Request_ = Dispatch->Request_;
+      Answer.Status_ = 200;
+      Answer.Digest_ = digest64("");
+      Core.agentSent(momentAt(Index), Send->Session_, Answer, Out);
+    }
+  });
+  const auto Tick = microsEach(200, [&](int Index) {
+    Out.clear();
+    Core.tick(momentAt(Rounds + Index), Out);
+  });
+  std::printf("targets %6d: %5zu B each, heartbeat %6.2f us, request %6.2f us, "
+              "tick %8.1f us\n",
+              Targets, Bytes, Beat, Route, Tick);
+}
+
+auto measureCodec() -> void {
+  Heartbeat Beat = beatOf(100000);
+  HeartbeatAck Ack;
+  Ack.Sequence_ = 100000;
+  Ack.Shards_ = {1, 2, 3, 4, 5, 6, 7, 8};
+  BindTask Bind;
+  Bind.Task_ = {{"j12-0123456789abcdef"}, 17};
+  Bind.Resources_ = {2000, 4000, 0};
+  Bind.Payload_ = "lodge-quarter";
+  const auto BeatBytes = encode(AgentMessage{Beat});
+  const auto AckBytes = encode(EntryMessage{Ack});
+  const auto BindBytes = encode(EntryMessage{Bind});
+  std::printf("bytes: heartbeat %zu, acknowledgement %zu, binding %zu\n",
+              BeatBytes.size(), AckBytes.size(), BindBytes.size());
+  std::printf("codec: heartbeat encode %.2f us, decode %.2f us; "
+              "acknowledgement encode %.2f us, decode %.2f us\n",
+              microsEach(Rounds, [&](int) { encode(AgentMessage{Beat}); }),
+              microsEach(Rounds, [&](int) { decodeAgentMessage(BeatBytes); }),
+              microsEach(Rounds, [&](int) { encode(EntryMessage{Ack}); }),
+              microsEach(Rounds, [&](int) { decodeEntryMessage(AckBytes); }));
+}
+
+auto measureLedger(int Tasks) -> void {
+  const auto Before = heapBytes();
+  ShardState State;
+  Job Big;
+  Big.Id_ = {"j1-0123456789abcdef"};
+  Big.Declaration_.Team_ = {"red"};
+  Big.Tasks_.resize(static_cast<std::size_t>(Tasks));
+  State.apply(LedgerRecord{JobAdded{Big}});
+  TaskChanged Change;
+  Change.State_ = TaskState::Bound;
+  Change.Attempt_ = 1;
+  Change.Agent_ = {"hobart-1"};
+  Change.DataCentre_ = {"hobart"};
+  const auto Apply = microsEach(Tasks, [&](int Index) {
+    Change.Task_ = {Big.Id_, static_cast<std::uint32_t>(Index)};
+    State.apply(LedgerRecord{Change});
+  });
+  const auto Bytes = (heapBytes() - Before) / static_cast<std::size_t>(Tasks);
+  ShardHead Head;
+  for (int Index = 0; Index < std::min(Tasks, 400); ++Index) {
+    Change.Task_.Index_ = static_cast<std::uint32_t>(Index);
+    Head.Active_.emplace_back(Change);
+  }
+  const auto Record = encode(StoreValue{Head}).size() / Head.Active_.size();
+  const auto Write = microsEach(100, [&](int) { encode(StoreValue{Head}); });
+  std::printf("tasks %7d: %4zu B each in memory, %3zu B a record in the store, "
+              "apply %5.2f us, encode a head of %zu records %7.1f us\n",
+              Tasks, Bytes, Record, Apply, Head.Active_.size(), Write);
+}
+
+auto measureAgent(int Tasks) -> void {
+  AgentIdentity Identity;
+  Identity.Agent_ = {"agent"};
+  Identity.Capacity_ = {1LL << 40, 1LL << 40, 0};
+  AgentCore Core(Identity);
+  AgentOutbox Out;
+  WorkerInventory Inventory;
+  Inventory.Worker_ = 1;
+  for (int Index = 0; Index < Tasks; ++Index) {
+    WorkerTask Task;
+    Task.Bind_.Task_ = {{"j1-0123456789abcdef"},
+                        static_cast<std::uint32_t>(Index)};
+    Task.Bind_.Attempt_ = 1;
+    Task.Bind_.Resources_ = {100, 100, 0};
+    Inventory.Tasks_.push_back(Task);
+  }
+  Core.openSession(momentAt(0), 1, Out);
+  Core.workerListed(momentAt(0), Inventory, Out);
+  const auto Tick = microsEach(2000, [&](int Index) {
+    Out.clear();
+    Core.tick(momentAt(Index * 50000), Out);
+  });
+  const auto Listed = microsEach(2000, [&](int Index) {
+    Out.clear();
+    Inventory.Clock_ = Micros{Index + 1};
+    Core.workerListed(momentAt(Index * 50000), Inventory, Out);
+  });
+  std::printf("agent with %4d tasks: tick %6.2f us, worker's list %6.2f us\n",
+              Tasks, Tick, Listed);
+}
+
+} // namespace
+
+auto main() -> int {
+  for (const int Targets : {11, 110, 1100, 14000})
+    measureTargets(Targets);
+  measureCodec();
+  for (const int Tasks : {100, 1000, 10000, 20000})
+    measureLedger(Tasks);
+  for (const int Tasks : {5, 20, 80})
+    measureAgent(Tasks);
+  return 0;
+}
--- a/test/process/Cluster.h
+++ b/test/process/Cluster.h
@@ -68,6 +68,9 @@
   /// Waits for a process to end by itself; returns its exit status.
   auto waitForEnd(const std::string &Name) -> int;
   auto running(const std::string &Name) -> bool;
+  auto process(const std::string &Name) const -> pid_t {
+    return Processes_.at(Name);
+  }
 
   auto ask(int Entry, const std::string &Method, const std::string &Path,
            const std::string &Body = "", std::vector<std::string> Headers = {})
