A granted lease outlives the connection that granted it

Cause: when an entry died, its agents dropped its grants with the connection, so a task that had just started under its short first lease was never renewed and was evicted 2 s later (process test KilledOwnerIsReplacedAndTasksRunOn, six of six tasks resumed elsewhere). Ruled out: the takeover (7 s, within the 10 s lease). Change: each task keeps the lease granted to it, and is renewed up to it. The test uses the product's own lease of 10 s, since the store's 6 s must pass before another entry may take the shards. Conclusion: an owner's death evicts nothing at the default lease.

--- a/agent/AgentProcess.cpp
+++ b/agent/AgentProcess.cpp
@@ -108,7 +108,7 @@
 
   auto deliver(AgentOutbox Out) -> void {
     for (auto &Each : Out)
-      std::visit([this](auto &One) { carryOut(One); }, Each);
+      std::visit([this](auto &One) { this->carryOut(One); }, Each);
   }
 
   auto carryOut(SendToEntry &Send) -> void {
--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -202,13 +202,13 @@
 }
 
 auto AgentCore::tick(Moment Now, AgentOutbox &Out) -> void {
+  Tasks_.refreshLeases(Now.Steady_, Permits_, Out);
   if (Now.Steady_ >= NextPoll_) {
     NextPoll_ = Now.Steady_ + PollEvery;
-    Tasks_.poll(Permits_, Out);
+    Tasks_.poll(Out);
   }
   if (!Ready_)
     return;
-  Tasks_.refreshLeases(Now.Steady_, Permits_, Out);
   if (Now.Steady_ >= NextHeartbeat_)
     sendHeartbeats(Now, Out);
   if (Now.Steady_ >= NextRepeat_) {
--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 /// Size in bytes at which the active part of a head is sealed.
-constexpr std::size_t SealSize = 48 * 1024;
+constexpr std::size_t SealSize = std::size_t{48} * 1024;
 /// Size in bytes of one segment of a snapshot.
-constexpr std::size_t SnapshotSegmentSize = 256 * 1024;
+constexpr std::size_t SnapshotSegmentSize = std::size_t{256} * 1024;
 /// Most records that one write takes.
 constexpr std::size_t BatchLimit = 512;
 /// Sealed segments at which the ledger is rewritten as a snapshot.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -28,7 +28,7 @@
 constexpr Seconds QuarantineFor{20};
 constexpr std::uint32_t MaxTasks = 20000;
 /// Answers above this size, in bytes, are not kept with their claim.
-constexpr std::size_t KeptAnswerSize = 16 * 1024;
+constexpr std::size_t KeptAnswerSize = std::size_t{16} * 1024;
 /// Records that may wait for a commit before new work is refused.
 constexpr std::size_t QueuedRecordLimit = 20000;
 constexpr std::size_t KeySizeLimit = 64;
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -217,11 +217,12 @@
 auto TaskHost::refreshLeases(TimePoint Now, const StartPermits &Permits,
                              AgentOutbox &Out) -> void {
   for (auto &[Task, Held] : Tasks_) {
-    if (Held.Phase_ != TaskPhase::Queued)
-      continue;
-    if (Held.LeaseUntil_ <= Now)
+    const auto Lapsed =
+        Held.Phase_ == TaskPhase::Queued && Held.LeaseUntil_ <= Now;
+    if (Lapsed)
       end(Held, TaskPhase::NotStarted, ErrorKind::LeaseLapsed, Out);
-    else
+    else if (!isEnded(Held.Phase_))
+      // What was granted stays granted when the connection closes.
       Held.LeaseUntil_ = std::max(Held.LeaseUntil_, runUntil(Held, Permits));
   }
 }
@@ -317,10 +318,10 @@
   }
 }
 
-auto TaskHost::poll(const StartPermits &Permits, AgentOutbox &Out) -> void {
+auto TaskHost::poll(AgentOutbox &Out) -> void {
   PollWorker Poll;
   for (const auto &[Task, Held] : Tasks_) {
-    const auto RunUntil = runUntil(Held, Permits);
+    const auto RunUntil = Held.LeaseUntil_;
     const auto Renewable = Held.Phase_ == TaskPhase::Starting ||
                            Held.Phase_ == TaskPhase::Running ||
                            Held.Phase_ == TaskPhase::Stopping;
--- a/core/TaskHost.h
+++ b/core/TaskHost.h
@@ -27,7 +27,8 @@
   auto stop(const StopTask &Stop, AgentOutbox &Out) -> void;
   auto acknowledge(const TaskReportAck &Ack, AgentOutbox &Out) -> void;
 
-  /// Gives back queued tasks whose lease has run out, and extends the others.
+  /// Gives back queued tasks whose lease has run out, and extends the leases of
+  /// the others.
   /// Must run before a message is handled: the owner may have bound a task
   /// elsewhere once its lease has run out, so a lapsed one never revives.
   auto refreshLeases(TimePoint Now, const StartPermits &Permits,
@@ -44,7 +45,7 @@
   /// Repeats the reports that the owner has not acknowledged.
   auto repeatReports(AgentOutbox &Out) -> void;
   /// Asks the worker for its list and renews the leases it may renew.
-  auto poll(const StartPermits &Permits, AgentOutbox &Out) -> void;
+  auto poll(AgentOutbox &Out) -> void;
   /// Forgets which connection owns shards; epochs stay.
   auto close(SessionNumber Session) -> void;
 
@@ -59,7 +60,7 @@
     TaskPhase Phase_ = TaskPhase::Queued;
     CheckpointId Checkpoint_;
     ErrorKind Reason_ = ErrorKind::None;
-    /// Until when the owner leaves a queued task to this agent.
+    /// Until when the owner leaves the task to this agent.
     TimePoint LeaseUntil_{};
     /// On the worker's clock: after this a start can no longer take effect.
     Micros StartLeaseUntil_{0};
--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -70,7 +70,7 @@
     EntryOutbox Out;
     Decision(currentMoment(), Out);
     for (auto &Each : Out)
-      std::visit([this](auto &One) { carryOut(One); }, Each);
+      std::visit([this](auto &One) { this->carryOut(One); }, Each);
   }
 
   template <typename Decide> auto decide(Decide Decision) -> void {
--- a/entry/HttpApi.cpp
+++ b/entry/HttpApi.cpp
@@ -192,7 +192,7 @@
 
   auto explain(const Request &From, const std::string &Id)
       -> restinio::request_handling_status_t {
-    if (Id.rfind("j", 0) == 0)
+    if (!Id.empty() && Id.front() == 'j')
       return ask(From, GetJob{{Id}});
     return ask(From, ExplainRequest{{Id}});
   }
--- a/test/fuzz/World.cpp
+++ b/test/fuzz/World.cpp
@@ -236,7 +236,7 @@
     if (Revision < Each.Highest_)
       Checker_.broken("revision went down at " + Each.Id_.Value_);
     Each.Highest_ = Revision;
-    deliver(Index, std::move(Out));
+    deliver(Index, Out);
   };
   if (Node.FrozenUntil_ > Now_)
     Node.Inbox_.push_back(std::move(Run));
@@ -261,7 +261,7 @@
     if (Revision < Each.Highest_)
       Checker_.broken("revision went down at agent");
     Each.Highest_ = Revision;
-    deliver(Index, std::move(Out));
+    deliver(Index, Out);
   };
   if (Node.FrozenUntil_ > Now_)
     Node.Inbox_.push_back(std::move(Run));
@@ -389,7 +389,7 @@
 
 // What entries ask for.
 
-auto World::deliver(std::size_t Entry, EntryOutbox Out) -> void {
+auto World::deliver(std::size_t Entry, const EntryOutbox &Out) -> void {
   for (const auto &Each : Out)
     std::visit([&](const auto &One) { carryOut(Entry, One); }, Each);
 }
@@ -530,7 +530,7 @@
 
 // What agents ask for.
 
-auto World::deliver(std::size_t Agent, AgentOutbox Out) -> void {
+auto World::deliver(std::size_t Agent, const AgentOutbox &Out) -> void {
   for (const auto &Each : Out)
     std::visit([&](const auto &One) { carryOutAgent(Agent, One); }, Each);
 }
@@ -665,8 +665,8 @@
   if (!Body.empty())
     Checker_.asked(Token, Body, Idempotent);
   toEntry(Entry, [Token, Request = std::move(Request)](
-                     EntryCore &Core, Moment Moment_, EntryOutbox &Out) {
-    Core.callerAsked(Moment_, Token, Request, Out);
+                     EntryCore &Core, Moment Then, EntryOutbox &Out) {
+    Core.callerAsked(Then, Token, Request, Out);
   });
 }
 
--- a/test/fuzz/World.h
+++ b/test/fuzz/World.h
@@ -122,8 +122,8 @@
   auto sendTimes(TrueTime &Last) -> std::vector<TrueTime>;
 
   // What the decisions ask for.
-  auto deliver(std::size_t Entry, EntryOutbox Out) -> void;
-  auto deliver(std::size_t Agent, AgentOutbox Out) -> void;
+  auto deliver(std::size_t Entry, const EntryOutbox &Out) -> void;
+  auto deliver(std::size_t Agent, const AgentOutbox &Out) -> void;
   auto carryOut(std::size_t Entry, const SendToAgent &Send) -> void;
   auto carryOut(std::size_t Entry, const SendToPeer &Send) -> void;
   auto carryOut(std::size_t Entry, const AnswerCaller &Answer) -> void;
--- a/wire/DocumentText.cpp
+++ b/wire/DocumentText.cpp
@@ -40,7 +40,7 @@
   for (const auto &Each : Numbers)
     Policy.*Each.Member_ = static_cast<std::uint32_t>(
         From.integer(Each.Name_, Each.Allowed_, Policy.*Each.Member_));
-  constexpr std::int64_t Day = 24 * 3600;
+  constexpr std::int64_t Day = std::int64_t{24} * 3600;
   Policy.KeyRetention_ = Seconds{From.integer(
       "key_retention_s", {Day, 30 * Day}, Policy.KeyRetention_.count())};
 }
--- a/wire/Link.h
+++ b/wire/Link.h
@@ -14,9 +14,9 @@
 namespace skylark {
 
 /// Limits of every connection.
-constexpr std::size_t LinkMessageLimit = 16 * 1024 * 1024;
+constexpr std::size_t LinkMessageLimit = std::size_t{16} * 1024 * 1024;
 /// Bytes that may wait to be sent before a connection counts as broken.
-constexpr std::size_t LinkBufferLimit = 32 * 1024 * 1024;
+constexpr std::size_t LinkBufferLimit = std::size_t{32} * 1024 * 1024;
 
 /// What happens on connections. All are called on the traffic thread.
 struct LinkHandlers {
--- a/wire/Settings.cpp
+++ b/wire/Settings.cpp
@@ -48,13 +48,16 @@
   });
   Top.object("limits", false, [&](CheckedObject &From) {
     auto &Limits = Result.Limits_;
-    constexpr std::int64_t MaxBody = 8 * 1024 * 1024;
+    constexpr std::int64_t MaxBody = std::int64_t{8} * 1024 * 1024;
     Limits.BodyBytes_ = static_cast<std::size_t>(
-        From.integer("body_bytes", {1024, MaxBody}, Limits.BodyBytes_));
+        From.integer("body_bytes", {1024, MaxBody},
+                     static_cast<std::int64_t>(Limits.BodyBytes_)));
     Limits.Connections_ = static_cast<std::size_t>(
-        From.integer("connections", {1, 20000}, Limits.Connections_));
+        From.integer("connections", {1, 20000},
+                     static_cast<std::int64_t>(Limits.Connections_)));
     Entry.Desk_.InFlightLimit_ = static_cast<std::size_t>(
-        From.integer("in_flight", {1, 1000000}, Entry.Desk_.InFlightLimit_));
+        From.integer("in_flight", {1, 1000000},
+                     static_cast<std::int64_t>(Entry.Desk_.InFlightLimit_)));
   });
 }
 
--- a/wire/Settings.h
+++ b/wire/Settings.h
@@ -22,7 +22,7 @@
 
 /// Limits of an entry towards callers.
 struct HttpLimits {
-  std::size_t BodyBytes_ = 1024 * 1024;
+  std::size_t BodyBytes_ = std::size_t{1024} * 1024;
   std::size_t Connections_ = 1024;
 };
 
