An owner that lost its shard and got it offered back notices; docs

Ruled out: lost reports (they were acknowledged by the true owner). Change: an owner reads its head again after each registration and every 10 s. First try, on a change of the registered flag between two passes, missed it: a lapse and a new registration fit between them. Costs one read a shard every 10 s.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -584,6 +584,13 @@
 // Shards.
 
 auto EntryCore::balanceShards() -> void {
+  // While this entry was not registered another one may have owned its shards
+  // and handed them back; an owner with nothing to write would never notice.
+  const auto Returned = View_.registrations() != CheckedRegistrations_;
+  CheckedRegistrations_ = View_.registrations();
+  for (const auto &Each : Shards_)
+    if (Returned && Each->owning())
+      Each->verify();
   for (const auto &Each : Shards_) {
     const auto Preferred = preferredOwner(Each->number());
     const auto Mine = Preferred == Identity_.Entry_ && View_.registered();
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -172,6 +172,8 @@
   TimePoint RemovedGrantsEnd_{};
   TimePoint NextPeerBeat_{};
   TimePoint NextBalance_{};
+  /// Registrations since which the shards' heads were checked.
+  std::uint64_t CheckedRegistrations_ = 0;
   bool Leaving_ = false;
   bool ExitSent_ = false;
   TimePoint LeaveBy_{};
--- a/core/EnvironmentView.cpp
+++ b/core/EnvironmentView.cpp
@@ -229,8 +229,10 @@
       WriteUnderLease{leaseKey(Environment_, Self_.Entry_), Self_, Lease_},
       [this](Moment, const StoreResult &Result, EntryOutbox &) {
         LeaseCallOpen_ = false;
-        if (Result.Status_ == StoreStatus::Ok)
+        if (Result.Status_ == StoreStatus::Ok) {
           Announced_ = true;
+          ++Registrations_;
+        }
         if (Result.Status_ == StoreStatus::NotFound)
           Lease_ = {};
       });
--- a/core/EnvironmentView.h
+++ b/core/EnvironmentView.h
@@ -62,6 +62,9 @@
   /// The highest revision that a read of the store has shown, together with
   /// the entries registered at that time.
   auto knownRevision() const -> Revision { return KnownRevision_; }
+  /// How often this entry has registered; a second time only after its lease
+  /// was lost.
+  auto registrations() const -> std::uint64_t { return Registrations_; }
   auto registered() const -> bool { return Registered_; }
   auto left() const -> bool { return Left_; }
 
@@ -96,6 +99,7 @@
   LeaseId Lease_;
   bool Announced_ = false;
   bool Registered_ = false;
+  std::uint64_t Registrations_ = 0;
   TimePoint NextRenewal_{};
   std::vector<EntryRegistration> Peers_;
   std::vector<EntryRegistration> Leases_;
--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -248,6 +248,10 @@
 auto LedgerWriter::advance() -> void {
   if (CallOpen_ || Swapping_ || !owning())
     return;
+  if (VerifyWanted_) {
+    readToVerify();
+    return;
+  }
   if (!Batch_.empty()) {
     writeNextSegment();
     return;
@@ -265,6 +269,19 @@
   swapHead(Next);
 }
 
+auto LedgerWriter::readToVerify() -> void {
+  VerifyWanted_ = false;
+  CallOpen_ = true;
+  Store_.call(ReadValue{shardHeadKey(Identity_.Environment_, Identity_.Shard_)},
+              [this](Moment, const StoreResult &Result, EntryOutbox &) {
+                CallOpen_ = false;
+                if (Result.Status_ == StoreStatus::Unavailable)
+                  VerifyWanted_ = true;
+                else if (Result.Index_ != HeadIndex_)
+                  lose();
+              });
+}
+
 auto LedgerWriter::startBatch() -> void {
   while (!Pending_.empty() && Batch_.size() < BatchLimit) {
     Batch_.push_back(std::move(Pending_.front()));
@@ -322,6 +339,7 @@
 
 auto LedgerWriter::lose() -> void {
   Phase_ = Phase::Idle;
+  VerifyWanted_ = false;
   Pending_.clear();
   Batch_.clear();
   SegmentsToWrite_.clear();
--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -37,6 +37,8 @@
       -> bool;
   /// Hands the shard over once everything queued is committed.
   auto release(Moment Now) -> void;
+  /// Reads the head, to learn whether another entry has taken the shard.
+  auto verify() -> void { VerifyWanted_ = true; }
   /// Starts the next write, where one is due.
   auto advance() -> void;
 
@@ -76,6 +78,7 @@
   auto startBatch() -> void;
   auto prepareSegments() -> void;
   auto writeNextSegment() -> void;
+  auto readToVerify() -> void;
   auto lose() -> void;
   auto newWriteId() -> WriteId;
   auto nextHead() -> ShardHead;
@@ -89,6 +92,7 @@
   /// The write whose outcome is open.
   std::optional<ShardHead> Swapping_;
   bool CallOpen_ = false;
+  bool VerifyWanted_ = false;
   ShardState State_;
   std::size_t SegmentsLoaded_ = 0;
   Duration Horizon_{};
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -24,6 +24,8 @@
 constexpr Millis CallerPatience{5000};
 constexpr Millis FailureBackoff{500};
 constexpr Millis ForgetEvery{60000};
+/// An owner with nothing to write learns of its successor after this time.
+constexpr Millis VerifyEvery{10000};
 constexpr std::uint32_t QuarantineAfter = 4;
 constexpr Seconds QuarantineFor{20};
 constexpr std::uint32_t MaxTasks = 20000;
@@ -887,6 +889,10 @@
   giveUpWaiting(Now, Out);
   if (!owning())
     return;
+  if (Now.Steady_ >= NextVerify_) {
+    NextVerify_ = Now.Steady_ + VerifyEvery;
+    Ledger_.verify();
+  }
   if (Draining_ && quiet())
     Ledger_.release(Now);
   if (MayGrant && !releasing()) {
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -71,6 +71,8 @@
   auto agentJoined(Moment Now, Target &Joined, EntryOutbox &Out) -> void;
 
   auto take(std::function<bool(const ShardHead &)> MayTake) -> void;
+  /// Learns whether another entry has taken the shard meanwhile.
+  auto verify() -> void { Ledger_.verify(); }
   /// Takes no new work, and hands the shard over once it is quiet.
   auto release() -> void { Draining_ = true; }
   /// Binds pending tasks, settles what lapsed, commits. `MayGrant` is false
@@ -205,6 +207,7 @@
   std::map<JobId, std::vector<WaitingCaller>> WaitingCancel_;
   std::vector<ClaimedRequest> Claimed_;
   TimePoint NextForget_{};
+  TimePoint NextVerify_{};
 };
 
 /// The shard of a key or a team.
