A restarted agent remembers the epochs of what its worker runs

Ruled out: the ledger (the stale owner never wrote). Change: the worker's list names the epoch of each binding, and the agent takes it up with the task.

--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -30,6 +30,10 @@
   Held.Phase_ = Task.Phase_;
   Held.Checkpoint_ = Task.Checkpoint_;
   Held.Reason_ = Task.Reason_;
+  // An owner older than the one that bound the task knows nothing of it, and
+  // would let the agent forget its end.
+  auto &Owner = Owners_[Held.Bind_.Shard_];
+  Owner.Epoch_ = std::max(Owner.Epoch_, Held.Bind_.Epoch_);
   if (!isEnded(Held.Phase_))
     Ledger_.reserve(Held.Bind_.Task_, Held.Bind_.Resources_);
 }
--- a/test/fuzz/World.cpp
+++ b/test/fuzz/World.cpp
@@ -754,6 +754,13 @@
           --OpenReturns_[Name.Value_];
         // A later order for the same data centre makes this one say nothing,
         // and so does an order to bring it back that may still take effect.
+        if (Change != nullptr && !Out)
+          ReturnedBy_[Name.Value_] =
+              std::max(ReturnedBy_[Name.Value_], Change->Revision_);
+        // The same holds of one that came later, though its answer came first.
+        if (Change != nullptr && Out &&
+            Change->Revision_ < ReturnedBy_[Name.Value_])
+          return;
         if (Change == nullptr || DataCentreOrders_[Name.Value_] != Order ||
             OpenReturns_[Name.Value_] > 0)
           return;
--- a/test/fuzz/World.h
+++ b/test/fuzz/World.h
@@ -186,6 +186,8 @@
   std::map<std::string, int> DataCentreOrders_;
   /// Orders to bring a data centre back whose outcome is open.
   std::map<std::string, int> OpenReturns_;
+  /// The newest revision that brought a data centre back.
+  std::map<std::string, Revision> ReturnedBy_;
   bool Busy_ = true;
 };
 
--- a/wire/WorkerText.cpp
+++ b/wire/WorkerText.cpp
@@ -43,6 +43,7 @@
 auto bindJson(const BindTask &Bind) -> Json {
   auto Value = attemptJson(Bind.Task_, Bind.Attempt_);
   Value["shard"] = Bind.Shard_;
+  Value["epoch"] = Bind.Epoch_;
   Value["kind"] = workKindText(Bind.Kind_);
   Value["millicores"] = Bind.Resources_.MilliCores_;
   Value["memory_mb"] = Bind.Resources_.MemoryMegabytes_;
@@ -58,6 +59,7 @@
   Bind.Task_ = taskOf(Value);
   Bind.Attempt_ = Value.at("attempt").get<AttemptNumber>();
   Bind.Shard_ = Value.at("shard").get<ShardNumber>();
+  Bind.Epoch_ = Value.at("epoch").get<Epoch>();
   Bind.Kind_ =
       Value.at("kind") == "watcher" ? WorkKind::Watcher : WorkKind::Batch;
   Bind.Resources_ = {Value.at("millicores").get<std::int64_t>(),
