--- a/command/ApiCaller.h
+++ b/command/ApiCaller.h
@@ -2,7 +2,7 @@
 /// Defines how the command line talks to an entry.
 #pragma once
 
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
 
 namespace skylark {
 
--- a/command/Load.cpp
+++ b/command/Load.cpp
@@ -1,6 +1,6 @@
 #include "command/Verbs.h"
 
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
 
 #include <asio/steady_timer.hpp>
 #include <cxxopts.hpp>
--- /dev/null
+++ b/command/NativeProtocols.cpp
@@ -0,0 +1,37 @@
+#include "command/NativeProtocols.h"
+
+#include "agent/NativeWorker.h"
+#include "entry/HttpApi.h"
+#include "runtime/ConsulStore.h"
+
+namespace skylark {
+namespace {
+
+auto makeStore(HttpClient &Http, const Settings &Settings)
+    -> std::unique_ptr<StoreTransport> {
+  return std::make_unique<ConsulStore>(Http, Settings.Store_.text());
+}
+
+auto makeCallers(asio::io_context &Traffic, const Settings &Settings,
+                 CallerHandlers Handlers) -> std::unique_ptr<CallerServer> {
+  return std::make_unique<HttpApi>(Traffic, Settings, std::move(Handlers));
+}
+
+auto makeWorker(asio::io_context & /*Traffic*/, HttpClient &Http,
+                const Settings &Settings, Incarnation Agent,
+                WorkerLinkHandlers Handlers) -> std::unique_ptr<WorkerLink> {
+  return std::make_unique<NativeWorker>(Http, Settings.Worker_.text(), Agent,
+                                        std::move(Handlers));
+}
+
+} // namespace
+
+auto nativeEntryProtocols() -> EntryProtocols {
+  return {makeStore, makeCallers};
+}
+
+auto nativeAgentProtocols() -> AgentProtocols {
+  return {makeWorker, makeStore};
+}
+
+} // namespace skylark
--- a/command/SkylarkD.cpp
+++ b/command/SkylarkD.cpp
@@ -1,9 +1,9 @@
 /// \file
 /// Defines the daemon: an entry or an agent, by its settings file.
 
-#include "agent/AgentProcess.h"
+#include "command/NativeProtocols.h"
 #include "entry/EntryProcess.h"
-#include "wire/Settings.h"
+#include "platform/Protocols.h"
 
 #include <cxxopts.hpp>
 
@@ -16,14 +16,28 @@
 
 constexpr int UsageStatus = 2;
 
-struct RoleRunner {
-  skylark::Role Role_;
-  int (*Run_)(const skylark::Settings &);
+/// One set of interfaces to the world around the system, by its name in the
+/// settings.
+struct Protocol {
+  const char *Name_;
+  skylark::EntryProtocols (*Entry_)();
+  skylark::AgentProtocols (*Agent_)();
 };
 
-constexpr std::array<RoleRunner, 2> Runners{
-    {{skylark::Role::Entry, skylark::runEntry},
-     {skylark::Role::Agent, skylark::runAgent}}};
+constexpr std::array<Protocol, 2> Protocols{
+    {{"native", skylark::nativeEntryProtocols, skylark::nativeAgentProtocols},
+     {"platform", skylark::Platform::entryProtocols,
+      skylark::Platform::agentProtocols}}};
+
+auto runRole(const skylark::Settings &Settings, const Protocol &Spoken) -> int {
+  switch (Settings.Role_) {
+  case skylark::Role::Entry:
+    return skylark::runEntry(Settings, Spoken.Entry_());
+  case skylark::Role::Agent:
+    return skylark::runAgent(Settings, Spoken.Agent_());
+  }
+  return UsageStatus;
+}
 
 auto run(const std::string &File) -> int {
   std::ifstream In(File);
@@ -38,9 +52,12 @@
     std::cerr << File << ": " << skylark::describe(Each) << '\n';
   if (!Parsed.Problems_.empty())
     return UsageStatus;
-  for (const auto &Each : Runners)
-    if (Each.Role_ == Parsed.Settings_.Role_)
-      return Each.Run_(Parsed.Settings_);
+  for (const auto &Each : Protocols)
+    if (Parsed.Settings_.Protocol_ == Each.Name_)
+      return runRole(Parsed.Settings_, Each);
+  std::cerr << File << ": The field \"protocol\" is \""
+            << Parsed.Settings_.Protocol_
+            << "\"; allowed is \"native\" or \"platform\".\n";
   return UsageStatus;
 }
 
--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -9,12 +9,14 @@
 constexpr Millis HeartbeatEvery{500};
 constexpr Millis PollEvery{500};
 constexpr Millis RepeatEvery{1000};
+/// How long a worker that has said goodbye may take to end what it runs.
+constexpr Millis WorkerEndsWithin{1000};
 
 } // namespace
 
 AgentCore::AgentCore(AgentIdentity Identity)
     : Identity_(std::move(Identity)), Tasks_(Identity_.Capacity_),
-      Requests_(Identity_.Limits_) {}
+      Requests_(Identity_.Limits_), Announced_(!Identity_.WorkerAnnounces_) {}
 
 auto AgentCore::openSession(Moment Now, SessionNumber Number, AgentOutbox &Out)
     -> void {
@@ -53,6 +55,7 @@
   Message.Slots_ = Identity_.Limits_.Slots_;
   Message.Connections_ = Identity_.Limits_.Connections_;
   Message.Services_ = Identity_.Services_;
+  Message.Labels_ = Identity_.Labels_;
   Message.Revision_ = Current_.Head_.Revision_;
   Out.push_back(SendToEntry{Number, std::move(Message)});
 }
@@ -75,7 +78,7 @@
   Message.Revision_ = Current_.Head_.Revision_;
   Message.InForceRevision_ = Tasks_.revisionInForce(Message.Revision_);
   Message.Load_ = load();
-  Message.Leaving_ = Leaving_;
+  Message.Leaving_ = leaving();
   Message.OtherEntryFresh_ = Permits_.otherFresh(
       Now.Steady_, Number, Current_.Document_.Policy_.FreshFor_);
   Session.SentAt_[Message.Sequence_] = Now.Steady_;
@@ -101,11 +104,11 @@
   Session.SentAt_.erase(Session.SentAt_.begin(), std::next(Sent));
   // An entry that was born while the store is down learns the configuration
   // from its agents.
-  if (Ack.Revision_ < Current_.Head_.Revision_ && !Session.ConfigurationSent_) {
+  if (Ack.AsOf_ < Current_.Head_.Revision_ && !Session.ConfigurationSent_) {
     Session.ConfigurationSent_ = true;
     Out.push_back(SendToEntry{Number, ConfigurationUpdate{Current_}});
   }
-  if (Ack.Revision_ >= Current_.Head_.Revision_)
+  if (Ack.AsOf_ >= Current_.Head_.Revision_)
     Session.ConfigurationSent_ = false;
   (void)Now;
 }
@@ -123,7 +126,7 @@
 }
 
 auto AgentCore::refuseReason() const -> ErrorKind {
-  if (Leaving_)
+  if (leaving())
     return ErrorKind::TargetLeaving;
   if (Current_.Head_.isOut(Identity_.DataCentre_))
     return ErrorKind::DataCentreOut;
@@ -174,26 +177,78 @@
   Requests_.cancel(Number, Cancel.Request_, Out);
 }
 
+auto AgentCore::becomeReady(AgentOutbox &Out) -> void {
+  if (Ready_ || !Announced_ || !Listed_)
+    return;
+  Ready_ = true;
+  for (const auto &Each : Sessions_)
+    sayHello(Each.first, Out);
+}
+
 auto AgentCore::workerListed(Moment Now, const WorkerInventory &Inventory,
                              AgentOutbox &Out) -> void {
-  if (!Ready_) {
+  if (!Listed_) {
     Tasks_.adopt(isBroken(Mutation::ForgetRunningTasks)
                      ? WorkerInventory{Inventory.Worker_, Inventory.Clock_, {}}
                      : Inventory);
-    Ready_ = true;
-    for (const auto &Each : Sessions_)
-      sayHello(Each.first, Out);
+    Listed_ = true;
+    becomeReady(Out);
   }
-  // A worker that was replaced under a living agent is another worker: the
-  // agent restarts its bookkeeping by ending the process.
+  // A worker that was replaced under a living agent is another worker.
   if (Inventory.Worker_ != Tasks_.worker()) {
     Out.push_back(LogDecision{"worker-replaced", Identity_.Agent_.Value_,
                               Current_.Head_.Revision_, ErrorKind::WorkerGone,
                               ""});
-    Out.push_back(ExitProcess{});
+    Out.push_back(StartAnew{});
     return;
   }
-  Tasks_.update(Now.Steady_, Inventory, Out);
+  // An end has often more behind it, and its acknowledgement is to follow.
+  if (Tasks_.update(Now.Steady_, Inventory, Out))
+    pollWorker(Now, Out);
+}
+
+auto AgentCore::workerAnnounced(Moment Now, const WorkerAnnouncement &Announced,
+                                AgentOutbox &Out) -> void {
+  const auto Replaced =
+      AnnouncedWorker_ != 0 && Announced.Worker_ != AnnouncedWorker_;
+  if (Replaced) {
+    Out.push_back(LogDecision{"worker-replaced", Identity_.Agent_.Value_,
+                              Current_.Head_.Revision_, ErrorKind::WorkerGone,
+                              "announced"});
+    Out.push_back(StartAnew{});
+    return;
+  }
+  AnnouncedWorker_ = Announced.Worker_;
+  Identity_.Capacity_ = Announced.Capacity_;
+  Identity_.Rack_ = Announced.Rack_;
+  Identity_.Labels_ = Announced.Labels_;
+  Identity_.Services_ = {Announced.Service_};
+  Tasks_.resize(Announced.Capacity_);
+  Announced_ = true;
+  becomeReady(Out);
+  if (Announced.Gone_ && WorkerGoneAt_ == TimePoint::max())
+    WorkerGoneAt_ = Now.Steady_ + WorkerEndsWithin;
+  const auto Leaving = Announced.Leaving_ || Announced.Gone_;
+  if (Leaving == WorkerLeaving_)
+    return;
+  WorkerLeaving_ = Leaving;
+  Requests_.refuseNew(refuseReason());
+  Out.push_back(LogDecision{Leaving ? "worker-leaving" : "worker-stays",
+                            Identity_.Agent_.Value_, Current_.Head_.Revision_,
+                            ErrorKind::None, ""});
+  if (Ready_)
+    sendHeartbeats(Now, Out);
+}
+
+auto AgentCore::startAnswered(Moment Now, const TaskId &Task,
+                              AttemptNumber Attempt, StartOutcome Outcome,
+                              AgentOutbox &Out) -> void {
+  Tasks_.startAnswered(Now.Steady_, Task, Attempt, Outcome, Permits_, Out);
+}
+
+auto AgentCore::pollWorker(Moment Now, AgentOutbox &Out) -> void {
+  NextPoll_ = Now.Steady_ + PollEvery;
+  Tasks_.poll(Out);
 }
 
 auto AgentCore::targetAnswered(Moment Now, const TargetResult &Result,
@@ -203,10 +258,10 @@
 
 auto AgentCore::tick(Moment Now, AgentOutbox &Out) -> void {
   Tasks_.refreshLeases(Now.Steady_, Permits_, Out);
-  if (Now.Steady_ >= NextPoll_) {
-    NextPoll_ = Now.Steady_ + PollEvery;
-    Tasks_.poll(Out);
-  }
+  if (Now.Steady_ >= NextPoll_)
+    pollWorker(Now, Out);
+  if (Now.Steady_ >= WorkerGoneAt_)
+    Tasks_.loseWorker(Out);
   if (!Ready_)
     return;
   if (Now.Steady_ >= NextHeartbeat_)
@@ -216,8 +271,12 @@
     Tasks_.repeatReports(Out);
   }
   const auto Reason = refuseReason();
-  if (Reason != ErrorKind::None)
+  const auto Stays = Reason == ErrorKind::DataCentreOut &&
+                     !Current_.Document_.Policy_.MoveWhenOut_;
+  if (Reason != ErrorKind::None && !Stays)
     Tasks_.drain(Reason, Out);
+  else if (Stays)
+    Tasks_.returnQueued(Reason, Out);
   else
     Tasks_.startQueued(Now.Steady_, Permits_, Current_.Head_.Revision_, Out);
   Requests_.advance(Now.Steady_, Out);
--- a/core/AgentCore.h
+++ b/core/AgentCore.h
@@ -16,6 +16,11 @@
   Resources Capacity_;
   TargetLimits Limits_;
   std::vector<ServiceName> Services_;
+  std::vector<std::string> Labels_;
+  /// Whether the worker announces its size itself; until then none is known.
+  bool WorkerAnnounces_ = false;
+  /// Longest lease that the worker accepts.
+  Millis LongestLease_{60000};
 };
 
 /// The agent as a state machine: inputs are its public commands, outputs go to
@@ -30,6 +35,10 @@
                AgentOutbox &Out) -> void;
   auto workerListed(Moment Now, const WorkerInventory &Inventory,
                     AgentOutbox &Out) -> void;
+  auto workerAnnounced(Moment Now, const WorkerAnnouncement &Announced,
+                       AgentOutbox &Out) -> void;
+  auto startAnswered(Moment Now, const TaskId &Task, AttemptNumber Attempt,
+                     StartOutcome Outcome, AgentOutbox &Out) -> void;
   auto targetAnswered(Moment Now, const TargetResult &Result, AgentOutbox &Out)
       -> void;
   /// Sends heartbeats, renews leases, starts and drains; several times a
@@ -40,6 +49,8 @@
 
   /// Connections that have been silent for too long and must be replaced.
   auto silentSessions(Moment Now) const -> std::vector<SessionNumber>;
+  /// Whether the worker takes nothing new, because it or the agent leaves.
+  auto leaving() const -> bool { return Leaving_ || WorkerLeaving_; }
   auto configuration() const -> const Configuration & { return Current_; }
   auto ready() const -> bool { return Ready_; }
 
@@ -57,6 +68,8 @@
       -> void;
   auto sendHeartbeats(Moment Now, AgentOutbox &Out) -> void;
   auto isDuplicate(SessionNumber Number, std::uint64_t Sequence) -> bool;
+  auto becomeReady(AgentOutbox &Out) -> void;
+  auto pollWorker(Moment Now, AgentOutbox &Out) -> void;
   auto refuseReason() const -> ErrorKind;
   auto load() const -> AgentLoad;
 
@@ -83,7 +96,14 @@
   TaskHost Tasks_;
   RequestQueue Requests_;
   std::map<SessionNumber, Session> Sessions_;
+  /// The worker has told its size, and its list is adopted.
+  bool Announced_ = false;
+  bool Listed_ = false;
   bool Ready_ = false;
+  bool WorkerLeaving_ = false;
+  /// When everything on a worker that has ended counts as over.
+  TimePoint WorkerGoneAt_ = TimePoint::max();
+  Incarnation AnnouncedWorker_ = 0;
   bool Leaving_ = false;
   bool ExitSent_ = false;
   TimePoint NextHeartbeat_{};
--- a/core/AgentOutput.h
+++ b/core/AgentOutput.h
@@ -54,6 +54,37 @@
   TaskPhase Phase_ = TaskPhase::Running;
   CheckpointId Checkpoint_;
   ErrorKind Reason_ = ErrorKind::None;
+  /// Whether Bind_ names the task and attempt only: the worker doesn't keep
+  /// what the task was bound with.
+  bool NameOnly_ = false;
+  /// Share of the work done, in percent, where the worker tells it.
+  std::uint32_t Progress_ = 0;
+  /// Tail latency of a task that serves users of its own, where told.
+  Millis Tail_{0};
+};
+
+/// What a worker announces of itself.
+struct WorkerAnnouncement {
+  Incarnation Worker_ = 0;
+  Resources Capacity_;
+  std::string Rack_;
+  std::vector<std::string> Labels_;
+  ServiceName Service_;
+  std::uint32_t Slots_ = 0;
+  /// The worker takes nothing new and ends soon.
+  bool Leaving_ = false;
+  /// The worker has ended: nothing runs on it any more.
+  bool Gone_ = false;
+};
+
+/// What became of an order to start a task.
+enum class StartOutcome : std::uint8_t {
+  /// The attempt is there, from this order or an earlier copy of it.
+  Accepted,
+  /// The order was refused, and no copy of it can take effect any more.
+  Refused,
+  /// No answer: the order may take effect late.
+  Unknown
 };
 
 /// The worker's whole list; Clock_ is its own clock when it made the list.
@@ -92,9 +123,21 @@
 /// A graceful shutdown is complete.
 struct ExitProcess {};
 
+/// The worker was replaced by another one: the agent begins anew, on new
+/// connections.
+struct StartAnew {};
+
+/// Lets a task work, and disturb its neighbours, at a share of its speed.
+struct PaceOnWorker {
+  TaskId Task_;
+  AttemptNumber Attempt_ = 0;
+  std::uint32_t Percent_ = 0;
+};
+
 using AgentOutput =
     std::variant<SendToEntry, StartOnWorker, StopOnWorker, ForgetOnWorker,
-                 PollWorker, CallTarget, LogDecision, ExitProcess>;
+                 PollWorker, PaceOnWorker, CallTarget, LogDecision, ExitProcess,
+                 StartAnew>;
 using AgentOutbox = std::vector<AgentOutput>;
 
 } // namespace skylark
--- a/core/Document.cpp
+++ b/core/Document.cpp
@@ -34,10 +34,35 @@
   return findNamed(Teams_, Name);
 }
 
+auto Document::findQueue(const std::string &Host, const std::string &Path) const
+    -> const QueueDeclaration * {
+  const QueueDeclaration *Best = nullptr;
+  for (const auto &Each : Queues_) {
+    const auto Matches =
+        Each.Host_ == Host &&
+        Path.compare(0, Each.PathPrefix_.size(), Each.PathPrefix_) == 0;
+    if (Matches && (Best == nullptr ||
+                    Each.PathPrefix_.size() > Best->PathPrefix_.size()))
+      Best = &Each;
+  }
+  return Best;
+}
+
 auto Document::hasDataCentre(const DataCentreName &Name) const -> bool {
   return contains(DataCentres_, Name);
 }
 
+auto Configuration::forAgents() const -> Configuration {
+  if (startRevision() == Head_.Revision_)
+    return *this;
+  Configuration Trimmed;
+  Trimmed.Head_.Revision_ = startRevision();
+  Trimmed.Head_.Out_ = Head_.Out_;
+  Trimmed.Document_.DataCentres_ = Document_.DataCentres_;
+  Trimmed.Document_.Policy_ = Document_.Policy_;
+  return Trimmed;
+}
+
 auto EnvironmentHead::isOut(const DataCentreName &Name) const -> bool {
   return contains(Out_, Name);
 }
--- a/core/Document.h
+++ b/core/Document.h
@@ -33,6 +33,31 @@
   }
 };
 
+/// One queue that takes whole jobs of callers, found by host and path.
+struct QueueDeclaration {
+  QueueName Name_;
+  /// Host name that callers ask for, without a port.
+  std::string Host_;
+  /// Start of the path; the rest of the path names the job.
+  std::string PathPrefix_;
+  ServiceName Service_;
+  std::uint32_t Priority_ = 0;
+  /// How often a task of the queue's jobs may fail.
+  std::uint32_t FailureLimit_ = 5;
+  /// A job is on time within this many times its longest chain of work ...
+  double Stretch_ = 2.0;
+  /// ... and this much more.
+  Millis Slack_{1000};
+
+  static constexpr auto fields() {
+    return std::make_tuple(
+        &QueueDeclaration::Name_, &QueueDeclaration::Host_,
+        &QueueDeclaration::PathPrefix_, &QueueDeclaration::Service_,
+        &QueueDeclaration::Priority_, &QueueDeclaration::FailureLimit_,
+        &QueueDeclaration::Stretch_, &QueueDeclaration::Slack_);
+  }
+};
+
 /// The longest start permit that a document may ask for.
 constexpr Millis LongestPermit{5000};
 
@@ -59,6 +84,13 @@
   std::uint32_t RetryPercent_ = 10;
   /// How often a task may fail before its job ends as failed.
   std::uint32_t TaskFailureLimit_ = 5;
+  /// Whether running tasks move away when their data centre is taken out;
+  /// otherwise they run on there to their end.
+  bool MoveWhenOut_ = true;
+  /// Lifetime of an entry's registration after its last renewal.
+  Millis RegistrationFor_{6000};
+  /// How often an entry reads the environment from the store.
+  Millis ReadEvery_{300};
 
   static constexpr auto fields() {
     return std::make_tuple(
@@ -66,7 +98,9 @@
         &PolicySettings::OutageHorizon_, &PolicySettings::TaskLease_,
         &PolicySettings::SilentAfter_, &PolicySettings::CheckpointWithin_,
         &PolicySettings::ReturnRamp_, &PolicySettings::KeyRetention_,
-        &PolicySettings::RetryPercent_, &PolicySettings::TaskFailureLimit_);
+        &PolicySettings::RetryPercent_, &PolicySettings::TaskFailureLimit_,
+        &PolicySettings::MoveWhenOut_, &PolicySettings::RegistrationFor_,
+        &PolicySettings::ReadEvery_);
   }
 };
 
@@ -77,6 +111,7 @@
   std::vector<DataCentreName> DataCentres_;
   std::vector<ServiceDeclaration> Services_;
   std::vector<TeamDeclaration> Teams_;
+  std::vector<QueueDeclaration> Queues_;
   /// The size of the largest worker, against which a task is judged.
   Resources LargestWorker_;
   PolicySettings Policy_;
@@ -84,11 +119,15 @@
   static constexpr auto fields() {
     return std::make_tuple(&Document::Text_, &Document::DataCentres_,
                            &Document::Services_, &Document::Teams_,
-                           &Document::LargestWorker_, &Document::Policy_);
+                           &Document::Queues_, &Document::LargestWorker_,
+                           &Document::Policy_);
   }
   auto findService(const ServiceName &Name) const -> const ServiceDeclaration *;
   auto findTeam(const TeamName &Name) const -> const TeamDeclaration *;
   auto hasDataCentre(const DataCentreName &Name) const -> bool;
+  /// The queue with the longest prefix of `Path` at `Host`; null for none.
+  auto findQueue(const std::string &Host, const std::string &Path) const
+      -> const QueueDeclaration *;
 };
 
 /// One write of the head, kept so that a writer whose answer was lost can tell
@@ -107,6 +146,8 @@
   Revision Revision_ = 0;
   /// The revision that last changed the document itself.
   Revision DocumentRevision_ = 0;
+  /// The revision that last changed what may start where.
+  Revision StartRevision_ = 0;
   /// Content address of the document.
   std::string DocumentDigest_;
   std::vector<DataCentreName> Out_;
@@ -115,6 +156,7 @@
   static constexpr auto fields() {
     return std::make_tuple(
         &EnvironmentHead::Revision_, &EnvironmentHead::DocumentRevision_,
+        &EnvironmentHead::StartRevision_,
         &EnvironmentHead::DocumentDigest_, &EnvironmentHead::Out_,
         &EnvironmentHead::RecentWrites_);
   }
@@ -131,6 +173,14 @@
   static constexpr auto fields() {
     return std::make_tuple(&Configuration::Head_, &Configuration::Document_);
   }
+  /// The revision under which agents start tasks.
+  auto startRevision() const -> Revision {
+    return Head_.StartRevision_ == 0 ? Head_.Revision_ : Head_.StartRevision_;
+  }
+  /// What an agent needs of it. Where starts have a revision of their own, the
+  /// text and the queues are left out, since they change often and only
+  /// entries read them.
+  auto forAgents() const -> Configuration;
 };
 
 /// The content address of a document's text.
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -11,6 +11,11 @@
 constexpr Millis PeerBeatEvery{300};
 constexpr Millis BalanceEvery{500};
 constexpr Millis ForwardPatience{7000};
+/// How long a request to a queue may take inside the system.
+constexpr Millis QueuePatience{2800};
+/// How long a request waits for its shard to find an owner.
+constexpr Millis ParkFor{1500};
+constexpr std::size_t ParkLimit = 2000;
 constexpr Millis LeaveWithin{10000};
 constexpr Millis ConfigurationEvery{1000};
 /// Run grants older than this are dropped; longer than any outage horizon.
@@ -27,6 +32,27 @@
   return {Text.substr(2, End - 2)};
 }
 
+/// Whether the request is about the jobs of a queue. Repeating one is safe:
+/// its job's id was chosen by the caller.
+auto isForQueue(const CallerRequest &Request) -> bool {
+  if (const auto *Job = std::get_if<SubmitJob>(&Request))
+    return !Job->Job_.empty();
+  if (const auto *Job = std::get_if<GetJob>(&Request))
+    return !Job->Queue_.empty();
+  if (const auto *Job = std::get_if<CancelJob>(&Request))
+    return !Job->Queue_.empty();
+  return std::holds_alternative<SubmitToQueue>(Request) ||
+         std::holds_alternative<ReadQueue>(Request) ||
+         std::holds_alternative<CancelInQueue>(Request) ||
+         std::holds_alternative<CountUnstarted>(Request);
+}
+
+auto changesWork(const CallerRequest &Request) -> bool {
+  return std::holds_alternative<QuickRequest>(Request) ||
+         std::holds_alternative<SubmitJob>(Request) ||
+         std::holds_alternative<CancelJob>(Request);
+}
+
 auto stateOf(const Target &Each, const Configuration &Configuration)
     -> std::string {
   if (Each.Leaving_)
@@ -43,7 +69,7 @@
       Store_(Identity_.StoreCallsPerSecond_, Counters_),
       View_(Identity_.Environment_,
             {Identity_.Entry_, Identity_.Incarnation_, Identity_.PeerAddress_},
-            Store_),
+            Identity_.Policy_, Store_),
       Desk_(Identity_.Entry_, Identity_.DataCentre_, Identity_.Desk_,
             {Targets_, View_.configuration(), Counters_}),
       Changes_(Identity_.Entry_, Identity_.Incarnation_, Store_, View_),
@@ -53,7 +79,8 @@
                                 Identity_.Incarnation_};
     Shards_.push_back(std::make_unique<ShardOwner>(
         Ledger, Store_,
-        ShardView{Targets_, View_.configuration(), Grants_, Counters_}));
+        ShardView{Targets_, View_.configuration(), Grants_, Counters_,
+                  Identity_.ShardCount_ == 1}));
   }
 }
 
@@ -74,7 +101,7 @@
   const auto *Job = std::get_if<SubmitJob>(&Request);
   const auto Keyed =
       (Quick != nullptr && !Quick->Idempotent_ && !Quick->Key_.empty()) ||
-      (Job != nullptr && !Job->Key_.empty());
+      (Job != nullptr && (!Job->Key_.empty() || !Job->Job_.empty()));
   refuse(Token, Keyed ? ErrorKind::KeyNotChecked : Kind, std::move(Detail),
          Out);
 }
@@ -82,7 +109,8 @@
 auto EntryCore::callerAsked(Moment Now, CallerToken Token,
                             const CallerRequest &Request, EntryOutbox &Out)
     -> void {
-  if (Leaving_)
+  // An entry that is stopping still passes on what belongs to others.
+  if (Leaving_ && !isForQueue(Request))
     refuseRequest(Token, Request, ErrorKind::EntryStopping,
                   Identity_.Entry_.Value_, Out);
   else
@@ -116,43 +144,122 @@
                    Out);
 }
 
+auto EntryCore::shardOfQueue(const QueueName &Queue) const -> ShardNumber {
+  return shardOf(Queue.Value_, Identity_.ShardCount_);
+}
+
+auto EntryCore::shardOfJob(const JobId &Job, const QueueName &Queue) const
+    -> ShardNumber {
+  return Queue.empty() ? shardOf(Job, Identity_.ShardCount_)
+                       : shardOfQueue(Queue);
+}
+
 auto EntryCore::handle(Moment Now, CallerToken Token, const SubmitJob &Request,
                        EntryOutbox &Out) -> void {
-  const auto Shard =
-      shardOf(Request.Declaration_.Team_.Value_, Identity_.ShardCount_);
+  const auto &Wanted = Request.Declaration_;
+  const auto Shard = Wanted.Queue_.empty()
+                         ? shardOf(Wanted.Team_.Value_, Identity_.ShardCount_)
+                         : shardOfQueue(Wanted.Queue_);
   if (ownerOf(Shard).open())
     ownerOf(Shard).submit(Now, Token, Request, Generator_, Out);
   else
-    forwardToShard(Now, Token, Shard, Request, ForwardPatience, Out);
+    forwardToShard(Now, Token, Shard, Request,
+                   Request.Job_.empty() ? ForwardPatience : QueuePatience, Out);
 }
 
 auto EntryCore::handle(Moment Now, CallerToken Token, const GetJob &Request,
                        EntryOutbox &Out) -> void {
-  const auto Shard = shardOf(Request.Job_, Identity_.ShardCount_);
-  if (Shard >= Identity_.ShardCount_) {
-    refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
-    return;
-  }
-  if (!ownerOf(Shard).owning()) {
-    forwardToShard(Now, Token, Shard, Request, ForwardPatience, Out);
-    return;
-  }
-  const auto *Found = ownerOf(Shard).state().findJob(Request.Job_);
-  if (Found == nullptr)
+  const auto Shard = shardOfJob(Request.Job_, Request.Queue_);
+  if (Shard >= Identity_.ShardCount_)
     refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
+  else if (ownerOf(Shard).owning())
+    ownerOf(Shard).read(Token, Request, Out);
   else
-    Out.push_back(AnswerCaller{Token, JobReply{*Found}});
+    forwardToShard(Now, Token, Shard, Request,
+                   Request.Queue_.empty() ? ForwardPatience : QueuePatience,
+                   Out);
 }
 
 auto EntryCore::handle(Moment Now, CallerToken Token, const CancelJob &Request,
                        EntryOutbox &Out) -> void {
-  const auto Shard = shardOf(Request.Job_, Identity_.ShardCount_);
+  const auto Shard = shardOfJob(Request.Job_, Request.Queue_);
   if (Shard >= Identity_.ShardCount_)
     refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
   else if (ownerOf(Shard).open())
-    ownerOf(Shard).cancel(Now, Token, Request.Job_, Out);
+    ownerOf(Shard).cancel(Now, Token, Request, Out);
+  else
+    forwardToShard(Now, Token, Shard, Request,
+                   Request.Queue_.empty() ? ForwardPatience : QueuePatience,
+                   Out);
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token,
+                       const CountUnstarted &Request, EntryOutbox &Out)
+    -> void {
+  const auto Shard = shardOfQueue(Request.Queue_);
+  if (ownerOf(Shard).owning())
+    Out.push_back(AnswerCaller{
+        Token, UnstartedReply{ownerOf(Shard).countUnstarted(Request.Queue_)}});
   else
-    forwardToShard(Now, Token, Shard, Request, ForwardPatience, Out);
+    forwardToShard(Now, Token, Shard, Request, QueuePatience, Out);
+}
+
+// Queues, found by the address that a caller asked for.
+
+auto EntryCore::queueAt(CallerToken Token, const QueueAddress &Address,
+                        EntryOutbox &Out) -> const QueueDeclaration * {
+  if (View_.revision() == 0) {
+    refuse(Token, ErrorKind::StoreUnavailable, "no configuration yet", Out);
+    return nullptr;
+  }
+  const auto *Found = View_.configuration().Document_.findQueue(
+      Address.Host_, Address.Path_);
+  if (Found == nullptr)
+    refuse(Token, ErrorKind::UnknownQueue, Address.Host_ + Address.Path_, Out);
+  return Found;
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token,
+                       const SubmitToQueue &Request, EntryOutbox &Out)
+    -> void {
+  const auto *Queue = queueAt(Token, Request.Address_, Out);
+  if (Queue == nullptr)
+    return;
+  SubmitJob Submission;
+  Submission.Job_ = {Request.Address_.Path_.substr(Queue->PathPrefix_.size())};
+  auto &Wanted = Submission.Declaration_;
+  Wanted = Request.Declaration_;
+  Wanted.Queue_ = Queue->Name_;
+  Wanted.Service_ = Queue->Service_;
+  Wanted.Priority_ = Queue->Priority_;
+  Wanted.FailureLimit_ = Queue->FailureLimit_;
+  const auto Allowed = std::chrono::duration_cast<Millis>(
+      Wanted.longestChain() * Queue->Stretch_);
+  const auto From = std::max(Now.Wall_, Wanted.FirstAt_);
+  Wanted.Deadline_ = From + Allowed + Queue->Slack_;
+  handle(Now, Token, Submission, Out);
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token, const ReadQueue &Request,
+                       EntryOutbox &Out) -> void {
+  const auto *Queue = queueAt(Token, Request.Address_, Out);
+  if (Queue == nullptr)
+    return;
+  const JobId Job{Request.Address_.Path_.substr(Queue->PathPrefix_.size())};
+  if (Job.empty())
+    handle(Now, Token, CountUnstarted{Queue->Name_}, Out);
+  else
+    handle(Now, Token, GetJob{Job, true, Queue->Name_}, Out);
+}
+
+auto EntryCore::handle(Moment Now, CallerToken Token,
+                       const CancelInQueue &Request, EntryOutbox &Out)
+    -> void {
+  const auto *Queue = queueAt(Token, Request.Address_, Out);
+  if (Queue == nullptr)
+    return;
+  const JobId Job{Request.Address_.Path_.substr(Queue->PathPrefix_.size())};
+  handle(Now, Token, CancelJob{Job, true, Queue->Name_}, Out);
 }
 
 auto EntryCore::handle(Moment Now, CallerToken Token,
@@ -165,7 +272,7 @@
   }
   const auto Owner = entryOfRequest(Request.Request_);
   if (Owner != Identity_.Entry_ && canAsk(Now, Owner))
-    forward(Now, Token, Owner, Request, ForwardPatience, Out);
+    forward(Now, Token, Owner, 0, Request, ForwardPatience, Out);
   else
     refuse(Token, ErrorKind::NotKnown, Request.Request_.Value_, Out);
 }
@@ -224,34 +331,88 @@
   return Best;
 }
 
+auto EntryCore::knownOwner(Moment Now, ShardNumber Shard) const -> EntryId {
+  EntryId Owner;
+  Epoch Newest = 0;
+  for (const auto &[Entry, Each] : Peers_) {
+    const auto Owned = Each.Owned_.find(Shard);
+    if (Owned == Each.Owned_.end() || Owned->second <= Newest ||
+        !canAsk(Now, Entry))
+      continue;
+    Newest = Owned->second;
+    Owner = Entry;
+  }
+  return Owner;
+}
+
 auto EntryCore::forwardToShard(Moment Now, CallerToken Token, ShardNumber Shard,
                                const CallerRequest &Request, Duration Patience,
                                EntryOutbox &Out) -> void {
-  const auto Owner = preferredOwner(Shard);
   const auto FromPeer = Token >= FirstPeerToken;
-  if (Owner == Identity_.Entry_ || FromPeer || !canAsk(Now, Owner)) {
-    const auto Down = View_.contact(Now) == StoreContact::Outage;
-    refuseRequest(Token, Request,
-                  Down ? ErrorKind::StoreUnavailable : ErrorKind::ShardMoving,
-                  "shard " + std::to_string(Shard), Out);
+  auto Owner = knownOwner(Now, Shard);
+  if (Owner.empty())
+    Owner = preferredOwner(Shard);
+  if (FromPeer) {
+    refuse(Token, ErrorKind::ShardMoving, "shard " + std::to_string(Shard),
+           Out);
+    return;
+  }
+  if (Owner != Identity_.Entry_ && canAsk(Now, Owner)) {
+    forward(Now, Token, Owner, Shard, Request, Patience, Out);
     return;
   }
-  forward(Now, Token, Owner, Request, Patience, Out);
+  if (park(Now, Token, Shard, Request, Now.Steady_ + ParkFor))
+    return;
+  const auto Down = View_.contact(Now) == StoreContact::Outage;
+  refuseRequest(Token, Request,
+                Down ? ErrorKind::StoreUnavailable : ErrorKind::ShardMoving,
+                "shard " + std::to_string(Shard), Out);
+}
+
+auto EntryCore::park(Moment Now, CallerToken Token, ShardNumber Shard,
+                     const CallerRequest &Request, TimePoint GiveUpAt) -> bool {
+  const auto Wait = isForQueue(Request) && Parked_.size() < ParkLimit &&
+                    GiveUpAt > Now.Steady_;
+  if (Wait)
+    Parked_.push_back({Token, Shard, GiveUpAt, Request});
+  return Wait;
+}
+
+auto EntryCore::resumeParked(Moment Now, EntryOutbox &Out) -> void {
+  for (auto Left = Parked_.size(); Left > 0; --Left) {
+    auto Each = std::move(Parked_.front());
+    Parked_.pop_front();
+    const auto Owner = knownOwner(Now, Each.Shard_);
+    if (ownerOf(Each.Shard_).open()) {
+      std::visit(
+          [&](const auto &Request) { handle(Now, Each.Token_, Request, Out); },
+          Each.Request_);
+      continue;
+    }
+    if (!Owner.empty()) {
+      forward(Now, Each.Token_, Owner, Each.Shard_, Each.Request_,
+              Each.GiveUpAt_ - Now.Steady_, Out);
+      continue;
+    }
+    if (Each.GiveUpAt_ > Now.Steady_) {
+      Parked_.push_back(std::move(Each));
+      continue;
+    }
+    refuseRequest(Each.Token_, Each.Request_, ErrorKind::ShardMoving,
+                  "shard " + std::to_string(Each.Shard_), Out);
+  }
 }
 
 auto EntryCore::forward(Moment Now, CallerToken Token, const EntryId &Owner,
-                        const CallerRequest &Request, Duration Patience,
-                        EntryOutbox &Out) -> void {
+                        ShardNumber Shard, const CallerRequest &Request,
+                        Duration Patience, EntryOutbox &Out) -> void {
   if (Forwards_.size() >= ForwardLimit) {
     refuseRequest(Token, Request, ErrorKind::TooManyInFlight,
                   "forwarded requests", Out);
     return;
   }
   const auto Number = ++NextForward_;
-  const auto Changes = std::holds_alternative<QuickRequest>(Request) ||
-                       std::holds_alternative<SubmitJob>(Request) ||
-                       std::holds_alternative<CancelJob>(Request);
-  Forwards_[Number] = {Token, Owner, Now.Steady_ + Patience, Changes};
+  Forwards_[Number] = {Token, Owner, Shard, Now.Steady_ + Patience, Request};
   Out.push_back(SendToPeer{Owner, Forward{Number, Request}});
 }
 
@@ -278,12 +439,16 @@
       ++Each;
       continue;
     }
-    // The owner may have done the work; only a query certainly changed nothing.
-    refuse(Each->second.Token_,
-           Each->second.Changes_ ? ErrorKind::OutcomeUnknown
-                                 : ErrorKind::ShardMoving,
-           "no answer from entry " + Each->second.Owner_.Value_, Out);
+    const auto Lost = std::move(Each->second);
     Each = Forwards_.erase(Each);
+    // A request to a queue can be repeated at the shard's next owner.
+    if (park(Now, Lost.Token_, Lost.Shard_, Lost.Request_, Lost.GiveUpAt_))
+      continue;
+    // The owner may have done the work; only a query certainly changed nothing.
+    refuse(Lost.Token_,
+           changesWork(Lost.Request_) ? ErrorKind::OutcomeUnknown
+                                      : ErrorKind::ShardMoving,
+           "no answer from entry " + Lost.Owner_.Value_, Out);
   }
 }
 
@@ -307,11 +472,11 @@
 }
 
 auto EntryCore::handle(Moment Now, const EntryId &Peer, const PeerBeat &Message,
-                       EntryOutbox & /*Out*/) -> void {
+                       EntryOutbox &Out) -> void {
   auto &Known = Peers_[Peer];
-  if (Message.Incarnation_ < Known.Incarnation_)
-    return;
-  if (Message.Incarnation_ > Known.Incarnation_) {
+  // Incarnations come from clocks that may jump back, so a different one is a
+  // newer one: the connection of an earlier life has ended.
+  if (Message.Incarnation_ != Known.Incarnation_) {
     Known.Incarnation_ = Message.Incarnation_;
     Known.SeenRevision_ = 0;
     Known.ConfirmedRevision_ = 0;
@@ -320,6 +485,18 @@
   Known.SeenRevision_ = std::max(Known.SeenRevision_, Message.SeenRevision_);
   Known.ConfirmedRevision_ =
       std::max(Known.ConfirmedRevision_, Message.ConfirmedRevision_);
+  Known.Owned_.clear();
+  for (const auto &Each : Message.Owned_)
+    Known.Owned_[Each.Shard_] = Each.Epoch_;
+  noteSuccessors(Now, Known, Out);
+}
+
+auto EntryCore::noteSuccessors(Moment Now, const Peer &From, EntryOutbox &Out)
+    -> void {
+  for (const auto &[Shard, Epoch] : From.Owned_)
+    if (Shard < Identity_.ShardCount_ && ownerOf(Shard).owning() &&
+        ownerOf(Shard).epoch() < Epoch)
+      ownerOf(Shard).supersede(Now, Out);
 }
 
 auto EntryCore::handle(Moment Now, const EntryId &Peer, const Forward &Message,
@@ -327,20 +504,33 @@
   const auto Token = ++NextPeerToken_;
   PeerCallers_[Token] = {Peer, Message.Number_};
   if (Leaving_)
-    refuseRequest(Token, Message.Request_, ErrorKind::EntryStopping,
-                  Identity_.Entry_.Value_, Out);
+    refuse(Token, ErrorKind::EntryStopping, Identity_.Entry_.Value_, Out);
   else
     std::visit([&](const auto &Each) { handle(Now, Token, Each, Out); },
                Message.Request_);
 }
 
-auto EntryCore::handle(Moment /*Now*/, const EntryId & /*Peer*/,
+auto EntryCore::handle(Moment Now, const EntryId &Peer,
                        const ForwardReply &Message, EntryOutbox &Out) -> void {
   const auto Found = Forwards_.find(Message.Number_);
   if (Found == Forwards_.end())
     return;
-  Out.push_back(AnswerCaller{Found->second.Token_, Message.Reply_});
+  const auto Call = std::move(Found->second);
   Forwards_.erase(Found);
+  const auto *Error = std::get_if<ErrorReply>(&Message.Reply_);
+  const auto Moved =
+      Error != nullptr && (Error->Kind_ == ErrorKind::ShardMoving ||
+                           Error->Kind_ == ErrorKind::EntryStopping);
+  if (Moved && isForQueue(Call.Request_)) {
+    Peers_[Peer].Owned_.erase(Call.Shard_);
+    if (park(Now, Call.Token_, Call.Shard_, Call.Request_, Call.GiveUpAt_))
+      return;
+  }
+  if (Moved)
+    refuseRequest(Call.Token_, Call.Request_, Error->Kind_, Error->Detail_,
+                  Out);
+  else
+    Out.push_back(AnswerCaller{Call.Token_, Message.Reply_});
 }
 
 auto EntryCore::answerPeers(EntryOutbox &Out) -> void {
@@ -363,8 +553,22 @@
     return;
   NextPeerBeat_ = Now.Steady_ + PeerBeatEvery;
   Out.push_back(ConnectPeers{View_.peers()});
+  beatNow(Now, Out);
+}
+
+auto EntryCore::ownedByEpoch() const -> std::vector<OwnedShard> {
+  std::vector<OwnedShard> Owned;
+  for (const auto &Each : Shards_)
+    if (Each->open())
+      Owned.push_back({Each->number(), Each->epoch()});
+  return Owned;
+}
+
+auto EntryCore::beatNow(Moment Now, EntryOutbox &Out) -> void {
   const PeerBeat Beat{Identity_.Entry_, Identity_.Incarnation_,
-                      View_.revision(), confirmedRevision(Now)};
+                      View_.revision(), confirmedRevision(Now),
+                      ownedByEpoch()};
+  AnnouncedShards_ = Beat.Owned_.size();
   for (const auto &[Entry, Each] : Peers_)
     if (Each.Open_)
       Out.push_back(SendToPeer{Entry, Beat});
@@ -499,15 +703,17 @@
 auto EntryCore::acknowledge(Moment Now, Target &From, const Heartbeat &Message,
                             EntryOutbox &Out) -> void {
   const auto &Policy = View_.configuration().Document_.Policy_;
-  if (Message.Revision_ < View_.revision() &&
+  if (Message.Revision_ < View_.configuration().startRevision() &&
       From.ConfigurationSentAt_ + ConfigurationEvery <= Now.Steady_) {
     From.ConfigurationSentAt_ = Now.Steady_;
     Out.push_back(
-        SendToAgent{From.Session_, ConfigurationUpdate{View_.configuration()}});
+        SendToAgent{From.Session_,
+                    ConfigurationUpdate{View_.configuration().forAgents()}});
   }
   HeartbeatAck Ack;
   Ack.Sequence_ = Message.Sequence_;
-  Ack.Revision_ = View_.revision();
+  Ack.Revision_ = View_.configuration().startRevision();
+  Ack.AsOf_ = View_.asOf();
   Ack.Fresh_ = View_.contact(Now) == StoreContact::Fresh;
   Ack.Leaving_ = Leaving_;
   if (mayStart(Now)) {
@@ -583,7 +789,17 @@
 
 // Shards.
 
-auto EntryCore::balanceShards() -> void {
+auto EntryCore::mayMove(ShardNumber Shard, const EntryId &Preferred) const
+    -> bool {
+  // Moving a shard interrupts its work, so an owner keeps what isn't more than
+  // its share.
+  const auto Entries = View_.peers().size() + 1;
+  const auto Share = (Identity_.ShardCount_ + Entries - 1) / Entries;
+  return !Preferred.empty() && Preferred != Identity_.Entry_ &&
+         ownedShards() > Share && Shards_[Shard]->owning();
+}
+
+auto EntryCore::balanceShards(Moment Now) -> void {
   // While this entry was not registered another one may have owned its shards
   // and handed them back; an owner with nothing to write would never notice.
   const auto Returned = View_.registrations() != CheckedRegistrations_;
@@ -593,15 +809,15 @@
       Each->verify();
   for (const auto &Each : Shards_) {
     const auto Preferred = preferredOwner(Each->number());
-    const auto Mine = Preferred == Identity_.Entry_ && View_.registered();
+    const auto Mine = Preferred == Identity_.Entry_ && View_.registered() &&
+                      knownOwner(Now, Each->number()).empty();
     if (Mine && Each->idle() && !Leaving_) {
       Each->take([this](const ShardHead &Head) {
         return Head.Owner_.empty() || Head.Owner_ == Identity_.Entry_ ||
                !View_.isRegistered(Head.Owner_, Head.OwnerIncarnation_);
       });
     }
-    const auto Unwanted = Leaving_ || (!Preferred.empty() && !Mine);
-    if (Unwanted && Each->owning())
+    if (Each->owning() && (Leaving_ || mayMove(Each->number(), Preferred)))
       Each->release();
   }
 }
@@ -637,8 +853,13 @@
 }
 
 auto EntryCore::complete(Moment Now, EntryOutbox &Out) -> void {
+  resumeParked(Now, Out);
+  for (const auto &Shard : Shards_)
+    Shard->bindDue(Now, Generator_, Out);
   dispatchClaimed(Now, Out);
   finishOutcomes(Now, Out);
+  if (ownedByEpoch().size() != AnnouncedShards_)
+    beatNow(Now, Out);
   Store_.advance(Now, Out);
   answerPeers(Out);
 }
@@ -648,7 +869,7 @@
   Desk_.tick(Now, Generator_, Out);
   if (Now.Steady_ >= NextBalance_) {
     NextBalance_ = Now.Steady_ + BalanceEvery;
-    balanceShards();
+    balanceShards(Now);
     Grants_.prune(Now.Steady_ - KeepGrantsFor);
   }
   const auto MayGrant = View_.mayGrant(Now);
@@ -670,13 +891,14 @@
     return;
   Leaving_ = true;
   LeaveBy_ = Now.Steady_ + LeaveWithin;
-  balanceShards();
+  balanceShards(Now);
   complete(Now, Out);
 }
 
 auto EntryCore::finishLeaving(Moment Now, EntryOutbox &Out) -> void {
   const auto Idle = Desk_.inFlight() == 0 && Changes_.idle() &&
-                    Forwards_.empty() && PeerCallers_.empty();
+                    Forwards_.empty() && Parked_.empty() &&
+                    PeerCallers_.empty();
   const auto HandedOver =
       std::all_of(Shards_.begin(), Shards_.end(),
                   [](const auto &Shard) { return Shard->idle(); });
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -20,6 +20,10 @@
   double StoreCallsPerSecond_ = 100;
   std::uint64_t Seed_ = 1;
   DeskOptions Desk_;
+  /// Data centres and policy where the operators' document holds none, and
+  /// before there is one.
+  std::vector<DataCentreName> DataCentres_;
+  PolicySettings Policy_;
 };
 
 /// The entry as a state machine: inputs are its public commands, outputs go to
@@ -69,12 +73,22 @@
     Incarnation Incarnation_ = 0;
     Revision SeenRevision_ = 0;
     Revision ConfirmedRevision_ = 0;
+    /// The shards that it said it owns.
+    std::map<ShardNumber, Epoch> Owned_;
   };
   struct ForwardedCall {
     CallerToken Token_ = 0;
     EntryId Owner_;
+    ShardNumber Shard_ = 0;
     TimePoint GiveUpAt_{};
-    bool Changes_ = false;
+    CallerRequest Request_;
+  };
+  /// A request that waits until its shard has an owner that can be asked.
+  struct ParkedCall {
+    CallerToken Token_ = 0;
+    ShardNumber Shard_ = 0;
+    TimePoint GiveUpAt_{};
+    CallerRequest Request_;
   };
   struct PeerCaller {
     EntryId Peer_;
@@ -101,6 +115,14 @@
               EntryOutbox &Out) -> void;
   auto handle(Moment Now, CallerToken Token, const ListTargets &Request,
               EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const SubmitToQueue &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const ReadQueue &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const CancelInQueue &Request,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, CallerToken Token, const CountUnstarted &Request,
+              EntryOutbox &Out) -> void;
 
   auto handle(Moment Now, SessionNumber Session, const Hello &Message,
               EntryOutbox &Out) -> void;
@@ -130,17 +152,35 @@
                      ErrorKind Kind, std::string Detail, EntryOutbox &Out)
       -> void;
   auto forward(Moment Now, CallerToken Token, const EntryId &Owner,
-               const CallerRequest &Request, Duration Patience,
-               EntryOutbox &Out) -> void;
+               ShardNumber Shard, const CallerRequest &Request,
+               Duration Patience, EntryOutbox &Out) -> void;
   auto forwardToShard(Moment Now, CallerToken Token, ShardNumber Shard,
                       const CallerRequest &Request, Duration Patience,
                       EntryOutbox &Out) -> void;
+  /// Keeps a request until its shard has an owner. False where the request
+  /// can't wait.
+  auto park(Moment Now, CallerToken Token, ShardNumber Shard,
+            const CallerRequest &Request, TimePoint GiveUpAt) -> bool;
+  auto resumeParked(Moment Now, EntryOutbox &Out) -> void;
+  auto queueAt(CallerToken Token, const QueueAddress &Address, EntryOutbox &Out)
+      -> const QueueDeclaration *;
+  auto shardOfQueue(const QueueName &Queue) const -> ShardNumber;
+  auto shardOfJob(const JobId &Job, const QueueName &Queue) const
+      -> ShardNumber;
+  /// The reachable entry that owns a shard as far as this entry knows; empty
+  /// where none is known.
+  auto knownOwner(Moment Now, ShardNumber Shard) const -> EntryId;
+  /// Gives up a shard that a peer owns since a later epoch.
+  auto noteSuccessors(Moment Now, const Peer &From, EntryOutbox &Out) -> void;
+  auto ownedByEpoch() const -> std::vector<OwnedShard>;
+  auto mayMove(ShardNumber Shard, const EntryId &Preferred) const -> bool;
   auto canAsk(Moment Now, const EntryId &Peer) const -> bool;
   auto expireForwards(Moment Now, EntryOutbox &Out) -> void;
   auto preferredOwner(ShardNumber Shard) const -> EntryId;
-  auto balanceShards() -> void;
+  auto balanceShards(Moment Now) -> void;
   auto closeSilent(Moment Now, EntryOutbox &Out) -> void;
   auto sendPeerBeats(Moment Now, EntryOutbox &Out) -> void;
+  auto beatNow(Moment Now, EntryOutbox &Out) -> void;
   auto confirmedRevision(Moment Now) const -> Revision;
   auto missingFor(Moment Now, Revision Wanted) const
       -> std::vector<std::string>;
@@ -167,6 +207,8 @@
   std::map<EntryId, Peer> Peers_;
   std::map<std::uint64_t, ForwardedCall> Forwards_;
   std::uint64_t NextForward_ = 0;
+  std::deque<ParkedCall> Parked_;
+  std::size_t AnnouncedShards_ = 0;
   std::unordered_map<CallerToken, PeerCaller> PeerCallers_;
   CallerToken NextPeerToken_;
   TimePoint RemovedGrantsEnd_{};
--- a/core/EntryOutput.h
+++ b/core/EntryOutput.h
@@ -26,25 +26,90 @@
   }
 };
 
+/// Where a caller found a queue: the host and the whole path asked for.
+struct QueueAddress {
+  std::string Host_;
+  std::string Path_;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&QueueAddress::Host_, &QueueAddress::Path_);
+  }
+};
+
 struct SubmitJob {
   JobDeclaration Declaration_;
   IdempotencyKey Key_;
+  /// The id that the caller chose; empty where the system makes one.
+  JobId Job_;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&SubmitJob::Declaration_, &SubmitJob::Key_,
+                           &SubmitJob::Job_);
+  }
+};
+
+/// Submits a job to the queue at an address, under the id that the path names.
+struct SubmitToQueue {
+  QueueAddress Address_;
+  JobDeclaration Declaration_;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&SubmitToQueue::Address_,
+                           &SubmitToQueue::Declaration_);
+  }
+};
+
+/// Asks for the job, or the count of unstarted jobs, that the path names.
+struct ReadQueue {
+  QueueAddress Address_;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&ReadQueue::Address_);
+  }
+};
+
+/// Cancels the job that the path names.
+struct CancelInQueue {
+  QueueAddress Address_;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&CancelInQueue::Address_);
+  }
+};
+
+/// Asks how many jobs of a queue have not begun.
+struct CountUnstarted {
+  QueueName Queue_;
 
   static constexpr auto fields() {
-    return std::make_tuple(&SubmitJob::Declaration_, &SubmitJob::Key_);
+    return std::make_tuple(&CountUnstarted::Queue_);
   }
 };
 
 struct GetJob {
   JobId Job_;
+  /// Whether only the job's state is wanted in answer.
+  bool StateOnly_ = false;
+  /// The queue of the job; empty for one submitted to a team.
+  QueueName Queue_;
 
-  static constexpr auto fields() { return std::make_tuple(&GetJob::Job_); }
+  static constexpr auto fields() {
+    return std::make_tuple(&GetJob::Job_, &GetJob::StateOnly_,
+                           &GetJob::Queue_);
+  }
 };
 
 struct CancelJob {
   JobId Job_;
+  /// Whether only the job's state is wanted in answer.
+  bool StateOnly_ = false;
+  /// The queue of the job; empty for one submitted to a team.
+  QueueName Queue_;
 
-  static constexpr auto fields() { return std::make_tuple(&CancelJob::Job_); }
+  static constexpr auto fields() {
+    return std::make_tuple(&CancelJob::Job_, &CancelJob::StateOnly_,
+                           &CancelJob::Queue_);
+  }
 };
 
 /// Asks what is known of a request, by its id or its key.
@@ -101,7 +166,9 @@
 
 using CallerRequest = std::variant<QuickRequest, SubmitJob, GetJob, CancelJob,
                                    ExplainRequest, GetDocument, PutDocument,
-                                   PromoteDocument, SetDataCentre, ListTargets>;
+                                   PromoteDocument, SetDataCentre, ListTargets,
+                                   SubmitToQueue, ReadQueue, CancelInQueue,
+                                   CountUnstarted>;
 
 struct ErrorReply {
   ErrorKind Kind_ = ErrorKind::None;
@@ -131,6 +198,23 @@
   static constexpr auto fields() { return std::make_tuple(&JobReply::Job_); }
 };
 
+/// The state of a job of a queue, without its tasks.
+struct JobStateReply {
+  JobState State_ = JobState::Queued;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&JobStateReply::State_);
+  }
+};
+
+struct UnstartedReply {
+  std::uint64_t Count_ = 0;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&UnstartedReply::Count_);
+  }
+};
+
 /// One decision on the way of a request.
 struct RequestEvent {
   WallTime At_{};
@@ -206,7 +290,18 @@
 };
 
 using CallerReply = std::variant<ErrorReply, QuickReply, JobReply, ExplainReply,
-                                 DocumentReply, ChangeReply, TargetsReply>;
+                                 DocumentReply, ChangeReply, TargetsReply,
+                                 JobStateReply, UnstartedReply>;
+
+/// A shard that an entry owns and serves, and since which epoch.
+struct OwnedShard {
+  ShardNumber Shard_ = 0;
+  Epoch Epoch_ = 0;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&OwnedShard::Shard_, &OwnedShard::Epoch_);
+  }
+};
 
 /// The periodic message between entries.
 struct PeerBeat {
@@ -215,11 +310,12 @@
   Revision SeenRevision_ = 0;
   /// No agent that this entry knows of can start under an older revision.
   Revision ConfirmedRevision_ = 0;
+  std::vector<OwnedShard> Owned_;
 
   static constexpr auto fields() {
     return std::make_tuple(&PeerBeat::Entry_, &PeerBeat::Incarnation_,
                            &PeerBeat::SeenRevision_,
-                           &PeerBeat::ConfirmedRevision_);
+                           &PeerBeat::ConfirmedRevision_, &PeerBeat::Owned_);
   }
 };
 
--- a/core/EnvironmentView.cpp
+++ b/core/EnvironmentView.cpp
@@ -8,9 +8,8 @@
 namespace skylark {
 namespace {
 
-constexpr Millis ReadEvery{300};
-constexpr Millis LeaseTimeToLive{6000};
-constexpr Millis RenewEvery{1500};
+/// Renewals in one lifetime of a registration.
+constexpr int RenewalsPerLife = 4;
 
 auto contains(const std::vector<RegisteredEntry> &Entries,
               const EntryRegistration &Wanted) -> bool {
@@ -24,9 +23,12 @@
 } // namespace
 
 EnvironmentView::EnvironmentView(EnvironmentName Environment,
-                                 EntryRegistration Self, StorePort &Store)
+                                 EntryRegistration Self,
+                                 const PolicySettings &Policy, StorePort &Store)
     : Environment_(std::move(Environment)), Self_(std::move(Self)),
-      Store_(Store) {}
+      Store_(Store) {
+  Current_.Document_.Policy_ = Policy;
+}
 
 auto EnvironmentView::tick(Moment Now) -> void {
   // An earlier incarnation of this entry may have granted just before it
@@ -42,7 +44,7 @@
 
 auto EnvironmentView::readLive(Moment Now) -> void {
   ReadOpen_ = true;
-  NextRead_ = Now.Steady_ + ReadEvery;
+  NextRead_ = Now.Steady_ + Current_.Document_.Policy_.ReadEvery_;
   const auto SentAt = Now.Steady_;
   Store_.call(
       ReadLive{Environment_},
@@ -66,6 +68,7 @@
     if (Result.Live_.Head_.Revision_ > revision())
       return;
   }
+  AsOf_ = std::max(AsOf_, Result.Live_.AsOf_);
   FreshAt_ = std::max(FreshAt_, SentAt);
 }
 
@@ -186,12 +189,16 @@
   return false;
 }
 
+auto EnvironmentView::registrationFor() const -> Millis {
+  return Current_.Document_.Policy_.RegistrationFor_;
+}
+
 auto EnvironmentView::keepLease(Moment Now) -> void {
   if (LeaseCallOpen_ || Now.Steady_ < NextRenewal_)
     return;
   if (Leaving_)
     return;
-  NextRenewal_ = Now.Steady_ + RenewEvery;
+  NextRenewal_ = Now.Steady_ + registrationFor() / RenewalsPerLife;
   LeaseCallOpen_ = true;
   if (Lease_.empty())
     openLease();
@@ -202,7 +209,7 @@
 }
 
 auto EnvironmentView::openLease() -> void {
-  Store_.call(OpenLease{LeaseTimeToLive},
+  Store_.call(OpenLease{registrationFor()},
               [this](Moment, const StoreResult &Result, EntryOutbox &) {
                 LeaseCallOpen_ = false;
                 if (Result.Status_ != StoreStatus::Ok)
--- a/core/EnvironmentView.h
+++ b/core/EnvironmentView.h
@@ -30,8 +30,9 @@
 /// several times a second, and keeps the entry's own registration alive.
 class EnvironmentView {
 public:
+  /// \param Policy what holds until there is a document.
   EnvironmentView(EnvironmentName Environment, EntryRegistration Self,
-                  StorePort &Store);
+                  const PolicySettings &Policy, StorePort &Store);
 
   auto tick(Moment Now) -> void;
   /// Adopts a configuration that an agent brought, if it is newer and whole.
@@ -41,6 +42,8 @@
 
   auto configuration() const -> const Configuration & { return Current_; }
   auto revision() const -> Revision { return Current_.Head_.Revision_; }
+  /// Up to this revision every change has been seen.
+  auto asOf() const -> Revision { return std::max(AsOf_, revision()); }
   auto environment() const -> const EnvironmentName & { return Environment_; }
   auto contact(Moment Now) const -> StoreContact;
   /// True if this entry may grant at all: it is registered, and fresh or within
@@ -76,6 +79,7 @@
   auto adoptWith(Moment Now, Configuration Next) -> void;
   auto noteEntries(Moment Now, const LiveView &Live) -> void;
   auto noteGrantors(Moment Now, const LiveView &Live) -> void;
+  auto registrationFor() const -> Millis;
   auto keepLease(Moment Now) -> void;
   auto openLease() -> void;
   auto announceGrantor() -> void;
@@ -88,6 +92,7 @@
   Configuration Current_;
   /// The highest revision that the store is known to hold.
   Revision KnownRevision_ = 0;
+  Revision AsOf_ = 0;
   TimePoint OldGrantsEnd_{};
   TimePoint SettledAt_{};
   bool ReadOpen_ = false;
--- a/core/ErrorKind.cpp
+++ b/core/ErrorKind.cpp
@@ -36,6 +36,8 @@
      "The document names no such team"},
     {E::UnknownJob, "unknown-job", 404, X::NotRun, false,
      "There is no such job"},
+    {E::UnknownQueue, "unknown-queue", 404, X::NotRun, false,
+     "No queue has this host and path"},
     {E::UnknownEnvironment, "unknown-environment", 404, X::NotRun, false,
      "There is no such environment"},
     {E::UnknownDataCentre, "unknown-data-centre", 404, X::NotRun, false,
--- a/core/ErrorKind.h
+++ b/core/ErrorKind.h
@@ -21,6 +21,7 @@
   UnknownService,
   UnknownTeam,
   UnknownJob,
+  UnknownQueue,
   UnknownEnvironment,
   UnknownDataCentre,
   NotKnown,
--- a/core/Ids.h
+++ b/core/Ids.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <ostream>
+#include <sstream>
 #include <string>
 #include <tuple>
 
@@ -34,6 +35,7 @@
 using RequestId = Id<struct RequestTag>;
 using JobId = Id<struct JobTag>;
 using TeamName = Id<struct TeamTag>;
+using QueueName = Id<struct QueueTag>;
 using ServiceName = Id<struct ServiceTag>;
 using DataCentreName = Id<struct DataCentreTag>;
 using EnvironmentName = Id<struct EnvironmentTag>;
@@ -50,24 +52,41 @@
 using AttemptNumber = std::uint32_t;
 using Incarnation = std::uint64_t;
 
-/// One task of a job.
+/// One task of a job: the Index_-th of a step, in one occurrence of the job.
 struct TaskId {
   JobId Job_;
   std::uint32_t Index_ = 0;
+  std::uint32_t Step_ = 0;
+  std::uint32_t Occurrence_ = 0;
 
   static constexpr auto fields() {
-    return std::make_tuple(&TaskId::Job_, &TaskId::Index_);
+    return std::make_tuple(&TaskId::Job_, &TaskId::Index_, &TaskId::Step_,
+                           &TaskId::Occurrence_);
   }
   friend auto operator==(const TaskId &Left, const TaskId &Right) -> bool {
-    return Left.Index_ == Right.Index_ && Left.Job_ == Right.Job_;
+    return Left.ranked() == Right.ranked();
   }
   friend auto operator<(const TaskId &Left, const TaskId &Right) -> bool {
-    return std::tie(Left.Job_, Left.Index_) <
-           std::tie(Right.Job_, Right.Index_);
+    return Left.ranked() < Right.ranked();
   }
   friend auto operator<<(std::ostream &Out, const TaskId &Task)
       -> std::ostream & {
-    return Out << Task.Job_ << '/' << Task.Index_;
+    Out << Task.Job_ << '/';
+    if (Task.Occurrence_ != 0 || Task.Step_ != 0)
+      Out << Task.Occurrence_ << '/' << Task.Step_ << '/';
+    return Out << Task.Index_;
+  }
+  auto text() const -> std::string {
+    std::ostringstream Out;
+    Out << *this;
+    return Out.str();
+  }
+
+private:
+  auto ranked() const
+      -> std::tuple<const JobId &, std::uint32_t, std::uint32_t,
+                    std::uint32_t> {
+    return {Job_, Occurrence_, Step_, Index_};
   }
 };
 
--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -10,13 +10,13 @@
 namespace {
 
 /// Size in bytes at which the active part of a head is sealed.
-constexpr std::size_t SealSize = std::size_t{48} * 1024;
+constexpr std::size_t SealSize = std::size_t{12} * 1024;
 /// Size in bytes of one segment of a snapshot.
 constexpr std::size_t SnapshotSegmentSize = std::size_t{256} * 1024;
 /// Most records that one write takes.
 constexpr std::size_t BatchLimit = 512;
 /// Sealed segments at which the ledger is rewritten as a snapshot.
-constexpr std::size_t CompactAt = 16;
+constexpr std::size_t CompactAt = 64;
 
 auto splitSnapshot(std::vector<LedgerRecord> Records)
     -> std::deque<ShardSegment> {
@@ -154,7 +154,8 @@
 auto LedgerWriter::swapSettled(Moment Now, bool TookEffect, std::uint64_t Index)
     -> void {
   const auto Written = *std::exchange(Swapping_, std::nullopt);
-  if (!TookEffect) {
+  // An abandoned shard's last write settles nothing here.
+  if (!TookEffect || Phase_ == Phase::Idle) {
     lose();
     return;
   }
@@ -317,6 +318,9 @@
                  SegmentsToWrite_.front()},
       [this, Segment](Moment, const StoreResult &Result, EntryOutbox &) {
         CallOpen_ = false;
+        // The shard may have been abandoned meanwhile.
+        if (!owning())
+          return;
         if (Result.Status_ == StoreStatus::Ok) {
           NextSegments_.push_back(Segment);
           SegmentsToWrite_.pop_front();
--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -39,6 +39,11 @@
   auto release(Moment Now) -> void;
   /// Reads the head, to learn whether another entry has taken the shard.
   auto verify() -> void { VerifyWanted_ = true; }
+  /// Forgets the shard: another entry has taken it.
+  auto abandon() -> void {
+    if (owning())
+      lose();
+  }
   /// Starts the next write, where one is due.
   auto advance() -> void;
 
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -45,13 +45,22 @@
   WallTime Deadline_{};
   CheckpointId Checkpoint_;
   std::string Payload_;
+  /// Work of a lower number starts first.
+  std::uint32_t Priority_ = 0;
+  /// The task takes what processors others leave; see StepDeclaration.
+  bool Fills_ = false;
+  bool Checkpoints_ = false;
+  std::string Image_;
+  Millis TailTarget_{0};
 
   static constexpr auto fields() {
     return std::make_tuple(
         &BindTask::Sequence_, &BindTask::Shard_, &BindTask::Epoch_,
         &BindTask::Worker_, &BindTask::Task_, &BindTask::Attempt_,
         &BindTask::Kind_, &BindTask::Resources_, &BindTask::RunTime_,
-        &BindTask::Deadline_, &BindTask::Checkpoint_, &BindTask::Payload_);
+        &BindTask::Deadline_, &BindTask::Checkpoint_, &BindTask::Payload_,
+        &BindTask::Priority_, &BindTask::Fills_, &BindTask::Checkpoints_,
+        &BindTask::Image_, &BindTask::TailTarget_);
   }
 };
 
@@ -78,11 +87,15 @@
   TaskPhase Phase_ = TaskPhase::Queued;
   CheckpointId Checkpoint_;
   ErrorKind Reason_ = ErrorKind::None;
+  /// The agent found the task on its worker after a restart and doesn't know
+  /// what it was bound with.
+  bool NeedsBinding_ = false;
 
   static constexpr auto fields() {
     return std::make_tuple(&TaskReport::Shard_, &TaskReport::Task_,
                            &TaskReport::Attempt_, &TaskReport::Phase_,
-                           &TaskReport::Checkpoint_, &TaskReport::Reason_);
+                           &TaskReport::Checkpoint_, &TaskReport::Reason_,
+                           &TaskReport::NeedsBinding_);
   }
 };
 
@@ -134,13 +147,15 @@
   std::uint32_t Slots_ = 0;
   std::uint32_t Connections_ = 0;
   std::vector<ServiceName> Services_;
+  std::vector<std::string> Labels_;
   Revision Revision_ = 0;
 
   static constexpr auto fields() {
     return std::make_tuple(
         &Hello::Version_, &Hello::Agent_, &Hello::Incarnation_, &Hello::Worker_,
         &Hello::DataCentre_, &Hello::Rack_, &Hello::Capacity_, &Hello::Slots_,
-        &Hello::Connections_, &Hello::Services_, &Hello::Revision_);
+        &Hello::Connections_, &Hello::Services_, &Hello::Labels_,
+        &Hello::Revision_);
   }
 };
 
@@ -182,7 +197,10 @@
 /// the agent sent the heartbeat, so that no delay can lengthen them.
 struct HeartbeatAck {
   std::uint64_t Sequence_ = 0;
+  /// The newest revision known to the entry that changed what may start where.
   Revision Revision_ = 0;
+  /// Up to this revision the entry has seen every change.
+  Revision AsOf_ = 0;
   /// How long tasks may start under Revision_; nought grants nothing.
   Millis StartFor_{0};
   /// How long tasks of Shards_ may run on; nought grants nothing.
@@ -195,6 +213,7 @@
 
   static constexpr auto fields() {
     return std::make_tuple(&HeartbeatAck::Sequence_, &HeartbeatAck::Revision_,
+                           &HeartbeatAck::AsOf_,
                            &HeartbeatAck::StartFor_, &HeartbeatAck::RunFor_,
                            &HeartbeatAck::Shards_, &HeartbeatAck::Fresh_,
                            &HeartbeatAck::Leaving_);
--- /dev/null
+++ b/core/Placement.cpp
@@ -0,0 +1,56 @@
+#include "core/Placement.h"
+
+#include <tuple>
+
+namespace skylark {
+namespace {
+
+/// Share of a worker's processors that stay unused once the task runs there.
+auto freeShare(const StepDeclaration &Step, const PlaceView &Place) -> double {
+  const auto Left = Place.Free_.MilliCores_ - Place.FillingMilliCores_ -
+                    Step.Resources_.MilliCores_;
+  const auto Capacity = std::max<std::int64_t>(Place.Capacity_.MilliCores_, 1);
+  return static_cast<double>(Left) / static_cast<double>(Capacity);
+}
+
+/// Neighbours that this task would disturb, or that would disturb it.
+auto conflicts(const StepDeclaration &Step, const PlaceView &Place)
+    -> std::int64_t {
+  if (Step.Fills_)
+    return Place.ServingTasks_;
+  if (Step.TailTarget_ > Millis{0})
+    return Place.FillingMilliCores_;
+  return 0;
+}
+
+/// Orders places from worst to best.
+auto rankOf(const StepDeclaration &Step, const PlaceView &Place) {
+  const auto NearData = Step.DataRack_.empty() || Step.DataRack_ == Place.Rack_;
+  return std::make_tuple(!Place.Suspect_, !Place.FailedHere_, NearData,
+                         -conflicts(Step, Place), freeShare(Step, Place));
+}
+
+} // namespace
+
+auto canPlace(const StepDeclaration &Step, const PlaceView &Place) -> bool {
+  const auto BelowLimit =
+      Step.MaxPerWorker_ == 0 || Place.TasksOfStep_ < Step.MaxPerWorker_;
+  return BelowLimit && Place.Free_.holds(Step.reserved());
+}
+
+auto choosePlace(const StepDeclaration &Step,
+                 const std::vector<PlaceView> &Places) -> std::size_t {
+  auto Best = Places.size();
+  for (std::size_t Index = 0; Index < Places.size(); ++Index) {
+    if (!canPlace(Step, Places[Index]))
+      continue;
+    const auto Better =
+        Best == Places.size() ||
+        rankOf(Step, Places[Best]) < rankOf(Step, Places[Index]);
+    if (Better)
+      Best = Index;
+  }
+  return Best;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/core/Placement.h
@@ -0,0 +1,37 @@
+/// \file
+/// Defines the choice of a worker for a task: a pass over plain data.
+#pragma once
+
+#include "core/Job.h"
+
+#include <cstddef>
+
+namespace skylark {
+
+/// What one shard's owner knows of one worker that may be given the task.
+struct PlaceView {
+  Resources Capacity_;
+  /// What is left of the capacity.
+  Resources Free_;
+  std::string Rack_;
+  /// Processors, in thousandths, that tasks which fill already ask for here.
+  std::int64_t FillingMilliCores_ = 0;
+  /// Tasks here that serve users of their own under a tail target.
+  std::uint32_t ServingTasks_ = 0;
+  /// Tasks of the same step and occurrence here.
+  std::uint32_t TasksOfStep_ = 0;
+  /// Whether recent attempts here failed or stalled.
+  bool Suspect_ = false;
+  /// Whether the last attempt of this very task ended here without success.
+  bool FailedHere_ = false;
+};
+
+/// True if the task may run there at all: room, and the step's own limit.
+auto canPlace(const StepDeclaration &Step, const PlaceView &Place) -> bool;
+
+/// Chooses among `Places`; returns its index, or Places.size() where none
+/// will do.
+auto choosePlace(const StepDeclaration &Step,
+                 const std::vector<PlaceView> &Places) -> std::size_t;
+
+} // namespace skylark
--- a/core/Resources.h
+++ b/core/Resources.h
@@ -48,6 +48,8 @@
 public:
   explicit ResourceLedger(const Resources &Capacity) : Capacity_(Capacity) {}
 
+  /// Another size, of a worker that has told its own only now.
+  auto resize(const Resources &Capacity) -> void { Capacity_ = Capacity; }
   /// Gives `Amount` to `Task`; the caller has checked fits().
   auto reserve(const TaskId &Task, const Resources &Amount) -> void;
   /// Gives back all that `Task` held; no effect where it held nothing.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -16,13 +16,15 @@
 constexpr int ScanLimit = 4000;
 /// Sizes of task that find no room before a pass ends.
 constexpr int MissLimit = 8;
-/// Workers drawn for one task in a large fleet.
+/// Workers looked at for one task in a large fleet.
 constexpr std::size_t DrawCount = 24;
 /// Bound tasks that may wait in one agent's queue.
 constexpr std::uint32_t QueueLimit = 4;
 constexpr Millis ResendAfter{2000};
 constexpr Millis CallerPatience{5000};
-constexpr Millis FailureBackoff{500};
+/// First delay before a task that failed again and again is tried once more.
+constexpr Millis FailureBackoff{50};
+constexpr Millis LongestFailureBackoff{5000};
 constexpr Millis ForgetEvery{60000};
 /// An owner with nothing to write learns of its successor after this time.
 constexpr Millis VerifyEvery{10000};
@@ -68,9 +70,11 @@
   Out.push_back(AnswerCaller{Token, ErrorReply{Kind, std::move(Detail), {}}});
 }
 
-auto isOver(const Job &Each) -> bool {
-  const auto Tally = tallyTasks(Each);
-  return Tally.Pending_ == 0 && Tally.Bound_ == 0;
+/// The answer to a caller who asked for, or changed, one job.
+auto jobAnswer(const Job &Each, bool StateOnly) -> CallerReply {
+  if (StateOnly)
+    return JobStateReply{jobState(Each)};
+  return JobReply{Each};
 }
 
 auto changeOf(const TaskStatus &Task, TaskState State, ErrorKind Reason,
@@ -318,29 +322,41 @@
 
 // Jobs.
 
+auto ShardOwner::checkStep(const StepDeclaration &Step, const Resources &Limit,
+                           const char *Holder, std::string &Detail) const
+    -> ErrorKind {
+  if (Limit.holds(Step.Resources_))
+    return ErrorKind::None;
+  std::ostringstream Why;
+  Why << "a task needs " << Step.Resources_ << "; " << Holder << " " << Limit;
+  Detail = Why.str();
+  return ErrorKind::NeverFits;
+}
+
 auto ShardOwner::checkSubmission(const JobDeclaration &Wanted,
                                  std::string &Detail) const -> ErrorKind {
+  const auto Count = Wanted.taskCount();
+  if (Count == 0 || Count > MaxTasks) {
+    Detail = "tasks must be 1 to " + std::to_string(MaxTasks);
+    return ErrorKind::MalformedRequest;
+  }
+  // A queue's jobs belong to no team, and workers of any size may yet come.
+  if (!Wanted.Queue_.empty())
+    return ErrorKind::None;
   const auto &Document = View_.Configuration_.Document_;
   const auto *Team = Document.findTeam(Wanted.Team_);
   if (Team == nullptr) {
     Detail = "team \"" + Wanted.Team_.Value_ + "\"";
     return ErrorKind::UnknownTeam;
   }
-  std::ostringstream Why;
-  Why << "a task needs " << Wanted.TaskResources_;
-  if (!Document.LargestWorker_.holds(Wanted.TaskResources_)) {
-    Why << "; the largest worker has " << Document.LargestWorker_;
-    Detail = Why.str();
-    return ErrorKind::NeverFits;
-  }
-  if (!Team->Quota_.holds(Wanted.TaskResources_)) {
-    Why << "; the quota of the team is " << Team->Quota_;
-    Detail = Why.str();
-    return ErrorKind::NeverFits;
-  }
-  if (Wanted.TaskCount_ == 0 || Wanted.TaskCount_ > MaxTasks) {
-    Detail = "tasks must be 1 to " + std::to_string(MaxTasks);
-    return ErrorKind::MalformedRequest;
+  for (const auto &Step : Wanted.Steps_) {
+    auto Problem = checkStep(Step, Document.LargestWorker_,
+                             "the largest worker has", Detail);
+    if (Problem == ErrorKind::None)
+      Problem = checkStep(Step, Team->Quota_, "the quota of the team is",
+                          Detail);
+    if (Problem != ErrorKind::None)
+      return Problem;
   }
   return ErrorKind::None;
 }
@@ -359,31 +375,38 @@
     refuse(Token, ErrorKind::QueueFull, "ledger of the shard", Out);
     return;
   }
-  // With a key the id follows from it, so that a retry finds the first job.
-  const auto Number =
-      Submission.Key_.empty()
-          ? Generator()
-          : digest64(Wanted.Team_.Value_ + '\n' + Submission.Key_.Value_);
-  const auto Id = jobIdOf(Shard_, Number);
+  const auto StateOnly = !Submission.Job_.empty();
+  const auto Id = StateOnly ? Submission.Job_
+                            : mintJobId(Submission, Generator);
   if (const auto *Known = state().findJob(Id)) {
-    Out.push_back(AnswerCaller{Token, JobReply{*Known}});
+    Out.push_back(AnswerCaller{Token, jobAnswer(*Known, StateOnly)});
     return;
   }
   auto &Waiting = WaitingAdd_[Id];
   const auto Refusal = Submission.Key_.empty() ? ErrorKind::StoreUnavailable
                                                : ErrorKind::KeyNotChecked;
-  Waiting.push_back({Token, Now.Steady_ + CallerPatience, Refusal});
+  Waiting.push_back({Token, Now.Steady_ + CallerPatience, Refusal, StateOnly});
   if (Waiting.size() > 1)
     return;
   Job New;
   New.Id_ = Id;
   New.Declaration_ = Wanted;
   New.SubmittedAt_ = Now.Wall_;
-  New.Tasks_.resize(Wanted.TaskCount_);
+  New.Tasks_.resize(Wanted.taskCount());
   Ledger_.append(JobAdded{std::move(New)});
   Ledger_.advance();
 }
 
+auto ShardOwner::mintJobId(const SubmitJob &Submission, Random &Generator) const
+    -> JobId {
+  // With a key the id follows from it, so that a retry finds the first job.
+  const auto &Team = Submission.Declaration_.Team_.Value_;
+  const auto Number = Submission.Key_.empty()
+                          ? Generator()
+                          : digest64(Team + '\n' + Submission.Key_.Value_);
+  return jobIdOf(Shard_, Number);
+}
+
 auto ShardOwner::committed(Moment /*Now*/, const JobAdded &Record,
                            EntryOutbox &Out) -> void {
   const auto *Added = state().findJob(Record.Job_.Id_);
@@ -392,24 +415,43 @@
   if (Waiting == WaitingAdd_.end())
     return;
   for (const auto &Caller : Waiting->second)
-    Out.push_back(AnswerCaller{Caller.Token_, JobReply{*Added}});
+    Out.push_back(
+        AnswerCaller{Caller.Token_, jobAnswer(*Added, Caller.StateOnly_)});
   WaitingAdd_.erase(Waiting);
 }
 
-auto ShardOwner::cancel(Moment Now, CallerToken Token, const JobId &Id,
+auto ShardOwner::read(CallerToken Token, const GetJob &Request,
+                      EntryOutbox &Out) const -> void {
+  const auto *Found = state().findJob(Request.Job_);
+  if (Found == nullptr)
+    refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
+  else
+    Out.push_back(AnswerCaller{Token, jobAnswer(*Found, Request.StateOnly_)});
+}
+
+auto ShardOwner::countUnstarted(const QueueName &Queue) const -> std::uint64_t {
+  return std::count_if(
+      state().jobs().begin(), state().jobs().end(), [&](const auto &Each) {
+        return Each.second.Declaration_.Queue_ == Queue &&
+               jobState(Each.second) == JobState::Queued;
+      });
+}
+
+auto ShardOwner::cancel(Moment Now, CallerToken Token, const CancelJob &Request,
                         EntryOutbox &Out) -> void {
+  const auto &Id = Request.Job_;
   const auto *Known = state().findJob(Id);
   if (Known == nullptr) {
     refuse(Token, ErrorKind::UnknownJob, Id.Value_, Out);
     return;
   }
   if (Known->Cancelled_) {
-    Out.push_back(AnswerCaller{Token, JobReply{*Known}});
+    Out.push_back(AnswerCaller{Token, jobAnswer(*Known, Request.StateOnly_)});
     return;
   }
   auto &Waiting = WaitingCancel_[Id];
-  Waiting.push_back(
-      {Token, Now.Steady_ + CallerPatience, ErrorKind::StoreUnavailable});
+  Waiting.push_back({Token, Now.Steady_ + CallerPatience,
+                     ErrorKind::StoreUnavailable, Request.StateOnly_});
   if (Waiting.size() > 1 || !Cancelling_.insert(Id).second)
     return;
   Ledger_.append(JobCancelled{Id, Now.Wall_});
@@ -422,13 +464,13 @@
   const auto *Cancelled = state().findJob(Record.Job_);
   if (Cancelled == nullptr)
     return;
-  for (std::uint32_t Index = 0; Index < Cancelled->Tasks_.size(); ++Index)
-    Pending_.erase(rankOf(*Cancelled, Index));
+  index(*Cancelled);
   const auto Waiting = WaitingCancel_.find(Record.Job_);
   if (Waiting == WaitingCancel_.end())
     return;
   for (const auto &Caller : Waiting->second)
-    Out.push_back(AnswerCaller{Caller.Token_, JobReply{*Cancelled}});
+    Out.push_back(
+        AnswerCaller{Caller.Token_, jobAnswer(*Cancelled, Caller.StateOnly_)});
   WaitingCancel_.erase(Waiting);
 }
 
@@ -437,40 +479,99 @@
 
 // The index over the ledger: what is pending, bound and used.
 
-auto ShardOwner::rankOf(const Job &Job, std::uint32_t Index) const
+auto ShardOwner::rankOf(const Job &Job, const TaskId &Task) const
     -> PendingRank {
   const auto &Wanted = Job.Declaration_;
-  const auto First = Wanted.Kind_ == WorkKind::Watcher || Wanted.Urgent_;
-  return {First ? 0 : 1, Wanted.Deadline_ - Wanted.RunTime_, {Job.Id_, Index}};
+  const auto First = Wanted.Urgent_ || Job.stepOf(Task).LongRunning_;
+  const auto Class = 2 * static_cast<int>(Wanted.Priority_) + (First ? 0 : 1);
+  const auto Deadline = Wanted.Deadline_ + Wanted.Interval_ * Task.Occurrence_;
+  return {Class, Deadline - Wanted.chainFrom(Task.Step_), Task};
+}
+
+auto ShardOwner::hold(const Job &Job, const TaskId &Task, const AgentId &Agent)
+    -> void {
+  const auto &Step = Job.stepOf(Task);
+  auto &Held = Held_[Task];
+  if (!Held.Agent_.empty())
+    return;
+  Held.Agent_ = Agent;
+  Held.Amount_ = Step.reserved();
+  Held.FillingMilliCores_ = Step.Fills_ ? Step.Resources_.MilliCores_ : 0;
+  Held.Serves_ = Step.TailTarget_ > Millis{0};
+  Use_[Job.Declaration_.Team_] += Held.Amount_;
+  auto &There = HeldAt_[Agent];
+  There.Amount_ += Held.Amount_;
+  There.FillingMilliCores_ += Held.FillingMilliCores_;
+  There.ServingTasks_ += Held.Serves_ ? 1 : 0;
+  ++There.TasksOfStep_[{Task.Job_, Task.Step_, Task.Occurrence_}];
 }
 
-auto ShardOwner::indexTask(const Job &Job, std::uint32_t Index) -> void {
-  const auto &Task = Job.Tasks_[Index];
-  const TaskId Id{Job.Id_, Index};
-  const auto Rank = rankOf(Job, Index);
-  if (Task.State_ == TaskState::Pending)
+auto ShardOwner::unhold(const Job &Job, const TaskId &Task) -> void {
+  const auto Found = Held_.find(Task);
+  if (Found == Held_.end())
+    return;
+  const auto Held = Found->second;
+  Held_.erase(Found);
+  Use_[Job.Declaration_.Team_] -= Held.Amount_;
+  auto &There = HeldAt_[Held.Agent_];
+  There.Amount_ -= Held.Amount_;
+  There.FillingMilliCores_ -= Held.FillingMilliCores_;
+  There.ServingTasks_ -= Held.Serves_ ? 1 : 0;
+  const auto Step = There.TasksOfStep_.find(
+      {Task.Job_, Task.Step_, Task.Occurrence_});
+  if (--Step->second == 0)
+    There.TasksOfStep_.erase(Step);
+}
+
+auto ShardOwner::indexTask(const Job &Job, const TaskId &Id, bool Ready)
+    -> void {
+  const auto &Task = Job.task(Id);
+  const auto Rank = rankOf(Job, Id);
+  if (Task.State_ == TaskState::Pending && Ready)
     Pending_.insert(Rank);
   else
     Pending_.erase(Rank);
-  const auto WasHeld = Held_.find(Id);
-  const auto IsHeld = Task.State_ == TaskState::Bound;
-  auto &Use = Use_[Job.Declaration_.Team_];
-  if (IsHeld && WasHeld == Held_.end()) {
-    Held_[Id] = Job.Declaration_.TaskResources_;
-    Use += Job.Declaration_.TaskResources_;
-  }
-  if (IsHeld)
+  if (Task.State_ == TaskState::Bound) {
+    hold(Job, Id, Task.Agent_);
     Bound_.try_emplace(Id);
-  if (!IsHeld && WasHeld != Held_.end()) {
-    Use -= WasHeld->second;
-    Held_.erase(WasHeld);
+  } else {
+    unhold(Job, Id);
     Bound_.erase(Id);
   }
 }
 
+auto ShardOwner::indexStep(const Job &Job, std::uint32_t Step,
+                           std::uint32_t Occurrence) -> void {
+  TaskId Id{Job.Id_, 0, Step, Occurrence};
+  const auto Ready = Job.isReady(Id);
+  const auto Count = Job.Declaration_.Steps_[Step].TaskCount_;
+  for (Id.Index_ = 0; Id.Index_ < Count; ++Id.Index_)
+    indexTask(Job, Id, Ready);
+}
+
 auto ShardOwner::index(const Job &Job) -> void {
-  for (std::uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index)
-    indexTask(Job, Index);
+  const auto Occurrences = std::max(Job.Declaration_.Occurrences_, 1U);
+  const auto Steps =
+      static_cast<std::uint32_t>(Job.Declaration_.Steps_.size());
+  for (std::uint32_t Occurrence = 0; Occurrence < Occurrences; ++Occurrence)
+    for (std::uint32_t Step = 0; Step < Steps; ++Step)
+      indexStep(Job, Step, Occurrence);
+}
+
+auto ShardOwner::indexAfter(const Job &Job, const TaskId &Changed) -> void {
+  if (Job.Failed_) {
+    index(Job);
+    return;
+  }
+  indexTask(Job, Changed, true);
+  const auto &Steps = Job.Declaration_.Steps_;
+  if (Job.task(Changed).State_ != TaskState::Finished)
+    return;
+  for (auto Step = Changed.Step_ + 1; Step < Steps.size(); ++Step) {
+    const auto &After = Steps[Step].After_;
+    if (std::find(After.begin(), After.end(), Changed.Step_) != After.end())
+      indexStep(Job, Step, Changed.Occurrence_);
+  }
 }
 
 auto ShardOwner::reindex() -> void {
@@ -478,10 +579,12 @@
   Pending_.clear();
   Bound_.clear();
   Held_.clear();
+  HeldAt_.clear();
   Use_.clear();
   Proposed_.clear();
   Closing_.clear();
   Cancelling_.clear();
+  Failing_.clear();
   AbandonedKeys_.clear();
   for (const auto &Each : state().jobs())
     index(Each.second);
@@ -495,6 +598,8 @@
 auto ShardOwner::propose(const TaskId &Task, TaskChanged Change) -> void {
   Change.Task_ = Task;
   Proposed_.insert(Task);
+  if (Change.State_ == TaskState::Failed)
+    Failing_.insert(Task.Job_);
   Ledger_.append(std::move(Change));
 }
 
@@ -504,7 +609,9 @@
   const auto *Job = state().findJob(Record.Task_.Job_);
   if (Job == nullptr)
     return;
-  indexTask(*Job, Record.Task_.Index_);
+  indexAfter(*Job, Record.Task_);
+  if (Record.State_ == TaskState::Failed)
+    Failing_.erase(Record.Task_.Job_);
   auto *Where = View_.Targets_.findAgent(Record.Agent_);
   if (Record.State_ == TaskState::Bound) {
     ++View_.Counters_.TasksBound_;
@@ -519,46 +626,78 @@
                               TaskReportAck{Record.Task_, Record.Attempt_}});
   Out.push_back(LogDecision{
       "task-changed",
-      Record.Task_.Job_.Value_ + "/" + std::to_string(Record.Task_.Index_),
+      Record.Task_.text(),
       View_.Configuration_.Head_.Revision_, Record.Reason_,
       std::string(taskStateText(Record.State_))});
 }
 
 // Binding.
 
-auto ShardOwner::mayHost(Moment Now, const Target &Candidate,
-                         const Resources &Need) const -> bool {
-  return mayGetWork(Candidate, View_.Configuration_, Now.Steady_) &&
+auto ShardOwner::mayHost(Moment Now, const Target &Candidate, const Job &Job,
+                         const StepDeclaration &Step) const -> bool {
+  const auto &Offered = Candidate.Hello_.Services_;
+  const auto &Labels = Candidate.Hello_.Labels_;
+  const auto &Service = Job.Declaration_.Service_;
+  const auto Serves =
+      Service.empty() ||
+      std::find(Offered.begin(), Offered.end(), Service) != Offered.end();
+  const auto Labelled =
+      Step.RequiredLabel_.empty() ||
+      std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) !=
+          Labels.end();
+  return Serves && Labelled &&
+         mayGetWork(Candidate, View_.Configuration_, Now.Steady_) &&
          Candidate.QuarantinedUntil_ <= Now.Steady_ &&
-         Candidate.Load_.TasksQueued_ < QueueLimit &&
-         Candidate.free().holds(Need);
+         Candidate.Load_.TasksQueued_ < QueueLimit;
+}
+
+auto ShardOwner::placeView(const Target &Candidate, const TaskId &Task,
+                           const TaskStatus &Status) const -> PlaceView {
+  PlaceView Place;
+  Place.Capacity_ = Candidate.Hello_.Capacity_;
+  Place.Rack_ = Candidate.Hello_.Rack_;
+  // Other shards' tasks show only in what the agent says of itself; the only
+  // shard's owner knows all that it has given, without delay.
+  Place.Free_ = View_.OnlyShard_ ? Place.Capacity_ : Candidate.free();
+  Place.FailedHere_ =
+      Status.Failures_ > 0 && Status.Agent_ == Candidate.agent();
+  const auto There = HeldAt_.find(Candidate.agent());
+  if (There == HeldAt_.end())
+    return Place;
+  if (View_.OnlyShard_)
+    Place.Free_ -= There->second.Amount_;
+  Place.FillingMilliCores_ = There->second.FillingMilliCores_;
+  Place.ServingTasks_ = There->second.ServingTasks_;
+  const auto Step = There->second.TasksOfStep_.find(
+      {Task.Job_, Task.Step_, Task.Occurrence_});
+  if (Step != There->second.TasksOfStep_.end())
+    Place.TasksOfStep_ = Step->second;
+  return Place;
 }
 
-auto ShardOwner::chooseWorker(Moment Now, const Resources &Need,
+auto ShardOwner::chooseWorker(Moment Now, const Job &Job, const TaskId &Task,
                               Random &Generator, EntryOutbox &Out) -> Target * {
   const auto &All = View_.Targets_.all();
   if (All.empty())
     return nullptr;
-  Target *Best = nullptr;
-  const auto Draws = std::min(DrawCount, All.size());
+  const auto &Step = Job.stepOf(Task);
+  std::vector<PlaceView> Places;
+  std::vector<Target *> Candidates;
   const auto First =
       std::uniform_int_distribution<std::size_t>(0, All.size() - 1)(Generator);
-  const auto Stride = std::max<std::size_t>(All.size() / Draws, 1);
-  for (std::size_t Draw = 0; Draw < Draws; ++Draw) {
-    auto *Each = All[(First + Draw * Stride) % All.size()];
-    if (!mayHost(Now, *Each, Need))
+  for (std::size_t Draw = 0;
+       Draw < All.size() && Candidates.size() < DrawCount; ++Draw) {
+    auto *Each = All[(First + Draw) % All.size()];
+    if (!mayHost(Now, *Each, Job, Step))
       continue;
     claimTowards(Now, *Each, Out);
     if (Each->GrantedShards_.count(Shard_) == 0)
       continue;
-    const auto Freer =
-        Best == nullptr ||
-        Each->free().MilliCores_ * Best->Hello_.Capacity_.MilliCores_ >
-            Best->free().MilliCores_ * Each->Hello_.Capacity_.MilliCores_;
-    if (Freer)
-      Best = Each;
+    Places.push_back(placeView(*Each, Task, Job.task(Task)));
+    Candidates.push_back(Each);
   }
-  return Best;
+  const auto Chosen = choosePlace(Step, Places);
+  return Chosen < Candidates.size() ? Candidates[Chosen] : nullptr;
 }
 
 auto ShardOwner::claimTowards(Moment Now, Target &Agent, EntryOutbox &Out)
@@ -573,13 +712,20 @@
       SendToAgent{Agent.Session_, ClaimOwnership{Shard_, Ledger_.epoch()}});
 }
 
+auto ShardOwner::withinQuota(const JobDeclaration &Wanted,
+                             const Resources &Need) const -> bool {
+  if (!Wanted.Queue_.empty())
+    return true;
+  const auto *Team = View_.Configuration_.Document_.findTeam(Wanted.Team_);
+  return Team != nullptr &&
+         Team->Quota_.holds(teamUse(Wanted.Team_) + Need);
+}
+
 auto ShardOwner::bindOne(Moment Now, const PendingRank &Rank, BindPass &Pass,
                          Random &Generator, EntryOutbox &Out) -> bool {
   const auto &Job = *state().findJob(Rank.Task_.Job_);
-  const auto &Wanted = Job.Declaration_;
-  const auto *Team = View_.Configuration_.Document_.findTeam(Wanted.Team_);
-  const auto &Need = Wanted.TaskResources_;
-  if (Team == nullptr || !Team->Quota_.holds(teamUse(Wanted.Team_) + Need))
+  const auto Need = Job.stepOf(Rank.Task_).reserved();
+  if (!withinQuota(Job.Declaration_, Need))
     return false;
   // What has found no room in this pass won't find any for more.
   const auto Hopeless = std::any_of(
@@ -587,23 +733,26 @@
       [&](const Resources &Smaller) { return Need.holds(Smaller); });
   if (Hopeless)
     return false;
-  auto *Chosen = chooseWorker(Now, Need, Generator, Out);
+  auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Out);
   if (Chosen == nullptr) {
     ++Pass.Misses_;
-    Pass.NoRoom_.push_back(Need);
+    // A step with a limit a worker, or a label, says nothing of other steps.
+    const auto &Step = Job.stepOf(Rank.Task_);
+    if (Step.MaxPerWorker_ == 0 && Step.RequiredLabel_.empty())
+      Pass.NoRoom_.push_back(Need);
     return false;
   }
-  Chosen->Promised_ += Wanted.TaskResources_;
+  Chosen->Promised_ += Need;
   Chosen->PromisedAt_ = Now.Steady_;
-  auto Change = changeOf(Job.Tasks_[Rank.Task_.Index_], TaskState::Bound,
-                         ErrorKind::None, Now);
+  auto Change =
+      changeOf(Job.task(Rank.Task_), TaskState::Bound, ErrorKind::None, Now);
   ++Change.Attempt_;
   Change.Agent_ = Chosen->agent();
   Change.DataCentre_ = Chosen->dataCentre();
   Change.Worker_ = Chosen->Hello_.Worker_;
-  // The quota counts the task from here on, not from the commit on.
-  Held_[Rank.Task_] = Wanted.TaskResources_;
-  Use_[Wanted.Team_] += Wanted.TaskResources_;
+  // The quota and the worker's room count the task from here on, not from the
+  // commit on.
+  hold(Job, Rank.Task_, Chosen->agent());
   propose(Rank.Task_, std::move(Change));
   return true;
 }
@@ -619,10 +768,12 @@
       break;
     const auto Rank = *Each++;
     const auto Delayed = NotBefore_.find(Rank.Task_);
-    const auto Ready =
-        Delayed == NotBefore_.end() || Delayed->second <= Now.Steady_;
-    if (!Ready || Proposed_.count(Rank.Task_) != 0 ||
-        Cancelling_.count(Rank.Task_.Job_) != 0)
+    const auto Due =
+        (Delayed == NotBefore_.end() || Delayed->second <= Now.Steady_) &&
+        state().findJob(Rank.Task_.Job_)->dueAt(Rank.Task_) <= Now.Wall_;
+    if (!Due || Proposed_.count(Rank.Task_) != 0 ||
+        Cancelling_.count(Rank.Task_.Job_) != 0 ||
+        Failing_.count(Rank.Task_.Job_) != 0)
       continue;
     if (Delayed != NotBefore_.end())
       NotBefore_.erase(Delayed);
@@ -634,7 +785,8 @@
 auto ShardOwner::sendBind(Moment Now, const TaskId &Id, Target &To,
                           EntryOutbox &Out) -> void {
   const auto &Job = *state().findJob(Id.Job_);
-  const auto &Task = Job.Tasks_[Id.Index_];
+  const auto &Task = Job.task(Id);
+  const auto &Step = Job.stepOf(Id);
   auto &Soft = Bound_[Id];
   Soft.Sent_ = true;
   Soft.SentAt_ = Now.Steady_;
@@ -645,12 +797,17 @@
   Bind.Worker_ = Task.Worker_;
   Bind.Task_ = Id;
   Bind.Attempt_ = Task.Attempt_;
-  Bind.Kind_ = Job.Declaration_.Kind_;
-  Bind.Resources_ = Job.Declaration_.TaskResources_;
-  Bind.RunTime_ = Job.Declaration_.RunTime_;
+  Bind.Kind_ = Step.LongRunning_ ? WorkKind::Watcher : WorkKind::Batch;
+  Bind.Resources_ = Step.reserved();
+  Bind.RunTime_ = Step.RunTime_;
   Bind.Deadline_ = Job.Declaration_.Deadline_;
   Bind.Checkpoint_ = Task.Checkpoint_;
   Bind.Payload_ = Job.Declaration_.Payload_;
+  Bind.Priority_ = Job.Declaration_.Priority_;
+  Bind.Fills_ = Step.Fills_;
+  Bind.Checkpoints_ = Step.Checkpoints_;
+  Bind.Image_ = Step.Image_;
+  Bind.TailTarget_ = Step.TailTarget_;
   Out.push_back(SendToAgent{To.Session_, std::move(Bind)});
 }
 
@@ -700,18 +857,23 @@
 auto ShardOwner::requeue(Moment Now, const TaskId &Id, ErrorKind Reason,
                          const CheckpointId &Checkpoint, bool Failed) -> void {
   const auto &Job = *state().findJob(Id.Job_);
-  const auto &Task = Job.Tasks_[Id.Index_];
-  const auto Limit = View_.Configuration_.Document_.Policy_.TaskFailureLimit_;
+  const auto &Task = Job.task(Id);
+  const auto Limit =
+      Job.Declaration_.FailureLimit_ > 0
+          ? Job.Declaration_.FailureLimit_
+          : View_.Configuration_.Document_.Policy_.TaskFailureLimit_;
   auto Change = changeOf(Task, TaskState::Pending, Reason, Now);
   Change.Checkpoint_ = Checkpoint;
   if (Failed) {
     ++Change.Failures_;
     NotBefore_[Id] =
-        Now.Steady_ + FailureBackoff * (1U << std::min(Task.Failures_, 6U));
+        Now.Steady_ +
+        std::min(LongestFailureBackoff,
+                 FailureBackoff * (1U << std::min(Task.Failures_, 7U)));
   }
-  if (Job.Declaration_.Kind_ == WorkKind::Batch && Change.Failures_ >= Limit)
+  if (!Job.stepOf(Id).LongRunning_ && Change.Failures_ >= Limit)
     Change.State_ = TaskState::Failed;
-  if (Job.Cancelled_)
+  if (Job.isClosed())
     Change.State_ = TaskState::Cancelled;
   propose(Id, std::move(Change));
 }
@@ -732,6 +894,8 @@
   auto &Soft = Bound_[Report.Task_];
   Soft.Sent_ = true;
   Soft.Reported_ = true;
+  if (Report.NeedsBinding_ && !isEnded(Report.Phase_))
+    sendBind(Now, Report.Task_, From, Out);
   if (!isEnded(Report.Phase_) || Proposed_.count(Report.Task_) != 0)
     return;
   settleEnded(Now, From, Report);
@@ -760,13 +924,14 @@
       Report.Reason_ != ErrorKind::Cancelled)
     ++View_.Counters_.Evictions_;
   const auto Done = Report.Phase_ == TaskPhase::Finished &&
-                    Job.Declaration_.Kind_ == WorkKind::Batch;
+                    !Job.stepOf(Report.Task_).LongRunning_;
   if (!Done) {
     requeue(Now, Report.Task_, Report.Reason_, Report.Checkpoint_, Failed);
     return;
   }
-  auto Change = changeOf(Job.Tasks_[Report.Task_.Index_], TaskState::Finished,
-                         ErrorKind::None, Now);
+  auto Change =
+      changeOf(Job.task(Report.Task_), TaskState::Finished, ErrorKind::None,
+               Now);
   propose(Report.Task_, std::move(Change));
 }
 
@@ -780,7 +945,7 @@
 auto ShardOwner::watchTask(Moment Now, const TaskId &Id, BoundTask &Soft,
                            EntryOutbox &Out) -> void {
   const auto &Job = *state().findJob(Id.Job_);
-  const auto &Task = Job.Tasks_[Id.Index_];
+  const auto &Task = Job.task(Id);
   if (Task.State_ != TaskState::Bound || Proposed_.count(Id) != 0)
     return;
   auto *Where = View_.Targets_.findAgent(Task.Agent_);
@@ -792,7 +957,7 @@
       sendBind(Now, Id, *Where, Out);
     // The request may be lost, or reach the agent while the start is under
     // way and can't be stopped yet, so it is repeated until the task ends.
-    if (Job.Cancelled_ && Soft.StopSentAt_ + ResendAfter < Now.Steady_) {
+    if (Job.isClosed() && Soft.StopSentAt_ + ResendAfter < Now.Steady_) {
       Soft.StopSentAt_ = Now.Steady_;
       Out.push_back(SendToAgent{Where->Session_,
                                 StopTask{Shard_, Ledger_.epoch(), Id,
@@ -820,9 +985,8 @@
 
 auto ShardOwner::loseTask(Moment Now, const TaskId &Id) -> void {
   const auto &Job = *state().findJob(Id.Job_);
-  const auto &Task = Job.Tasks_[Id.Index_];
-  if (Job.Declaration_.RerunWhenLost_ ||
-      Job.Declaration_.Kind_ == WorkKind::Watcher) {
+  const auto &Task = Job.task(Id);
+  if (Job.Declaration_.RerunWhenLost_ || Job.stepOf(Id).LongRunning_) {
     requeue(Now, Id, ErrorKind::WorkerGone, Task.Checkpoint_, false);
     return;
   }
@@ -845,7 +1009,7 @@
     if (!Claim.Open_ && Claim.At_ + Retention < Now.Wall_)
       Ledger_.append(ClaimForgotten{Key});
   for (const auto &[Id, Job] : state().jobs())
-    if (Job.SubmittedAt_ + Day < Now.Wall_ && isOver(Job))
+    if (Job.SubmittedAt_ + Day < Now.Wall_ && Job.isOver())
       Ledger_.append(JobForgotten{Id});
 }
 
@@ -867,6 +1031,11 @@
   Indexed_ = false;
 }
 
+auto ShardOwner::supersede(Moment Now, EntryOutbox &Out) -> void {
+  Ledger_.abandon();
+  afterStoreCall(Now, Out);
+}
+
 auto ShardOwner::afterStoreCall(Moment Now, EntryOutbox &Out) -> void {
   if (!owning()) {
     if (Indexed_)
@@ -878,8 +1047,21 @@
     for (auto *Each : View_.Targets_.all())
       agentJoined(Now, *Each, Out);
   }
-  for (const auto &Record : Ledger_.takeCommitted())
+  const auto Committed = Ledger_.takeCommitted();
+  for (const auto &Record : Committed)
     std::visit([&](const auto &Each) { committed(Now, Each, Out); }, Record);
+  // A commit often makes tasks ready or frees room, so they are bound at once.
+  if (!Committed.empty())
+    BindDue_ = true;
+  Ledger_.advance();
+}
+
+auto ShardOwner::bindDue(Moment Now, Random &Generator, EntryOutbox &Out)
+    -> void {
+  if (!BindDue_ || !MayGrant_ || !open() || releasing())
+    return;
+  BindDue_ = false;
+  bindPending(Now, Generator, Out);
   Ledger_.advance();
 }
 
@@ -887,6 +1069,7 @@
                       EntryOutbox &Out) -> void {
   afterStoreCall(Now, Out);
   giveUpWaiting(Now, Out);
+  MayGrant_ = MayGrant;
   if (!owning())
     return;
   if (Now.Steady_ >= NextVerify_) {
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/LedgerWriter.h"
+#include "core/Placement.h"
 #include "core/RequestDesk.h"
 
 #include <set>
@@ -39,6 +40,8 @@
   const Configuration &Configuration_;
   const RunGrants &Grants_;
   Counters &Counters_;
+  /// Whether this shard holds all of the system's tasks.
+  bool OnlyShard_ = false;
 };
 
 /// A claimed request whose claim is committed: it may be dispatched now.
@@ -59,8 +62,8 @@
   auto closeClaim(Moment Now, const RequestOutcome &Outcome) -> void;
   auto submit(Moment Now, CallerToken Token, const SubmitJob &Submission,
               Random &Generator, EntryOutbox &Out) -> void;
-  auto cancel(Moment Now, CallerToken Token, const JobId &Id, EntryOutbox &Out)
-      -> void;
+  auto cancel(Moment Now, CallerToken Token, const CancelJob &Request,
+              EntryOutbox &Out) -> void;
 
   // Messages of agents.
   auto confirmed(Moment Now, Target &From, const ConfirmOwnership &Confirm,
@@ -75,14 +78,22 @@
   auto verify() -> void { Ledger_.verify(); }
   /// Takes no new work, and hands the shard over once it is quiet.
   auto release() -> void { Draining_ = true; }
+  /// Gives the shard up without a word to the store: another entry owns it.
+  auto supersede(Moment Now, EntryOutbox &Out) -> void;
   /// Binds pending tasks, settles what lapsed, commits. `MayGrant` is false
   /// while the entry can't be sure that it still owns the shard.
   auto tick(Moment Now, bool MayGrant, Random &Generator, EntryOutbox &Out)
       -> void;
+  /// Binds pending tasks if something committed may have made room or work.
+  auto bindDue(Moment Now, Random &Generator, EntryOutbox &Out) -> void;
   /// Carries out what newly committed records call for.
   auto afterStoreCall(Moment Now, EntryOutbox &Out) -> void;
 
   // Queries.
+  auto read(CallerToken Token, const GetJob &Request, EntryOutbox &Out) const
+      -> void;
+  /// Number of the queue's jobs of which nothing has started.
+  auto countUnstarted(const QueueName &Queue) const -> std::uint64_t;
   auto owning() const -> bool { return Ledger_.owning(); }
   auto releasing() const -> bool { return Ledger_.releasing(); }
   /// True if it may be given new work.
@@ -123,6 +134,22 @@
     QuickRequest Quick_;
     TimePoint GiveUpAt_{};
   };
+  /// What a bound or proposed task takes of its worker.
+  struct HeldTask {
+    AgentId Agent_;
+    Resources Amount_;
+    std::int64_t FillingMilliCores_ = 0;
+    bool Serves_ = false;
+  };
+  /// One step of one occurrence of a job.
+  using StepKey = std::tuple<JobId, std::uint32_t, std::uint32_t>;
+  /// What the shard's tasks take of one worker.
+  struct WorkerUse {
+    Resources Amount_;
+    std::int64_t FillingMilliCores_ = 0;
+    std::uint32_t ServingTasks_ = 0;
+    std::map<StepKey, std::uint32_t> TasksOfStep_;
+  };
   /// What one pass over the pending tasks has learned.
   struct BindPass {
     int Misses_ = 0;
@@ -133,27 +160,42 @@
     TimePoint GiveUpAt_{};
     /// What the caller is told if the record was certainly never written.
     ErrorKind Refusal_ = ErrorKind::StoreUnavailable;
+    /// Whether the caller wants the job's state only.
+    bool StateOnly_ = false;
   };
 
   auto checkKey(Moment Now, const IdempotencyKey &Key) const -> ErrorKind;
   auto answerClaim(CallerToken Token, const Claim &Known, EntryOutbox &Out)
       -> void;
+  auto checkStep(const StepDeclaration &Step, const Resources &Limit,
+                 const char *Holder, std::string &Detail) const -> ErrorKind;
   auto checkSubmission(const JobDeclaration &Wanted, std::string &Detail) const
       -> ErrorKind;
+  auto mintJobId(const SubmitJob &Submission, Random &Generator) const -> JobId;
   auto propose(const TaskId &Task, TaskChanged Change) -> void;
   auto requeue(Moment Now, const TaskId &Task, ErrorKind Reason,
                const CheckpointId &Checkpoint, bool Failed) -> void;
   auto loseTask(Moment Now, const TaskId &Task) -> void;
   auto reindex() -> void;
   auto index(const Job &Job) -> void;
-  auto indexTask(const Job &Job, std::uint32_t Index) -> void;
-  auto rankOf(const Job &Job, std::uint32_t Index) const -> PendingRank;
+  auto indexStep(const Job &Job, std::uint32_t Step, std::uint32_t Occurrence)
+      -> void;
+  auto indexTask(const Job &Job, const TaskId &Id, bool Ready) -> void;
+  /// Brings the index up to date after one task has changed.
+  auto indexAfter(const Job &Job, const TaskId &Changed) -> void;
+  auto hold(const Job &Job, const TaskId &Task, const AgentId &Agent) -> void;
+  auto unhold(const Job &Job, const TaskId &Task) -> void;
+  auto rankOf(const Job &Job, const TaskId &Task) const -> PendingRank;
   auto bindPending(Moment Now, Random &Generator, EntryOutbox &Out) -> void;
   auto bindOne(Moment Now, const PendingRank &Rank, BindPass &Pass,
                Random &Generator, EntryOutbox &Out) -> bool;
-  auto chooseWorker(Moment Now, const Resources &Need, Random &Generator,
-                    EntryOutbox &Out) -> Target *;
-  auto mayHost(Moment Now, const Target &Candidate, const Resources &Need) const
+  auto chooseWorker(Moment Now, const Job &Job, const TaskId &Task,
+                    Random &Generator, EntryOutbox &Out) -> Target *;
+  auto mayHost(Moment Now, const Target &Candidate, const Job &Job,
+               const StepDeclaration &Step) const -> bool;
+  auto placeView(const Target &Candidate, const TaskId &Task,
+                 const TaskStatus &Status) const -> PlaceView;
+  auto withinQuota(const JobDeclaration &Wanted, const Resources &Need) const
       -> bool;
   auto claimTowards(Moment Now, Target &Agent, EntryOutbox &Out) -> void;
   auto sendBind(Moment Now, const TaskId &Task, Target &To, EntryOutbox &Out)
@@ -189,16 +231,22 @@
   ShardView View_;
   bool Indexed_ = false;
   bool Draining_ = false;
+  /// Whether the entry may grant, as of the last tick.
+  bool MayGrant_ = false;
+  bool BindDue_ = false;
   std::set<PendingRank> Pending_;
   std::map<TaskId, BoundTask> Bound_;
   std::set<TaskId> Proposed_;
   std::map<TaskId, TimePoint> NotBefore_;
   std::map<TeamName, Resources> Use_;
-  std::map<TaskId, Resources> Held_;
+  std::map<TaskId, HeldTask> Held_;
+  std::map<AgentId, WorkerUse> HeldAt_;
   std::map<IdempotencyKey, PendingClaim> PendingClaims_;
   /// Keys whose caller was told "not run" while their claim was on its way.
   std::set<IdempotencyKey> AbandonedKeys_;
   std::set<JobId> Cancelling_;
+  /// Jobs that a proposed end of one of their tasks will close.
+  std::set<JobId> Failing_;
   /// Requests that this owner has dispatched and not closed.
   std::set<RequestId> Dispatched_;
   /// Outcomes that are known here and not committed yet.
--- a/core/ShardState.cpp
+++ b/core/ShardState.cpp
@@ -19,6 +19,15 @@
   Task.History_.push_back(std::move(Note));
 }
 
+auto cancelPending(Job &Job, WallTime At, ErrorKind Reason) -> void {
+  for (auto &Task : Job.Tasks_) {
+    if (Task.State_ != TaskState::Pending)
+      continue;
+    Task.State_ = TaskState::Cancelled;
+    addNote(Task, {Task.Attempt_, Task.State_, {}, {}, At, Reason});
+  }
+}
+
 } // namespace
 
 auto ShardState::apply(const LedgerRecord &Record) -> void {
@@ -34,23 +43,17 @@
   if (Found == Jobs_.end())
     return;
   Found->second.Cancelled_ = true;
-  for (auto &Task : Found->second.Tasks_) {
-    if (Task.State_ != TaskState::Pending)
-      continue;
-    Task.State_ = TaskState::Cancelled;
-    addNote(
-        Task,
-        {Task.Attempt_, Task.State_, {}, {}, Record.At_, ErrorKind::Cancelled});
-  }
+  cancelPending(Found->second, Record.At_, ErrorKind::Cancelled);
 }
 
 auto ShardState::apply(const TaskChanged &Record) -> void {
   const auto Found = Jobs_.find(Record.Task_.Job_);
   if (Found == Jobs_.end())
     return;
-  SKYLARK_ASSERT(Record.Task_.Index_ < Found->second.Tasks_.size(),
+  const auto Position = Found->second.positionOf(Record.Task_);
+  SKYLARK_ASSERT(Position < Found->second.Tasks_.size(),
                  "no such task:", Record.Task_);
-  auto &Task = Found->second.Tasks_[Record.Task_.Index_];
+  auto &Task = Found->second.Tasks_[Position];
   SKYLARK_ASSERT(Record.Attempt_ >= Task.Attempt_,
                  "attempt went down:", Record.Task_, Task.Attempt_, "to",
                  Record.Attempt_);
@@ -61,9 +64,9 @@
   SKYLARK_ASSERT(!Starts || (Task.State_ == TaskState::Pending &&
                              Record.Attempt_ == Task.Attempt_ + 1),
                  "task bound twice:", Record.Task_, Record.Attempt_);
-  // The job may have been cancelled after this change was proposed.
+  // The job may have been closed after this change was proposed.
   const auto NeverAgain =
-      Found->second.Cancelled_ && Record.State_ == TaskState::Pending;
+      Found->second.isClosed() && Record.State_ == TaskState::Pending;
   Task.State_ = NeverAgain ? TaskState::Cancelled : Record.State_;
   Task.Attempt_ = Record.Attempt_;
   Task.Agent_ = Record.Agent_;
@@ -72,6 +75,10 @@
   Task.Failures_ = Record.Failures_;
   addNote(Task, {Record.Attempt_, Record.State_, Record.Agent_,
                  Record.DataCentre_, Record.At_, Record.Reason_});
+  if (Record.State_ == TaskState::Failed) {
+    Found->second.Failed_ = true;
+    cancelPending(Found->second, Record.At_, ErrorKind::TaskFailed);
+  }
 }
 
 auto ShardState::apply(const JobForgotten &Record) -> void {
@@ -129,9 +136,10 @@
 
 auto ShardState::findTask(const TaskId &Id) const -> const TaskStatus * {
   const auto *Job = findJob(Id.Job_);
-  if (Job == nullptr || Id.Index_ >= Job->Tasks_.size())
+  if (Job == nullptr)
     return nullptr;
-  return &Job->Tasks_[Id.Index_];
+  const auto Position = Job->positionOf(Id);
+  return Position < Job->Tasks_.size() ? &Job->Tasks_[Position] : nullptr;
 }
 
 auto ShardState::findClaim(const IdempotencyKey &Key) const -> const Claim * {
--- a/core/StartPermits.cpp
+++ b/core/StartPermits.cpp
@@ -13,6 +13,7 @@
   // revision with one under an older.
   if (Ack.Revision_ >= Grant.Revision_) {
     Grant.Revision_ = Ack.Revision_;
+    Grant.AsOf_ = std::max(Grant.AsOf_, Ack.AsOf_);
     Grant.StartUntil_ = std::max(Grant.StartUntil_, SentAt + Ack.StartFor_);
   }
   for (const auto Shard : Ack.Shards_) {
@@ -31,9 +32,11 @@
   TimePoint Until{};
   for (const auto &[Session, Grant] : Grants_) {
     // A grant under a newer revision counts only once the agent has applied
-    // that revision: it may say that nothing starts here.
+    // that revision: it may say that nothing starts here. One of an entry that
+    // has not seen what the agent has seen doesn't count either.
     const auto Current =
-        Grant.Revision_ == Seen || isBroken(Mutation::StartUnderOldRevision);
+        (Grant.Revision_ <= Seen && Seen <= Grant.AsOf_) ||
+        isBroken(Mutation::StartUnderOldRevision);
     if (Current)
       Until = std::max(Until, Grant.StartUntil_);
   }
--- a/core/StartPermits.h
+++ b/core/StartPermits.h
@@ -31,6 +31,7 @@
 private:
   struct Grant {
     Revision Revision_ = 0;
+    Revision AsOf_ = 0;
     TimePoint StartUntil_{};
     std::map<ShardNumber, TimePoint> RunUntil_;
     TimePoint FreshAt_{};
--- a/core/StoreCalls.h
+++ b/core/StoreCalls.h
@@ -84,6 +84,11 @@
   EnvironmentName Environment_;
 };
 
+/// Reads the registered entries only; the answer may be some seconds old.
+struct ReadEntries {
+  EnvironmentName Environment_;
+};
+
 struct ReadValue {
   StoreKey Key_;
 };
@@ -129,7 +134,7 @@
 
 using StoreOperation =
     std::variant<ReadLive, ReadValue, CompareAndSwap, WriteValue, DeleteValue,
-                 OpenLease, RenewLease, EndLease, WriteUnderLease>;
+                 OpenLease, RenewLease, EndLease, WriteUnderLease, ReadEntries>;
 
 /// Unavailable also covers a call whose answer was lost: it may have taken
 /// effect.
@@ -142,6 +147,9 @@
 
 /// All that entries read regularly.
 struct LiveView {
+  /// The store's own revision at the time of the reading, where the head's
+  /// revision is one of the store's; 0 elsewhere.
+  Revision AsOf_ = 0;
   std::uint64_t HeadIndex_ = 0;
   EnvironmentHead Head_;
   std::vector<RegisteredEntry> Leases_;
--- a/core/StorePort.cpp
+++ b/core/StorePort.cpp
@@ -3,6 +3,19 @@
 #include <algorithm>
 
 namespace skylark {
+namespace {
+
+constexpr Millis FirstPause{10};
+constexpr Millis LongestPause{400};
+
+/// Pause after a number of failed calls in a row.
+auto pauseAfter(int Failures) -> Millis {
+  constexpr int MostDoublings = 6;
+  return std::min(LongestPause,
+                  FirstPause * (1 << std::min(Failures - 1, MostDoublings)));
+}
+
+} // namespace
 
 auto StorePort::call(StoreOperation Operation, StoreHandler Handler) -> void {
   Waiting_.push_back({std::move(Operation), std::move(Handler)});
@@ -18,7 +31,7 @@
 
 auto StorePort::advance(Moment Now, EntryOutbox &Out) -> void {
   refill(Now);
-  while (!Waiting_.empty() && Tokens_ >= 1.0) {
+  while (!Waiting_.empty() && Tokens_ >= 1.0 && Now.Steady_ >= PausedUntil_) {
     Tokens_ -= 1.0;
     auto Next = std::move(Waiting_.front());
     Waiting_.pop_front();
@@ -36,8 +49,12 @@
     return;
   const auto Handler = std::move(Found->second);
   Open_.erase(Found);
-  if (Result.Status_ == StoreStatus::Unavailable)
+  if (Result.Status_ == StoreStatus::Unavailable) {
     ++Counters_.StoreFailures_;
+    PausedUntil_ = Now.Steady_ + pauseAfter(++Failures_);
+  } else {
+    Failures_ = 0;
+  }
   Handler(Now, Result, Out);
 }
 
--- a/core/StorePort.h
+++ b/core/StorePort.h
@@ -41,6 +41,9 @@
   double Tokens_;
   Counters &Counters_;
   TimePoint RefilledAt_{};
+  /// Calls in a row that got no good answer, and until when none is sent.
+  int Failures_ = 0;
+  TimePoint PausedUntil_{};
   std::uint64_t NextCall_ = 0;
   std::deque<WaitingCall> Waiting_;
   std::unordered_map<std::uint64_t, StoreHandler> Open_;
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -11,13 +11,20 @@
 /// Batch tasks that write their checkpoints at the same time while draining.
 constexpr int DrainAtOnce = 4;
 
-auto reportOf(const BindTask &Bind, TaskPhase Phase,
-              const CheckpointId &Checkpoint, ErrorKind Reason) -> TaskReport {
-  return {Bind.Shard_, Bind.Task_, Bind.Attempt_, Phase, Checkpoint, Reason};
+using AttemptKey = std::pair<TaskId, AttemptNumber>;
+
+auto keyOf(const BindTask &Bind) -> AttemptKey {
+  return {Bind.Task_, Bind.Attempt_};
 }
 
 } // namespace
 
+auto TaskHost::reportOf(const HeldTask &Held) -> TaskReport {
+  return {Held.Bind_.Shard_, Held.Bind_.Task_, Held.Bind_.Attempt_,
+          Held.Phase_,       Held.Checkpoint_, Held.Reason_,
+          Held.NeedsBinding_};
+}
+
 auto TaskHost::adopt(const WorkerInventory &Inventory) -> void {
   Worker_ = Inventory.Worker_;
   for (const auto &Task : Inventory.Tasks_)
@@ -26,10 +33,15 @@
 
 auto TaskHost::adoptTask(const WorkerTask &Task) -> void {
   auto &Held = Tasks_[Task.Bind_.Task_];
+  // The worker may still list the end of an earlier attempt.
+  if (Held.Bind_.Attempt_ > Task.Bind_.Attempt_)
+    return;
+  Ledger_.release(Task.Bind_.Task_);
   Held.Bind_ = Task.Bind_;
   Held.Phase_ = Task.Phase_;
   Held.Checkpoint_ = Task.Checkpoint_;
   Held.Reason_ = Task.Reason_;
+  Held.NeedsBinding_ = Task.NameOnly_ && !isEnded(Task.Phase_);
   // An owner older than the one that bound the task knows nothing of it, and
   // would let the agent forget its end.
   auto &Owner = Owners_[Held.Bind_.Shard_];
@@ -39,32 +51,33 @@
 }
 
 auto TaskHost::update(TimePoint Now, const WorkerInventory &Inventory,
-                      AgentOutbox &Out) -> void {
+                      AgentOutbox &Out) -> bool {
   // An answer that was overtaken by a newer one tells nothing new.
   if (Inventory.Clock_ < WorkerClock_)
-    return;
+    return false;
   WorkerClock_ = Inventory.Clock_;
   WorkerClockAt_ = Now;
-  std::map<TaskId, const WorkerTask *> Seen;
+  std::map<AttemptKey, const WorkerTask *> Seen;
   for (const auto &Task : Inventory.Tasks_)
-    Seen[Task.Bind_.Task_] = &Task;
+    Seen[keyOf(Task.Bind_)] = &Task;
+  auto NewEnds = false;
   for (auto &[Task, Held] : Tasks_) {
-    const auto Found = Seen.find(Task);
-    const auto Known = Found != Seen.end() &&
-                       Found->second->Bind_.Attempt_ == Held.Bind_.Attempt_;
-    if (Known)
-      updateTask(Held, *Found->second, Out);
+    const auto Found = Seen.find(keyOf(Held.Bind_));
+    if (Found != Seen.end())
+      NewEnds |= updateTask(Held, *Found->second, Out);
     else
       settleMissing(Held, Inventory, Out);
   }
   dropUnheld(Inventory, Out);
+  return NewEnds;
 }
 
 auto TaskHost::dropUnheld(const WorkerInventory &Inventory, AgentOutbox &Out)
     -> void {
   for (const auto &Task : Inventory.Tasks_) {
     const auto &Bind = Task.Bind_;
-    if (Tasks_.count(Bind.Task_) != 0)
+    const auto Held = Tasks_.find(Bind.Task_);
+    if (Held != Tasks_.end() && Held->second.Bind_.Attempt_ <= Bind.Attempt_)
       continue;
     if (isEnded(Task.Phase_))
       Out.push_back(ForgetOnWorker{Bind.Task_, Bind.Attempt_});
@@ -74,21 +87,59 @@
 }
 
 auto TaskHost::updateTask(HeldTask &Held, const WorkerTask &Seen,
-                          AgentOutbox &Out) -> void {
+                          AgentOutbox &Out) -> bool {
   Held.Checkpoint_ = Seen.Checkpoint_;
   if (isEnded(Held.Phase_))
-    return;
+    return false;
   if (isEnded(Seen.Phase_)) {
     // A stop that was asked for keeps the reason for which it was asked.
     const auto Asked =
         Held.Phase_ == TaskPhase::Stopping && Seen.Phase_ == TaskPhase::Stopped;
     end(Held, Seen.Phase_, Asked ? Held.Reason_ : Seen.Reason_, Out);
+    return true;
+  }
+  if (Held.Phase_ == TaskPhase::Starting) {
+    Held.Phase_ = TaskPhase::Running;
+    report(Held, Out);
+  }
+  return false;
+}
+
+auto TaskHost::startAnswered(TimePoint Now, const TaskId &Task,
+                             AttemptNumber Attempt, StartOutcome Outcome,
+                             const StartPermits &Permits, AgentOutbox &Out)
+    -> void {
+  const auto Found = Tasks_.find(Task);
+  if (Found == Tasks_.end() || Found->second.Bind_.Attempt_ != Attempt ||
+      Found->second.Phase_ != TaskPhase::Starting)
+    return;
+  auto &Held = Found->second;
+  if (Outcome == StartOutcome::Accepted) {
+    Held.Phase_ = TaskPhase::Running;
+    report(Held, Out);
     return;
   }
-  if (Held.Phase_ != TaskPhase::Starting)
+  if (Outcome == StartOutcome::Refused) {
+    end(Held, TaskPhase::NotStarted, ErrorKind::WorkerGone, Out);
     return;
-  Held.Phase_ = TaskPhase::Running;
-  report(Held, Out);
+  }
+  // A second copy of the order is harmless: the worker runs an attempt once.
+  const auto Until =
+      std::min(runUntil(Held, Permits),
+               Permits.startUntil(Held.StartRevision_));
+  if (Until <= Now)
+    return;
+  Held.StartLeaseUntil_ = std::max(Held.StartLeaseUntil_, onWorkerClock(Until));
+  Out.push_back(StartOnWorker{Held.Bind_, Held.StartLeaseUntil_});
+}
+
+auto TaskHost::loseWorker(AgentOutbox &Out) -> void {
+  for (auto &[Task, Held] : Tasks_)
+    if (!isEnded(Held.Phase_))
+      end(Held,
+          Held.Phase_ == TaskPhase::Queued ? TaskPhase::NotStarted
+                                           : TaskPhase::Stopped,
+          ErrorKind::WorkerGone, Out);
 }
 
 auto TaskHost::settleMissing(HeldTask &Held, const WorkerInventory &Inventory,
@@ -119,8 +170,7 @@
   const auto Session = sessionOf(Held.Bind_.Shard_);
   if (Session == 0)
     return;
-  Out.push_back(SendToEntry{Session, reportOf(Held.Bind_, Held.Phase_,
-                                              Held.Checkpoint_, Held.Reason_)});
+  Out.push_back(SendToEntry{Session, reportOf(Held)});
 }
 
 auto TaskHost::sessionOf(ShardNumber Shard) const -> SessionNumber {
@@ -147,8 +197,7 @@
   Confirm.Worker_ = Worker_;
   for (const auto &[Task, Held] : Tasks_)
     if (Obeyed && Held.Bind_.Shard_ == Claim.Shard_)
-      Confirm.Held_.push_back(
-          reportOf(Held.Bind_, Held.Phase_, Held.Checkpoint_, Held.Reason_));
+      Confirm.Held_.push_back(reportOf(Held));
   Out.push_back(SendToEntry{Session, std::move(Confirm)});
 }
 
@@ -167,6 +216,7 @@
                    "second attempt bound while the first is held:", Bind.Task_,
                    Bind.Attempt_);
     if (Bind.Attempt_ <= Found->second.Bind_.Attempt_) {
+      completeBinding(Found->second, Bind);
       report(Found->second, Out);
       return;
     }
@@ -185,6 +235,17 @@
     report(Held, Out);
 }
 
+auto TaskHost::completeBinding(HeldTask &Held, const BindTask &Bind) -> void {
+  if (!Held.NeedsBinding_ || Held.Bind_.Attempt_ != Bind.Attempt_)
+    return;
+  Held.NeedsBinding_ = false;
+  Held.Bind_ = Bind;
+  if (isEnded(Held.Phase_))
+    return;
+  Ledger_.release(Bind.Task_);
+  Ledger_.reserve(Bind.Task_, Bind.Resources_);
+}
+
 auto TaskHost::stop(const StopTask &Stop, AgentOutbox &Out) -> void {
   const auto Owner = Owners_.find(Stop.Shard_);
   if (Owner == Owners_.end() || Owner->second.Epoch_ > Stop.Epoch_)
@@ -238,7 +299,8 @@
       Order.push_back(&Held);
   const auto Rank = [](const HeldTask *Held) {
     const auto Batch = Held->Bind_.Kind_ == WorkKind::Batch;
-    return std::make_tuple(Batch, Held->Bind_.Deadline_, Held->Bind_.Task_);
+    return std::make_tuple(Held->Bind_.Priority_, Batch, Held->Bind_.Deadline_,
+                           Held->Bind_.Task_);
   };
   std::sort(Order.begin(), Order.end(),
             [&](const HeldTask *Left, const HeldTask *Right) {
@@ -258,6 +320,10 @@
   const auto StartUntil = Permits.startUntil(Seen);
   if (StartUntil <= Now || WorkerClock_ == Micros{0})
     return;
+  // What a task without its binding takes of the worker isn't known.
+  for (const auto &Each : Tasks_)
+    if (Each.second.NeedsBinding_ && !isEnded(Each.second.Phase_))
+      return;
   for (auto *Held : startOrder()) {
     // The first lease ends with the permit, so that a start which is held up
     // on its way to the worker can't outlive the permission to start.
@@ -312,6 +378,12 @@
   }
 }
 
+auto TaskHost::returnQueued(ErrorKind Reason, AgentOutbox &Out) -> void {
+  for (auto &[Task, Held] : Tasks_)
+    if (Held.Phase_ == TaskPhase::Queued)
+      stopHeld(Held, Reason, Out);
+}
+
 auto TaskHost::repeatReports(AgentOutbox &Out) -> void {
   for (const auto &[Task, Held] : Tasks_) {
     if (isEnded(Held.Phase_))
--- a/core/TaskHost.h
+++ b/core/TaskHost.h
@@ -17,8 +17,18 @@
   /// Takes over what the worker holds, after the agent process started.
   auto adopt(const WorkerInventory &Inventory) -> void;
   /// Brings the tasks up to date with the worker's list.
+  /// \returns whether the list tells of ends that were not known.
   auto update(TimePoint Now, const WorkerInventory &Inventory, AgentOutbox &Out)
-      -> void;
+      -> bool;
+
+  /// Sets the worker's size, once it has told it.
+  auto resize(const Resources &Capacity) -> void { Ledger_.resize(Capacity); }
+  /// Settles an order to start that the worker has answered, or not.
+  auto startAnswered(TimePoint Now, const TaskId &Task, AttemptNumber Attempt,
+                     StartOutcome Outcome, const StartPermits &Permits,
+                     AgentOutbox &Out) -> void;
+  /// Ends everything that ran: the worker is gone.
+  auto loseWorker(AgentOutbox &Out) -> void;
 
   auto claim(SessionNumber Session, const ClaimOwnership &Claim,
              AgentOutbox &Out) -> void;
@@ -42,6 +52,8 @@
   auto revisionInForce(Revision Seen) const -> Revision;
   /// Hands everything back: watchers at once, batch tasks a few at a time.
   auto drain(ErrorKind Reason, AgentOutbox &Out) -> void;
+  /// Hands back what has not started; what runs stays.
+  auto returnQueued(ErrorKind Reason, AgentOutbox &Out) -> void;
   /// Repeats the reports that the owner has not acknowledged.
   auto repeatReports(AgentOutbox &Out) -> void;
   /// Asks the worker for its list and renews the leases it may renew.
@@ -66,6 +78,8 @@
     Micros StartLeaseUntil_{0};
     /// The revision under which it was started.
     Revision StartRevision_ = 0;
+    /// Found on the worker after a restart; Bind_ names it only.
+    bool NeedsBinding_ = false;
   };
   struct Owner {
     Epoch Epoch_ = 0;
@@ -75,7 +89,9 @@
   auto obey(ShardNumber Shard, Epoch Epoch, SessionNumber Session) -> bool;
   auto adoptTask(const WorkerTask &Task) -> void;
   auto updateTask(HeldTask &Held, const WorkerTask &Seen, AgentOutbox &Out)
-      -> void;
+      -> bool;
+  auto completeBinding(HeldTask &Held, const BindTask &Bind) -> void;
+  static auto reportOf(const HeldTask &Held) -> TaskReport;
   auto settleMissing(HeldTask &Held, const WorkerInventory &Inventory,
                      AgentOutbox &Out) -> void;
   auto dropUnheld(const WorkerInventory &Inventory, AgentOutbox &Out) -> void;
@@ -95,6 +111,7 @@
   Incarnation Worker_ = 0;
   Micros WorkerClock_{0};
   TimePoint WorkerClockAt_{};
+  /// By task; an earlier attempt that the owner has settled is replaced.
   std::map<TaskId, HeldTask> Tasks_;
   std::map<ShardNumber, Owner> Owners_;
 };
--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -1,9 +1,9 @@
 #include "entry/EntryProcess.h"
 
-#include "entry/HttpApi.h"
 #include "entry/Metrics.h"
-#include "platform/Process.h"
-#include "platform/StoreClient.h"
+#include "runtime/Process.h"
+#include "runtime/HttpClient.h"
+#include "runtime/HttpServer.h"
 #include "wire/Cbor.h"
 #include "wire/Link.h"
 
@@ -35,23 +35,30 @@
 
 class EntryProcess {
 public:
-  explicit EntryProcess(const Settings &Settings)
+  EntryProcess(const Settings &Settings, const EntryProtocols &Protocols)
       : Settings_(Settings), Core_(identity(Settings)),
-        Http_(Threads_.traffic()), Store_(Http_, Settings.Store_.text()),
+        Http_(Threads_.traffic()),
+        Store_(Protocols.MakeStore_(Http_, Settings)),
         Links_(Threads_.traffic(), linkHandlers()),
-        Api_(Threads_.traffic(), Settings, apiHandlers()) {}
+        Callers_(Protocols.MakeCallers_(Threads_.traffic(), Settings,
+                                        callerHandlers())) {}
 
   auto run() -> int {
     Links_.listen(Settings_.Link_.Host_, Settings_.Link_.Port_);
-    asio::post(Threads_.traffic(), [this] { Api_.start(); });
+    asio::post(Threads_.traffic(), [this] { Callers_->start(); });
+    if (Settings_.Metrics_.Port_ != 0)
+      serveMetrics();
     Threads_.every(TickEvery, [this] {
       decideNow([this](Moment Now, EntryOutbox &Out) { Core_.tick(Now, Out); });
       replaceSilentPeers();
     });
     Threads_.onTerminate([this] {
+      logEvent("stopping", "told to terminate");
+      Stopping_ = true;
       decideNow(
           [this](Moment Now, EntryOutbox &Out) { Core_.leave(Now, Out); });
     });
+    Threads_.onReload([] { logEvent("settings-kept", "told to reload"); });
     Threads_.run();
     return 0;
   }
@@ -179,9 +186,9 @@
 
   // Callers and operators.
 
-  auto apiHandlers() -> HttpApiHandlers {
-    HttpApiHandlers Handlers;
-    Handlers.Asked_ = [this](CallerRequest Request, AnswerSender Send) {
+  auto callerHandlers() -> CallerHandlers {
+    CallerHandlers Handlers;
+    Handlers.Asked_ = [this](CallerRequest Request, ReplySender Send) {
       const auto AskedAt = SteadyClock::now();
       decide([this, Request = std::move(Request), Send = std::move(Send),
               AskedAt](Moment Now, EntryOutbox &Out) mutable {
@@ -190,26 +197,39 @@
         Core_.callerAsked(Now, Token, Request, Out);
       });
     };
-    Handlers.MetricsAsked_ = [this](const AnswerSender &Send) {
-      decide([this, Send](Moment, EntryOutbox &) { Send(metrics()); });
+    Handlers.MetricsAsked_ = [this](std::function<void(std::string)> Send) {
+      decide([this, Send = std::move(Send)](Moment, EntryOutbox &) {
+        Send(metrics());
+      });
     };
-    Handlers.HealthAsked_ = [this](const AnswerSender &Send) {
-      decide([this, Send](Moment Now, EntryOutbox &) {
-        constexpr std::uint16_t Unavailable = 503;
-        HttpAnswer Answer;
-        Answer.Body_ = "{\"healthy\":true}\n";
-        if (!Core_.healthy(Now)) {
-          Answer.Status_ = Unavailable;
-          Answer.Body_ = "{\"healthy\":false}\n";
-        }
-        Send(std::move(Answer));
+    Handlers.HealthAsked_ = [this](std::function<void(bool)> Send) {
+      decide([this, Send = std::move(Send)](Moment Now, EntryOutbox &) {
+        Send(Core_.healthy(Now));
       });
     };
+    Handlers.Stopping_ = [this] { return Stopping_.load(); };
     Handlers.Refused_ = [this](ErrorKind Kind) { countRefusal(Kind); };
     return Handlers;
   }
 
-  auto metrics() -> HttpAnswer {
+  auto serveMetrics() -> void {
+    HttpServerOptions Options;
+    Options.Host_ = Settings_.Metrics_.Host_;
+    Options.Port_ = Settings_.Metrics_.Port_;
+    Metrics_ = std::make_unique<HttpServer>(
+        Threads_.traffic(), Options,
+        [this](const HttpServerRequest &, const HttpResponder &Send) {
+          decide([this, Send](Moment, EntryOutbox &) {
+            HttpServerAnswer Answer;
+            Answer.ContentType_ = "text/plain; version=0.0.4";
+            Answer.Body_ = metrics();
+            Send(std::move(Answer));
+          });
+        });
+    asio::post(Threads_.traffic(), [this] { Metrics_->start(); });
+  }
+
+  auto metrics() -> std::string {
     Gauges Present;
     Present.Targets_ = Core_.targetCount();
     Present.Peers_ = Core_.peerCount(currentMoment());
@@ -219,11 +239,8 @@
     auto Values = Core_.counters();
     for (std::size_t Index = 0; Index < Values.Refusals_.size(); ++Index)
       Values.Refusals_[Index] += EarlyRefusals_[Index];
-    HttpAnswer Answer;
-    Answer.ContentType_ = "text/plain; version=0.0.4";
-    Answer.Body_ = renderMetrics(Values, Present) +
-                   Latency_.render("skylark_answer_seconds");
-    return Answer;
+    return renderMetrics(Values, Present) +
+           Latency_.render("skylark_answer_seconds");
   }
 
   auto countRefusal(ErrorKind Kind) -> void {
@@ -251,14 +268,14 @@
     Latency_.record(std::chrono::duration_cast<Micros>(SteadyClock::now() -
                                                        Caller.AskedAt_));
     asio::post(Threads_.traffic(), [Send = std::move(Caller.Send_),
-                                    Reply = std::move(Answer.Reply_)] {
-      Send(renderReply(Reply));
+                                    Reply = std::move(Answer.Reply_)]() mutable {
+      Send(std::move(Reply));
     });
   }
 
   auto carryOut(const CallStore &Call) -> void {
     asio::post(Threads_.traffic(), [this, Call] {
-      Store_.call(Call.Call_, Call.Operation_, [this](StoreResult Result) {
+      Store_->call(Call.Call_, Call.Operation_, [this](StoreResult Result) {
         decide(
             [this, Result = std::move(Result)](Moment Now, EntryOutbox &Out) {
               Core_.storeAnswered(Now, Result, Out);
@@ -285,7 +302,7 @@
   }
 
   struct WaitingCaller {
-    AnswerSender Send_;
+    ReplySender Send_;
     TimePoint AskedAt_{};
   };
 
@@ -304,17 +321,24 @@
              static_cast<std::size_t>(ErrorKind::Count)>
       EarlyRefusals_{};
   std::atomic<SessionNumber> NextPeerSession_{0};
+  std::atomic<bool> Stopping_{false};
   HttpClient Http_;
-  StoreClient Store_;
+  std::unique_ptr<StoreTransport> Store_;
   LinkServer Links_;
-  HttpApi Api_;
+  std::unique_ptr<CallerServer> Callers_;
+  std::unique_ptr<HttpServer> Metrics_;
 };
 
 } // namespace
 
-auto runEntry(const Settings &Settings) -> int {
+auto runEntry(const Settings &Settings, const EntryProtocols &Protocols)
+    -> int {
   startLog(Settings.Entry_.Entry_.Value_);
-  return EntryProcess(Settings).run();
+  logEvent("started", "entry in " + Settings.Entry_.DataCentre_.Value_);
+  const auto Status = EntryProcess(Settings, Protocols).run();
+  logEvent("stopped", "");
+  stopLog();
+  return Status;
 }
 
 } // namespace skylark
--- a/entry/EntryProcess.h
+++ b/entry/EntryProcess.h
@@ -3,11 +3,12 @@
 /// entry's decisions.
 #pragma once
 
-#include "wire/Settings.h"
+#include "entry/CallerServer.h"
 
 namespace skylark {
 
 /// Runs an entry until it is told to stop. Returns the exit status.
-auto runEntry(const Settings &Settings) -> int;
+auto runEntry(const Settings &Settings, const EntryProtocols &Protocols)
+    -> int;
 
 } // namespace skylark
--- a/entry/HttpApi.cpp
+++ b/entry/HttpApi.cpp
@@ -1,6 +1,7 @@
 #include "entry/HttpApi.h"
 
-#include "platform/Process.h"
+#include "runtime/Process.h"
+#include "wire/ApiText.h"
 #include "wire/DocumentText.h"
 
 #include <restinio/all.hpp>
@@ -82,7 +83,7 @@
 class HttpApi::Implementation {
 public:
   Implementation(asio::io_context &Traffic, const Settings &Settings,
-                 HttpApiHandlers Handlers)
+                 CallerHandlers Handlers)
       : BodyLimit_(Settings.Limits_.BodyBytes_),
         Handlers_(std::move(Handlers)) {
     // A body somewhat over our limit still gets an answer of ours; one far
@@ -109,8 +110,9 @@
   auto start() -> void { Server_->open_sync(); }
 
 private:
-  auto senderOf(const Request &To) -> AnswerSender {
-    return [To](HttpAnswer Answer) { sendAnswer(To, std::move(Answer)); };
+  static auto senderOf(const Request &To) -> ReplySender {
+    return
+        [To](const CallerReply &Reply) { sendAnswer(To, renderReply(Reply)); };
   }
 
   auto refuse(const Request &To, ErrorKind Kind, std::string Detail)
@@ -161,7 +163,7 @@
     if (!Parsed.Problems_.empty())
       return refuse(From, ErrorKind::MalformedRequest,
                     joined(Parsed.Problems_));
-    return ask(From, SubmitJob{std::move(Parsed.Declaration_), keyOf(From)});
+    return ask(From, SubmitJob{std::move(Parsed.Declaration_), keyOf(From), {}});
   }
 
   auto putDocument(const Request &From, const std::string &Name)
@@ -193,7 +195,7 @@
   auto explain(const Request &From, const std::string &Id)
       -> restinio::request_handling_status_t {
     if (!Id.empty() && Id.front() == 'j')
-      return ask(From, GetJob{{Id}});
+      return ask(From, GetJob{{Id}, false, {}});
     return ask(From, ExplainRequest{{Id}});
   }
 
@@ -204,11 +206,11 @@
     Routes->http_post(
         "/v1/jobs", [this](const auto &From, auto) { return submitJob(From); });
     Routes->http_get("/v1/jobs/:id", [this](const auto &From, auto Each) {
-      return ask(From, GetJob{{parameter(Each, "id")}});
+      return ask(From, GetJob{{parameter(Each, "id")}, false, {}});
     });
     Routes->http_post("/v1/jobs/:id/cancel",
                       [this](const auto &From, auto Each) {
-                        return ask(From, CancelJob{{parameter(Each, "id")}});
+                        return ask(From, CancelJob{{parameter(Each, "id")}, false, {}});
                       });
     Routes->http_get("/v1/environments/:name/document",
                      [this](const auto &From, auto Each) {
@@ -237,11 +239,25 @@
       return explain(From, parameter(Each, "id"));
     });
     Routes->http_get("/v1/metrics", [this](const auto &From, auto) {
-      Handlers_.MetricsAsked_(senderOf(From));
+      Handlers_.MetricsAsked_([From](std::string Text) {
+        HttpAnswer Answer;
+        Answer.ContentType_ = "text/plain; version=0.0.4";
+        Answer.Body_ = std::move(Text);
+        sendAnswer(From, std::move(Answer));
+      });
       return restinio::request_accepted();
     });
     Routes->http_get("/v1/health", [this](const auto &From, auto) {
-      Handlers_.HealthAsked_(senderOf(From));
+      Handlers_.HealthAsked_([From](bool Healthy) {
+        constexpr std::uint16_t Unavailable = 503;
+        HttpAnswer Answer;
+        Answer.Body_ = "{\"healthy\":true}\n";
+        if (!Healthy) {
+          Answer.Status_ = Unavailable;
+          Answer.Body_ = "{\"healthy\":false}\n";
+        }
+        sendAnswer(From, std::move(Answer));
+      });
       return restinio::request_accepted();
     });
     Routes->non_matched_request_handler([this](const auto &From) {
@@ -252,12 +268,12 @@
   }
 
   std::size_t BodyLimit_;
-  HttpApiHandlers Handlers_;
+  CallerHandlers Handlers_;
   std::unique_ptr<Server> Server_;
 };
 
 HttpApi::HttpApi(asio::io_context &Traffic, const Settings &Settings,
-                 HttpApiHandlers Handlers)
+                 CallerHandlers Handlers)
     : Implementation_(std::make_unique<Implementation>(Traffic, Settings,
                                                        std::move(Handlers))) {}
 
--- a/entry/HttpApi.h
+++ b/entry/HttpApi.h
@@ -1,39 +1,19 @@
 /// \file
-/// Defines an entry's HTTP server for callers and operators.
+/// Defines the product's own HTTP interface for callers and operators.
 #pragma once
 
-#include "wire/ApiText.h"
-#include "wire/Settings.h"
-
-#include <asio/io_context.hpp>
-
-#include <functional>
-#include <memory>
+#include "entry/CallerServer.h"
 
 namespace skylark {
 
-/// Sends the answer of one request; may be called once, from any thread.
-using AnswerSender = std::function<void(HttpAnswer)>;
-
-/// What the server passes on. Called on the traffic thread.
-struct HttpApiHandlers {
-  std::function<void(CallerRequest, AnswerSender)> Asked_;
-  std::function<void(AnswerSender)> MetricsAsked_;
-  std::function<void(AnswerSender)> HealthAsked_;
-  /// A request was refused before it reached the entry's decisions.
-  std::function<void(ErrorKind)> Refused_;
-};
-
 /// Reads requests, checks their form and limits, and sends answers.
-class HttpApi {
+class HttpApi : public CallerServer {
 public:
   HttpApi(asio::io_context &Traffic, const Settings &Settings,
-          HttpApiHandlers Handlers);
-  ~HttpApi();
-  HttpApi(const HttpApi &) = delete;
-  auto operator=(const HttpApi &) -> HttpApi & = delete;
+          CallerHandlers Handlers);
+  ~HttpApi() override;
 
-  auto start() -> void;
+  auto start() -> void override;
 
 private:
   class Implementation;
--- a/platform/StoreClient.cpp
+++ b/runtime/ConsulStore.cpp
@@ -1,4 +1,4 @@
-#include "platform/StoreClient.h"
+#include "runtime/ConsulStore.h"
 
 #include "wire/Cbor.h"
 
@@ -86,6 +86,11 @@
   return Result;
 }
 
+auto interpret(const ReadEntries &Operation, const HttpResult &Answer)
+    -> StoreResult {
+  return interpret(ReadLive{Operation.Environment_}, Answer);
+}
+
 auto interpret(const ReadValue & /*Operation*/, const HttpResult &Answer)
     -> StoreResult {
   auto Result = baseResult(Answer);
@@ -138,14 +143,14 @@
 
 } // namespace
 
-StoreClient::StoreClient(HttpClient &Http, std::string Address)
+ConsulStore::ConsulStore(HttpClient &Http, std::string Address)
     : Http_(Http), Base_("http://" + std::move(Address) + "/v1") {}
 
-auto StoreClient::keyUrl(const StoreKey &Key) const -> std::string {
+auto ConsulStore::keyUrl(const StoreKey &Key) const -> std::string {
   return Base_ + "/kv/" + Key.Path_;
 }
 
-auto StoreClient::prepare(const ReadLive &Operation) const -> HttpCall {
+auto ConsulStore::prepare(const ReadLive &Operation) const -> HttpCall {
   HttpCall Call;
   Call.Url_ =
       keyUrl({"skylark/environments/" + Operation.Environment_.Value_ + "/"}) +
@@ -153,13 +158,21 @@
   return Call;
 }
 
-auto StoreClient::prepare(const ReadValue &Operation) const -> HttpCall {
+auto ConsulStore::prepare(const ReadEntries &Operation) const -> HttpCall {
+  HttpCall Call;
+  Call.Url_ =
+      keyUrl({"skylark/environments/" + Operation.Environment_.Value_ + "/"}) +
+      "?recurse=1&stale=1";
+  return Call;
+}
+
+auto ConsulStore::prepare(const ReadValue &Operation) const -> HttpCall {
   HttpCall Call;
   Call.Url_ = keyUrl(Operation.Key_) + "?consistent=1";
   return Call;
 }
 
-auto StoreClient::prepare(const CompareAndSwap &Operation) const -> HttpCall {
+auto ConsulStore::prepare(const CompareAndSwap &Operation) const -> HttpCall {
   // A transaction of one step, since its answer tells the key's new index,
   // which saves a read after each write.
   const Json Step{
@@ -174,7 +187,7 @@
   return Call;
 }
 
-auto StoreClient::prepare(const WriteValue &Operation) const -> HttpCall {
+auto ConsulStore::prepare(const WriteValue &Operation) const -> HttpCall {
   HttpCall Call;
   Call.Method_ = "PUT";
   Call.Url_ = keyUrl(Operation.Key_);
@@ -182,7 +195,7 @@
   return Call;
 }
 
-auto StoreClient::prepare(const DeleteValue &Operation) const -> HttpCall {
+auto ConsulStore::prepare(const DeleteValue &Operation) const -> HttpCall {
   HttpCall Call;
   Call.Method_ = "DELETE";
   Call.Url_ = keyUrl(Operation.Key_);
@@ -191,7 +204,7 @@
   return Call;
 }
 
-auto StoreClient::prepare(const OpenLease &Operation) const -> HttpCall {
+auto ConsulStore::prepare(const OpenLease &Operation) const -> HttpCall {
   HttpCall Call;
   Call.Method_ = "PUT";
   Call.Url_ = Base_ + "/session/create";
@@ -203,21 +216,21 @@
   return Call;
 }
 
-auto StoreClient::prepare(const RenewLease &Operation) const -> HttpCall {
+auto ConsulStore::prepare(const RenewLease &Operation) const -> HttpCall {
   HttpCall Call;
   Call.Method_ = "PUT";
   Call.Url_ = Base_ + "/session/renew/" + Operation.Lease_.Value_;
   return Call;
 }
 
-auto StoreClient::prepare(const EndLease &Operation) const -> HttpCall {
+auto ConsulStore::prepare(const EndLease &Operation) const -> HttpCall {
   HttpCall Call;
   Call.Method_ = "PUT";
   Call.Url_ = Base_ + "/session/destroy/" + Operation.Lease_.Value_;
   return Call;
 }
 
-auto StoreClient::prepare(const WriteUnderLease &Operation) const -> HttpCall {
+auto ConsulStore::prepare(const WriteUnderLease &Operation) const -> HttpCall {
   HttpCall Call;
   Call.Method_ = "PUT";
   Call.Url_ = keyUrl(Operation.Key_) + "?acquire=" + Operation.Lease_.Value_;
@@ -225,7 +238,7 @@
   return Call;
 }
 
-auto StoreClient::call(std::uint64_t Number, const StoreOperation &Operation,
+auto ConsulStore::call(std::uint64_t Number, const StoreOperation &Operation,
                        std::function<void(StoreResult)> Done) -> void {
   auto Call =
       std::visit([this](const auto &Each) { return prepare(Each); }, Operation);
--- a/platform/StoreClient.h
+++ b/runtime/ConsulStore.h
@@ -3,23 +3,23 @@
 /// published HTTP interface of Consul: /v1/kv and /v1/session.
 #pragma once
 
-#include "core/StoreCalls.h"
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
+#include "runtime/StoreTransport.h"
 
 namespace skylark {
 
-/// Carries out store calls. A call whose answer does not come whole and in
-/// time ends as Unavailable, whether or not it took effect.
-class StoreClient {
+/// The store calls of an installation that runs Consul.
+class ConsulStore : public StoreTransport {
 public:
   /// \param Address host:port of the service.
-  StoreClient(HttpClient &Http, std::string Address);
+  ConsulStore(HttpClient &Http, std::string Address);
 
-  auto call(std::uint64_t Call, const StoreOperation &Operation,
-            std::function<void(StoreResult)> Done) -> void;
+  auto call(std::uint64_t Number, const StoreOperation &Operation,
+            std::function<void(StoreResult)> Done) -> void override;
 
 private:
   auto prepare(const ReadLive &Operation) const -> HttpCall;
+  auto prepare(const ReadEntries &Operation) const -> HttpCall;
   auto prepare(const ReadValue &Operation) const -> HttpCall;
   auto prepare(const CompareAndSwap &Operation) const -> HttpCall;
   auto prepare(const WriteValue &Operation) const -> HttpCall;
--- a/platform/HttpClient.cpp
+++ b/runtime/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
 
 #include "core/Assert.h"
 
--- /dev/null
+++ b/runtime/HttpServer.cpp
@@ -0,0 +1,105 @@
+#include "runtime/HttpServer.h"
+
+#include <restinio/all.hpp>
+
+namespace skylark {
+namespace {
+
+using Request = restinio::request_handle_t;
+
+struct Traits : public restinio::default_single_thread_traits_t {
+  using timer_manager_t = restinio::asio_timer_manager_t;    // NOLINT
+  static constexpr bool use_connection_count_limiter = true; // NOLINT
+  using request_handler_t =                                  // NOLINT
+      std::function<restinio::request_handling_status_t(Request)>;
+};
+
+constexpr std::size_t MaxUrlSize = 4096;
+constexpr std::size_t MaxFieldCount = 64;
+constexpr std::size_t MaxFieldSize = 8192;
+/// How long an idle connection is kept, and a slow one waited for.
+constexpr Seconds IdleTimeLimit{60};
+constexpr Seconds AnswerTimeLimit{60};
+
+auto withoutPort(std::string Host) -> std::string {
+  return Host.substr(0, Host.find(':'));
+}
+
+auto requestOf(const Request &From) -> HttpServerRequest {
+  HttpServerRequest Result;
+  Result.Method_ = From->header().method().c_str();
+  Result.Host_ =
+      withoutPort(From->header().get_field_or(restinio::http_field::host, ""));
+  Result.Path_ = std::string(From->header().path());
+  Result.Body_ = From->body();
+  return Result;
+}
+
+auto send(const Request &To, HttpServerAnswer Answer) -> void {
+  auto Response =
+      To->create_response({restinio::http_status_code_t{Answer.Status_},
+                           Answer.Status_ < 400 ? "OK" : "Refused"});
+  if (Answer.Close_)
+    Response.connection_close();
+  if (!Answer.Body_.empty())
+    Response.append_header(restinio::http_field::content_type,
+                           Answer.ContentType_);
+  if (Answer.RetryAfter_ > Seconds{0})
+    Response.append_header(restinio::http_field::retry_after,
+                           std::to_string(Answer.RetryAfter_.count()));
+  Response.set_body(std::move(Answer.Body_));
+  Response.done();
+}
+
+} // namespace
+
+class HttpServer::Implementation {
+public:
+  Implementation(asio::io_context &Traffic, const HttpServerOptions &Options,
+                 HttpHandler Handler)
+      : Server_(restinio::external_io_context(Traffic),
+                settingsOf(Options, std::move(Handler))) {}
+
+  auto start() -> void { Server_.open_sync(); }
+
+private:
+  using Server = restinio::http_server_t<Traits>;
+
+  static auto settingsOf(const HttpServerOptions &Options, HttpHandler Handler)
+      -> restinio::server_settings_t<Traits> {
+    const auto Limits = restinio::incoming_http_msg_limits_t{}
+                            .max_url_size(MaxUrlSize)
+                            .max_field_value_size(MaxFieldSize)
+                            .max_field_count(MaxFieldCount)
+                            .max_body_size(Options.BodyBytes_);
+    restinio::server_settings_t<Traits> Settings;
+    Settings.address(Options.Host_)
+        .port(Options.Port_)
+        .incoming_http_msg_limits(Limits)
+        .max_parallel_connections(Options.Connections_)
+        .read_next_http_message_timelimit(IdleTimeLimit)
+        .write_http_response_timelimit(IdleTimeLimit)
+        .handle_request_timeout(AnswerTimeLimit)
+        .request_handler(std::make_unique<Traits::request_handler_t>(
+            [Handler = std::move(Handler)](const Request &From) {
+              Handler(requestOf(From), [From](HttpServerAnswer Answer) {
+                send(From, std::move(Answer));
+              });
+              return restinio::request_accepted();
+            }));
+    return Settings;
+  }
+
+  Server Server_;
+};
+
+HttpServer::HttpServer(asio::io_context &Traffic,
+                       const HttpServerOptions &Options, HttpHandler Handler)
+    : Implementation_(std::make_unique<Implementation>(Traffic, Options,
+                                                       std::move(Handler))) {}
+
+HttpServer::~HttpServer() = default;
+
+auto HttpServer::start() -> void { Implementation_->start(); }
+
+} // namespace skylark
--- /dev/null
+++ b/runtime/HttpServer.h
@@ -0,0 +1,65 @@
+/// \file
+/// Defines a small HTTP server on an Asio context, for interfaces that have
+/// only a few paths.
+#pragma once
+
+#include "core/Time.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace skylark {
+
+/// One whole request.
+struct HttpServerRequest {
+  std::string Method_;
+  /// The host that was asked for, without a port.
+  std::string Host_;
+  std::string Path_;
+  std::string Body_;
+};
+
+/// The answer to one request.
+struct HttpServerAnswer {
+  std::uint16_t Status_ = 200;
+  std::string ContentType_ = "application/json";
+  std::string Body_;
+  /// After how long the caller may come back; 0 says nothing of it.
+  Seconds RetryAfter_{0};
+  /// Whether the connection ends with this answer.
+  bool Close_ = false;
+};
+
+/// Sends the answer of one request; may be called once, from any thread.
+using HttpResponder = std::function<void(HttpServerAnswer)>;
+using HttpHandler = std::function<void(HttpServerRequest, HttpResponder)>;
+
+struct HttpServerOptions {
+  std::string Host_;
+  std::uint16_t Port_ = 0;
+  std::size_t BodyBytes_ = std::size_t{1024} * 1024;
+  std::size_t Connections_ = 1024;
+};
+
+/// Listens from construction on. The handler runs on the context's thread.
+class HttpServer {
+public:
+  HttpServer(asio::io_context &Traffic, const HttpServerOptions &Options,
+             HttpHandler Handler);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  auto operator=(const HttpServer &) -> HttpServer & = delete;
+
+  /// Starts to listen; throws where the address is in use. Must be called on
+  /// the context's thread, or before it runs.
+  auto start() -> void;
+
+private:
+  class Implementation;
+  std::unique_ptr<Implementation> Implementation_;
+};
+
+} // namespace skylark
--- a/platform/Process.h
+++ b/runtime/Process.h
@@ -8,6 +8,7 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
 
 #include <functional>
 #include <thread>
@@ -20,10 +21,16 @@
 /// A number that is higher in each later process on this instance.
 auto newIncarnation() -> Incarnation;
 
-/// Sends each log line to standard error as one JSON object.
+/// Begins the log: each line goes to standard output as one JSON object,
+/// written by a thread of its own, so that a slow reader holds up nothing.
 /// \param Name the process that every line names.
 auto startLog(const std::string &Name) -> void;
+/// Queues one line; where the queue is full the line is counted as left out.
 auto writeLog(const LogDecision &Decision) -> void;
+/// Queues a line on the process itself rather than on a request.
+auto logEvent(std::string_view Event, std::string Detail) -> void;
+/// Writes what is queued, as far as the reader takes it within a moment.
+auto stopLog() -> void;
 
 /// One thread for control state and one for traffic.
 class ProcessThreads {
@@ -40,9 +47,13 @@
   auto every(Millis Period, std::function<void()> Work) -> void;
   /// Calls `Work` on the control thread once on SIGTERM or SIGINT.
   auto onTerminate(std::function<void()> Work) -> void;
+  /// Calls `Work` on the control thread on each SIGHUP.
+  auto onReload(std::function<void()> Work) -> void;
 
 private:
   class Ticker;
+  static auto waitForReload(const std::shared_ptr<asio::signal_set> &Signals,
+                            std::function<void()> Work) -> void;
   using Guard = asio::executor_work_guard<asio::io_context::executor_type>;
   asio::io_context Control_;
   asio::io_context Traffic_;
--- a/test/fuzz/FakeStore.cpp
+++ b/test/fuzz/FakeStore.cpp
@@ -43,6 +43,10 @@
   return Result;
 }
 
+auto FakeStore::run(Micros Now, const ReadEntries &Operation) -> StoreResult {
+  return run(Now, ReadLive{Operation.Environment_});
+}
+
 auto FakeStore::run(Micros /*Now*/, const ReadValue &Operation) -> StoreResult {
   const auto Found = Keys_.find(Operation.Key_);
   if (Found == Keys_.end())
--- a/test/fuzz/FakeStore.h
+++ b/test/fuzz/FakeStore.h
@@ -26,6 +26,7 @@
   };
 
   auto run(Micros Now, const ReadLive &Operation) -> StoreResult;
+  auto run(Micros Now, const ReadEntries &Operation) -> StoreResult;
   auto run(Micros Now, const ReadValue &Operation) -> StoreResult;
   auto run(Micros Now, const CompareAndSwap &Operation) -> StoreResult;
   auto run(Micros Now, const WriteValue &Operation) -> StoreResult;
--- a/test/fuzz/World.cpp
+++ b/test/fuzz/World.cpp
@@ -635,6 +635,14 @@
 auto World::carryOutAgent(std::size_t /*Agent*/,
                           const LogDecision & /*Decision*/) -> void {}
 
+auto World::carryOutAgent(std::size_t /*Agent*/, const PaceOnWorker & /*Pace*/)
+    -> void {}
+
+auto World::carryOutAgent(std::size_t Agent, const StartAnew & /*Anew*/)
+    -> void {
+  carryOutAgent(Agent, ExitProcess{});
+}
+
 auto World::carryOutAgent(std::size_t Agent, const ExitProcess & /*Exit*/)
     -> void {
   after(Millis{20}, [this, Agent, Life = Agents_[Agent]->Life_] {
@@ -697,12 +705,13 @@
   SubmitJob Request;
   auto &Job = Request.Declaration_;
   Job.Team_ = {chance(0.5) ? "red" : "blue"};
-  Job.Kind_ = chance(0.2) ? WorkKind::Watcher : WorkKind::Batch;
-  Job.TaskCount_ = Job.Kind_ == WorkKind::Watcher ? 1 : 1 + pick(5);
-  Job.TaskResources_ = {static_cast<std::int64_t>(500 + 500 * pick(4)),
+  auto &Step = Job.Steps_.front();
+  Step.LongRunning_ = chance(0.2);
+  Step.TaskCount_ = Step.LongRunning_ ? 1 : 1 + pick(5);
+  Step.Resources_ = {static_cast<std::int64_t>(500 + 500 * pick(4)),
                         static_cast<std::int64_t>(500 + 500 * pick(6)),
                         chance(0.1) ? 1 : 0};
-  Job.RunTime_ = Millis{200 + 400 * static_cast<int>(pick(8))};
+  Step.RunTime_ = Millis{200 + 400 * static_cast<int>(pick(8))};
   Job.Deadline_ = WallStart + Seconds{300};
   Job.RerunWhenLost_ = chance(0.5);
   Job.Payload_ = Job.RerunWhenLost_ ? "" : "once";
@@ -712,13 +721,13 @@
       return;
     Jobs_.push_back(Added->Job_.Id_);
     // Watchers hold their room until they are cancelled.
-    if (Added->Job_.Declaration_.Kind_ == WorkKind::Watcher)
+    if (Added->Job_.isWatcher())
       after(Millis{12000}, [this, Id = Added->Job_.Id_] { cancelJob(Id, 20); });
   });
 }
 
 auto World::cancelJob(const JobId &Id, int Left) -> void {
-  ask(CancelJob{Id}, "", true, [this, Id, Left](const CallerReply &Reply) {
+  ask(CancelJob{Id, false, {}}, "", true, [this, Id, Left](const CallerReply &Reply) {
     if (std::holds_alternative<ErrorReply>(Reply) && Left > 0)
       after(Millis{2000}, [this, Id, Left] { cancelJob(Id, Left - 1); });
   });
@@ -881,7 +890,7 @@
     break;
   case FaultKind::CancelJobs:
     for (std::size_t Index = 0; Index < Jobs_.size(); Index += 2)
-      ask(CancelJob{Jobs_[Index]}, "", true, [](const CallerReply &) {});
+      ask(CancelJob{Jobs_[Index], false, {}}, "", true, [](const CallerReply &) {});
     break;
   default:
     ActiveUntil_[Each.Kind_] = Until;
@@ -896,7 +905,7 @@
     for (ShardNumber Shard = 0; Node->Core_ && Shard < 4; ++Shard)
       if (const auto *State = Node->Core_->shardState(Shard))
         for (const auto &[Id, Job] : State->jobs())
-          if (Job.Declaration_.Kind_ == WorkKind::Watcher && !Job.Cancelled_)
+          if (Job.isWatcher() && !Job.Cancelled_)
             after(Millis{1}, [this, Id = Id] { cancelJob(Id, 3); });
   if (Left > 0)
     after(Millis{4000}, [this, Left] { bringAllBack(Left - 1); });
@@ -921,7 +930,7 @@
     Out << " [" << Index << ' ' << taskStateText(Task.State_) << " attempt "
         << Task.Attempt_ << " at " << Task.Agent_ << " failures "
         << Task.Failures_ << " of " << Each.Declaration_.Team_ << ' '
-        << Each.Declaration_.TaskResources_ << ']';
+        << Each.Declaration_.Steps_.front().Resources_ << ']';
   }
   return Out.str();
 }
@@ -941,7 +950,7 @@
         continue;
       for (const auto &[Id, Job] : State->jobs()) {
         const auto Tally = tallyTasks(Job);
-        const auto Batch = Job.Declaration_.Kind_ == WorkKind::Batch;
+        const auto Batch = !Job.isWatcher();
         if (Batch && Tally.Pending_ + Tally.Bound_ > 0)
           Checker_.broken("at rest job " + Id.Value_ +
                           " is not over: " + describeRest(Job));
--- a/test/fuzz/World.h
+++ b/test/fuzz/World.h
@@ -139,6 +139,8 @@
   auto carryOutAgent(std::size_t Agent, const PollWorker &Poll) -> void;
   auto carryOutAgent(std::size_t Agent, const CallTarget &Call) -> void;
   auto carryOutAgent(std::size_t Agent, const LogDecision &Decision) -> void;
+  auto carryOutAgent(std::size_t Agent, const PaceOnWorker &Pace) -> void;
+  auto carryOutAgent(std::size_t Agent, const StartAnew &Anew) -> void;
   auto carryOutAgent(std::size_t Agent, const ExitProcess &Exit) -> void;
   auto onWorker(std::size_t Agent, std::function<void(FakeWorker &)> Work)
       -> void;
--- a/test/performance/Capacity.cpp
+++ b/test/performance/Capacity.cpp
@@ -146,6 +146,8 @@
   Job Big;
   Big.Id_ = {"j1-0123456789abcdef"};
   Big.Declaration_.Team_ = {"red"};
+  Big.Declaration_.Steps_.front().TaskCount_ =
+      static_cast<std::uint32_t>(Tasks);
   Big.Tasks_.resize(static_cast<std::size_t>(Tasks));
   State.apply(LedgerRecord{JobAdded{Big}});
   TaskChanged Change;
--- a/test/process/Cluster.h
+++ b/test/process/Cluster.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "core/Time.h"
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
 
 #include <nlohmann/json.hpp>
 
--- a/wire/ApiText.cpp
+++ b/wire/ApiText.cpp
@@ -54,7 +54,8 @@
     Tasks.push_back(taskJson(Job.Tasks_[Index], Index));
   const Json Value{{"job", Job.Id_.Value_},
                    {"team", Job.Declaration_.Team_.Value_},
-                   {"kind", workKindText(Job.Declaration_.Kind_)},
+                   {"kind", workKindText(Job.isWatcher() ? WorkKind::Watcher
+                                                         : WorkKind::Batch)},
                    {"submitted_at", timeText(Job.SubmittedAt_)},
                    {"deadline", timeText(Job.Declaration_.Deadline_)},
                    {"cancelled", Job.Cancelled_},
@@ -117,6 +118,18 @@
   return Answer;
 }
 
+auto render(const JobStateReply &Reply) -> HttpAnswer {
+  HttpAnswer Answer;
+  Answer.Body_ = dump({{"state", jobStateText(Reply.State_)}});
+  return Answer;
+}
+
+auto render(const UnstartedReply &Reply) -> HttpAnswer {
+  HttpAnswer Answer;
+  Answer.Body_ = dump({{"unstarted", Reply.Count_}});
+  return Answer;
+}
+
 auto render(const TargetsReply &Reply) -> HttpAnswer {
   auto Targets = Json::array();
   for (const auto &Each : Reply.Targets_)
@@ -155,15 +168,16 @@
   Result.Problems_ = Internal::readChecked(Text, [&](CheckedObject &Top) {
     Job.Team_ = {Top.text("team")};
     const auto Kind = Top.text("kind", "batch");
-    Job.Kind_ = Kind == "watcher" ? WorkKind::Watcher : WorkKind::Batch;
+    auto &Step = Job.Steps_.front();
+    Step.LongRunning_ = Kind == "watcher";
     if (Kind != "watcher" && Kind != "batch")
       Top.problem("kind", "\"batch\" or \"watcher\"");
-    Job.TaskCount_ =
+    Step.TaskCount_ =
         static_cast<std::uint32_t>(Top.integer("tasks", {1, 20000}, 1));
     Top.object("resources", true, [&](CheckedObject &From) {
-      Job.TaskResources_ = Internal::readResources(From);
+      Step.Resources_ = Internal::readResources(From);
     });
-    Job.RunTime_ = Millis{Top.integer("run_time_ms", {0, Year}, 1000)};
+    Step.RunTime_ = Millis{Top.integer("run_time_ms", {0, Year}, 1000)};
     Job.Deadline_ =
         Now + Millis{Top.integer("deadline_in_ms", {1, Year}, 3600000)};
     Job.Urgent_ = Top.flag("urgent", false);
--- a/wire/Cbor.cpp
+++ b/wire/Cbor.cpp
@@ -9,6 +9,9 @@
 constexpr auto isKnown(TaskState Value) -> bool {
   return Value <= TaskState::Cancelled;
 }
+constexpr auto isKnown(JobState Value) -> bool {
+  return Value <= JobState::Cancelled;
+}
 constexpr auto isKnown(TaskPhase Value) -> bool {
   return Value <= TaskPhase::NotStarted;
 }
--- a/wire/CheckedJson.cpp
+++ b/wire/CheckedJson.cpp
@@ -102,20 +102,29 @@
   return Default;
 }
 
-auto CheckedObject::names(const std::string &Name) -> std::vector<std::string> {
+auto CheckedObject::texts(const std::string &Name) -> std::vector<std::string> {
   const auto *Found = find(Name);
-  std::vector<std::string> Names;
-  auto Good = Found != nullptr && Found->is_array() && !Found->empty();
+  std::vector<std::string> Texts;
+  auto Good = Found != nullptr && Found->is_array();
   if (Good) {
     for (const auto &Each : *Found) {
       Good = Good && Each.is_string();
       if (Each.is_string())
-        Names.push_back(Each.get<std::string>());
+        Texts.push_back(Each.get<std::string>());
     }
   }
   if (!Good && Value_.is_object())
+    problem(Name, "a list of texts");
+  return Texts;
+}
+
+auto CheckedObject::names(const std::string &Name) -> std::vector<std::string> {
+  const auto *Found = find(Name);
+  if (Found != nullptr && Found->is_array() && !Found->empty())
+    return texts(Name);
+  if (Value_.is_object())
     problem(Name, "a list of one or more names");
-  return Names;
+  return {};
 }
 
 auto CheckedObject::object(const std::string &Name, bool Required,
--- a/wire/CheckedJson.h
+++ b/wire/CheckedJson.h
@@ -34,6 +34,8 @@
       -> std::int64_t;
   auto flag(const std::string &Name, bool Default) -> bool;
   auto names(const std::string &Name) -> std::vector<std::string>;
+  /// A list of texts that may be empty.
+  auto texts(const std::string &Name) -> std::vector<std::string>;
   /// Reads a nested object; a missing one is a problem if `Required`.
   auto object(const std::string &Name, bool Required,
               const std::function<void(CheckedObject &)> &Read) -> void;
--- a/wire/DocumentText.cpp
+++ b/wire/DocumentText.cpp
@@ -26,6 +26,8 @@
     {"silent_after_ms", &PolicySettings::SilentAfter_, {1000, 10000}},
     {"checkpoint_within_ms", &PolicySettings::CheckpointWithin_, {100, 60000}},
     {"return_ramp_ms", &PolicySettings::ReturnRamp_, {0, 600000}},
+    {"read_every_ms", &PolicySettings::ReadEvery_, {50, 2000}},
+    {"registration_ms", &PolicySettings::RegistrationFor_, {1000, 60000}},
 };
 
 constexpr PolicyField<std::uint32_t> Numbers[] = {
@@ -40,11 +42,31 @@
   for (const auto &Each : Numbers)
     Policy.*Each.Member_ = static_cast<std::uint32_t>(
         From.integer(Each.Name_, Each.Allowed_, Policy.*Each.Member_));
+  Policy.MoveWhenOut_ = From.flag("move_when_out", Policy.MoveWhenOut_);
   constexpr std::int64_t Day = std::int64_t{24} * 3600;
   Policy.KeyRetention_ = Seconds{From.integer(
       "key_retention_s", {Day, 30 * Day}, Policy.KeyRetention_.count())};
 }
 
+auto readQueue(CheckedObject &From) -> QueueDeclaration {
+  constexpr std::int64_t Hour = 3600000;
+  constexpr double Percent = 100.0;
+  QueueDeclaration Queue;
+  Queue.Name_ = {From.text("name")};
+  Queue.Host_ = From.text("host");
+  Queue.PathPrefix_ = From.text("path_prefix");
+  Queue.Service_ = {From.text("service")};
+  Queue.Priority_ =
+      static_cast<std::uint32_t>(From.integer("priority", {0, 100}, 0));
+  Queue.FailureLimit_ =
+      static_cast<std::uint32_t>(From.integer("failure_limit", {1, 100}, 5));
+  Queue.Stretch_ =
+      static_cast<double>(From.integer("stretch_percent", {100, 10000}, 200)) /
+      Percent;
+  Queue.Slack_ = Millis{From.integer("slack_ms", {0, Hour}, 1000)};
+  return Queue;
+}
+
 template <typename Name>
 auto checkUnique(CheckedObject &From, const char *Field,
                  const std::vector<Name> &Names) -> void {
@@ -78,6 +100,13 @@
     Result.Teams_.push_back(Team);
   });
   checkUnique(Top, "teams", Teams);
+  std::vector<QueueName> Queues;
+  if (Top.has("queues"))
+    Top.objects("queues", [&](CheckedObject &From) {
+      Result.Queues_.push_back(readQueue(From));
+      Queues.push_back(Result.Queues_.back().Name_);
+    });
+  checkUnique(Top, "queues", Queues);
   Top.object("largest_worker", true, [&](CheckedObject &From) {
     Result.LargestWorker_ = Internal::readResources(From);
   });
@@ -87,6 +116,11 @@
 
 } // namespace
 
+auto Internal::readPolicySettings(CheckedObject &From, PolicySettings &Policy)
+    -> void {
+  readPolicy(From, Policy);
+}
+
 auto Internal::readResources(CheckedObject &From) -> Resources {
   constexpr std::int64_t Million = 1000000;
   Resources Result;
--- a/wire/Fields.h
+++ b/wire/Fields.h
@@ -74,6 +74,15 @@
   }
 };
 
+template <> struct Field<double> {
+  static auto write(double Value) -> Json { return Value; }
+  static auto read(const Json &Value) -> double {
+    if (!Value.is_number())
+      throw ShapeError("number expected");
+    return Value.get<double>();
+  }
+};
+
 template <> struct Field<std::string> {
   static auto write(const std::string &Value) -> Json { return Value; }
   static auto read(const Json &Value) -> std::string {
--- a/wire/Settings.h
+++ b/wire/Settings.h
@@ -34,12 +34,20 @@
   // Of an entry.
   Address Http_;
   Address Link_;
-  Address Store_;
+  /// Name of the interfaces spoken to callers, store, workers and operators.
+  std::string Protocol_ = "native";
+  Address Ready_;
   HttpLimits Limits_;
   // Of an agent.
   std::vector<Address> Entries_;
   Address Worker_;
   Address Target_;
+  /// Where the worker announces itself; port 0 where it doesn't.
+  Address Announcements_;
+  EnvironmentName Environment_;
+  // Of both; port 0 where there is none.
+  Address Store_;
+  Address Metrics_;
 };
 
 struct ParsedSettings {
