What fills is placed and paced by what was learned of its image

Ruled out: elimination by pairs.

Change: agents send each look to the owner, which fits those parts by least squares, none negative, and tells agents what it knows. Fillers are placed where no neighbour's tail would pass its target, wait otherwise, are paused while a neighbour that they press is over its target, and go elsewhere when that lasts. Serving tasks of one image are kept together.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -9,6 +9,8 @@
 constexpr Millis HeartbeatEvery{500};
 constexpr Millis PollEvery{500};
 constexpr Millis RepeatEvery{1000};
+/// The worker's figures cover about this much time.
+constexpr Millis GuardEvery{400};
 /// How long a worker that has said goodbye may take to end what it runs.
 constexpr Millis WorkerEndsWithin{1000};
 
@@ -149,6 +151,12 @@
   return false;
 }
 
+auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
+                       const PressTable &Table, AgentOutbox & /*Out*/)
+    -> void {
+  Tasks_.learnPresses(Table);
+}
+
 auto AgentCore::handle(Moment Now, SessionNumber Number, const BindTask &Bind,
                        AgentOutbox &Out) -> void {
   if (!isDuplicate(Number, Bind.Sequence_))
@@ -205,6 +213,10 @@
   // An end has often more behind it, and its acknowledgement is to follow.
   if (Tasks_.update(Now.Steady_, Inventory, Out))
     pollWorker(Now, Out);
+  if (Now.Steady_ >= NextGuard_) {
+    NextGuard_ = Now.Steady_ + GuardEvery;
+    Tasks_.guardServing(Now.Steady_, Inventory, Out);
+  }
 }
 
 auto AgentCore::workerAnnounced(Moment Now, const WorkerAnnouncement &Announced,
--- a/core/AgentCore.h
+++ b/core/AgentCore.h
@@ -89,6 +89,8 @@
               AgentOutbox &Out) -> void;
   auto handle(Moment Now, SessionNumber Number, const CancelDispatch &Cancel,
               AgentOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Number, const PressTable &Table,
+              AgentOutbox &Out) -> void;
 
   AgentIdentity Identity_;
   Configuration Current_;
@@ -109,6 +111,7 @@
   TimePoint NextHeartbeat_{};
   TimePoint NextPoll_{};
   TimePoint NextRepeat_{};
+  TimePoint NextGuard_{};
 };
 
 } // namespace skylark
--- a/core/AgentOutput.h
+++ b/core/AgentOutput.h
@@ -61,6 +61,8 @@
   std::uint32_t Progress_ = 0;
   /// Tail latency of a task that serves users of its own, where told.
   Millis Tail_{0};
+  /// Processors in use of any other task, in thousandths, where told.
+  std::int64_t MilliCores_ = 0;
 };
 
 /// What a worker announces of itself.
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -10,6 +10,7 @@
 
 constexpr Millis PeerBeatEvery{300};
 constexpr Millis BalanceEvery{500};
+constexpr Millis PressesEvery{500};
 constexpr Millis ForwardPatience{7000};
 /// How long a request to a queue may take inside the system.
 constexpr Millis QueuePatience{2800};
@@ -79,7 +80,8 @@
                                 Identity_.Incarnation_};
     Shards_.push_back(std::make_unique<ShardOwner>(
         Ledger, Store_,
-        ShardView{Targets_, View_.configuration(), Grants_, Counters_,
+        ShardView{Targets_, View_.configuration(), Grants_,
+                  Interference_.knowledge(), Counters_,
                   Identity_.ShardCount_ == 1}));
   }
 }
@@ -762,6 +764,28 @@
   Desk_.answered(Now, Session, Message, Generator_, Out);
 }
 
+auto EntryCore::handle(Moment /*Now*/, SessionNumber /*Session*/,
+                       const SharingSample &Message, EntryOutbox & /*Out*/)
+    -> void {
+  Interference_.learn(Message);
+}
+
+auto EntryCore::handle(Moment /*Now*/, SessionNumber /*Session*/,
+                       const PressTable &Message, EntryOutbox & /*Out*/)
+    -> void {
+  Interference_.adopt(Message);
+}
+
+auto EntryCore::sendPresses(Moment Now, EntryOutbox &Out) -> void {
+  if (Now.Steady_ < NextPresses_ || ownedShards() == 0 ||
+      !Interference_.refresh())
+    return;
+  NextPresses_ = Now.Steady_ + PressesEvery;
+  for (const auto *Each : Targets_.all())
+    Out.push_back(
+        SendToAgent{Each->Session_, Interference_.knowledge().table()});
+}
+
 auto EntryCore::agentGone(Moment Now, SessionNumber Session, EntryOutbox &Out)
     -> void {
   const auto *Known = Targets_.find(Session);
@@ -881,6 +905,7 @@
   closeSilent(Now, Out);
   expireForwards(Now, Out);
   sendPeerBeats(Now, Out);
+  sendPresses(Now, Out);
   if (Leaving_)
     finishLeaving(Now, Out);
   complete(Now, Out);
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -136,6 +136,12 @@
               EntryOutbox &Out) -> void;
   auto handle(Moment Now, SessionNumber Session, const DispatchAnswer &Message,
               EntryOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Session, const SharingSample &Message,
+              EntryOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Session, const PressTable &Message,
+              EntryOutbox &Out) -> void;
+  /// Tells agents what has been learned of images that disturb each other.
+  auto sendPresses(Moment Now, EntryOutbox &Out) -> void;
 
   auto handle(Moment Now, const EntryId &Peer, const PeerBeat &Message,
               EntryOutbox &Out) -> void;
@@ -201,6 +207,8 @@
   EnvironmentView View_;
   TargetTable Targets_;
   RunGrants Grants_;
+  InterferenceModel Interference_;
+  TimePoint NextPresses_{};
   RequestDesk Desk_;
   ChangeDesk Changes_;
   std::vector<std::unique_ptr<ShardOwner>> Shards_;
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/Document.h"
+#include "core/Interference.h"
 #include "core/Job.h"
 
 #include <optional>
@@ -278,11 +279,13 @@
 
 /// Everything that an agent sends to an entry.
 using AgentMessage = std::variant<Hello, Heartbeat, ConfigurationUpdate,
-                                  ConfirmOwnership, TaskReport, DispatchAnswer>;
+                                  ConfirmOwnership, TaskReport, DispatchAnswer,
+                                  SharingSample, PressTable>;
 
 /// Everything that an entry sends to an agent.
 using EntryMessage =
     std::variant<HeartbeatAck, ConfigurationUpdate, ClaimOwnership, BindTask,
-                 StopTask, TaskReportAck, DispatchRequest, CancelDispatch>;
+                 StopTask, TaskReportAck, DispatchRequest, CancelDispatch,
+                 PressTable>;
 
 } // namespace skylark
--- a/core/Placement.cpp
+++ b/core/Placement.cpp
@@ -13,21 +13,22 @@
   return static_cast<double>(Left) / static_cast<double>(Capacity);
 }
 
-/// Neighbours that this task would disturb, or that would disturb it.
-auto conflicts(const StepDeclaration &Step, const PlaceView &Place)
+/// Images that the place would have beyond the one that it has at least.
+/// Serving tasks of one image are kept together, so that work which disturbs
+/// that image finds workers without it.
+auto mixedImages(const StepDeclaration &Step, const PlaceView &Place)
     -> std::int64_t {
-  if (Step.Fills_)
-    return Place.ServingTasks_;
-  if (Step.TailTarget_ > Millis{0})
-    return Place.FillingMilliCores_;
-  return 0;
+  if (Step.TailTarget_ == Millis{0})
+    return 0;
+  return Place.SameImage_ ? 0 : static_cast<std::int64_t>(Place.ServingImages_);
 }
 
 /// Orders places from worst to best.
 auto rankOf(const StepDeclaration &Step, const PlaceView &Place) {
   const auto NearData = Step.DataRack_.empty() || Step.DataRack_ == Place.Rack_;
   return std::make_tuple(!Place.Suspect_, !Place.FailedHere_, NearData,
-                         -conflicts(Step, Place), freeShare(Step, Place));
+                         Place.Overrun_ <= 0, -mixedImages(Step, Place),
+                         -Place.AddedPress_, freeShare(Step, Place));
 }
 
 } // namespace
@@ -35,7 +36,9 @@
 auto canPlace(const StepDeclaration &Step, const PlaceView &Place) -> bool {
   const auto BelowLimit =
       Step.MaxPerWorker_ == 0 || Place.TasksOfStep_ < Step.MaxPerWorker_;
-  return BelowLimit && Place.Free_.holds(Step.reserved());
+  // Work that fills rather waits than disturbs what serves.
+  const auto Disturbs = Step.Fills_ && Place.Overrun_ > 0;
+  return BelowLimit && !Disturbs && Place.Free_.holds(Step.reserved());
 }
 
 auto choosePlace(const StepDeclaration &Step,
--- a/core/Placement.h
+++ b/core/Placement.h
@@ -16,8 +16,15 @@
   std::string Rack_;
   /// Processors, in thousandths, that tasks which fill already ask for here.
   std::int64_t FillingMilliCores_ = 0;
-  /// Tasks here that serve users of their own under a tail target.
-  std::uint32_t ServingTasks_ = 0;
+  /// Different images of the tasks here that serve users of their own.
+  std::size_t ServingImages_ = 0;
+  /// Whether tasks of the same image serve here.
+  bool SameImage_ = false;
+  /// By how much the logarithm of some neighbour's, or the task's own, tail
+  /// would pass what its target leaves; at most 0 where none would.
+  double Overrun_ = 0;
+  /// Growth that the task would add to its neighbours' tails, all together.
+  double AddedPress_ = 0;
   /// Tasks of the same step and occurrence here.
   std::uint32_t TasksOfStep_ = 0;
   /// Whether recent attempts here failed or stalled.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -15,7 +15,7 @@
 /// Pending tasks looked at in one pass.
 constexpr int ScanLimit = 4000;
 /// Sizes of task that find no room before a pass ends.
-constexpr int MissLimit = 8;
+constexpr int MissLimit = 48;
 /// Workers looked at for one task in a large fleet.
 constexpr std::size_t DrawCount = 24;
 /// Bound tasks that may wait in one agent's queue.
@@ -38,6 +38,8 @@
 constexpr std::size_t KeySizeLimit = 64;
 constexpr std::size_t KeyDateSize = 8;
 constexpr Seconds Day{24 * 3600};
+/// Growth of a tail's logarithm below which nobody is disturbed.
+constexpr double NoticedPress = 0.06;
 
 auto keyDate(const IdempotencyKey &Key) -> std::optional<WallTime> {
   const auto &Text = Key.Value_;
@@ -93,6 +95,18 @@
   return Change;
 }
 
+/// Takes an amount from a sum, and drops a sum of nought.
+template <typename Key, typename Amount>
+auto takeAway(std::map<Key, Amount> &Sums, const Key &Which, Amount Part)
+    -> void {
+  const auto Found = Sums.find(Which);
+  SKYLARK_ASSERT(Found != Sums.end() && Found->second >= Part,
+                 "sum below nought");
+  Found->second -= Part;
+  if (Found->second == 0)
+    Sums.erase(Found);
+}
+
 } // namespace
 
 auto RunGrants::extend(const WorkerKey &Worker, TimePoint Until) -> void {
@@ -497,12 +511,19 @@
   Held.Agent_ = Agent;
   Held.Amount_ = Step.reserved();
   Held.FillingMilliCores_ = Step.Fills_ ? Step.Resources_.MilliCores_ : 0;
-  Held.Serves_ = Step.TailTarget_ > Millis{0};
+  Held.Target_ = Step.TailTarget_;
+  Held.Image_ = Step.Image_;
   Use_[Job.Declaration_.Team_] += Held.Amount_;
   auto &There = HeldAt_[Agent];
   There.Amount_ += Held.Amount_;
   There.FillingMilliCores_ += Held.FillingMilliCores_;
-  There.ServingTasks_ += Held.Serves_ ? 1 : 0;
+  if (Held.Target_ > Millis{0}) {
+    auto &Serving = There.Serving_[Held.Image_];
+    ++Serving.Tasks_;
+    Serving.Target_ = Held.Target_;
+  }
+  if (Held.FillingMilliCores_ > 0)
+    There.Filling_[Held.Image_] += Held.FillingMilliCores_;
   ++There.TasksOfStep_[{Task.Job_, Task.Step_, Task.Occurrence_}];
 }
 
@@ -516,11 +537,13 @@
   auto &There = HeldAt_[Held.Agent_];
   There.Amount_ -= Held.Amount_;
   There.FillingMilliCores_ -= Held.FillingMilliCores_;
-  There.ServingTasks_ -= Held.Serves_ ? 1 : 0;
-  const auto Step = There.TasksOfStep_.find(
-      {Task.Job_, Task.Step_, Task.Occurrence_});
-  if (--Step->second == 0)
-    There.TasksOfStep_.erase(Step);
+  if (Held.Target_ > Millis{0} &&
+      --There.Serving_[Held.Image_].Tasks_ == 0)
+    There.Serving_.erase(Held.Image_);
+  if (Held.FillingMilliCores_ > 0)
+    takeAway(There.Filling_, Held.Image_, Held.FillingMilliCores_);
+  takeAway(There.TasksOfStep_,
+           StepKey{Task.Job_, Task.Step_, Task.Occurrence_}, 1U);
 }
 
 auto ShardOwner::indexTask(const Job &Job, const TaskId &Id, bool Ready)
@@ -651,8 +674,39 @@
          Candidate.Load_.TasksQueued_ < QueueLimit;
 }
 
-auto ShardOwner::placeView(const Target &Candidate, const TaskId &Task,
-                           const TaskStatus &Status) const -> PlaceView {
+auto ShardOwner::pressThere(const std::string &Serving,
+                            const WorkerUse &There) const -> double {
+  double Sum = 0;
+  for (const auto &[Image, MilliCores] : There.Filling_)
+    Sum += View_.Presses_.press(Serving, Image, MilliCores);
+  return Sum;
+}
+
+auto ShardOwner::viewNeighbours(const StepDeclaration &Step,
+                                const WorkerUse &There, PlaceView &Place) const
+    -> void {
+  const auto &Presses = View_.Presses_;
+  Place.ServingImages_ = There.Serving_.size();
+  Place.SameImage_ = There.Serving_.count(Step.Image_) != 0;
+  if (Step.TailTarget_ > Millis{0})
+    Place.Overrun_ = pressThere(Step.Image_, There) -
+                     Presses.slack(Step.Image_, Step.TailTarget_);
+  if (!Step.Fills_)
+    return;
+  for (const auto &[Image, Serving] : There.Serving_) {
+    const auto Added =
+        Presses.press(Image, Step.Image_, Step.Resources_.MilliCores_);
+    const auto After = pressThere(Image, There) + Added;
+    if (Added > NoticedPress)
+      Place.Overrun_ = std::max(Place.Overrun_,
+                                After - Presses.slack(Image, Serving.Target_));
+    Place.AddedPress_ += Added * Serving.Tasks_;
+  }
+}
+
+auto ShardOwner::placeView(const Target &Candidate, const Job &Job,
+                           const TaskId &Task) const -> PlaceView {
+  const auto &Status = Job.task(Task);
   PlaceView Place;
   Place.Capacity_ = Candidate.Hello_.Capacity_;
   Place.Rack_ = Candidate.Hello_.Rack_;
@@ -667,11 +721,11 @@
   if (View_.OnlyShard_)
     Place.Free_ -= There->second.Amount_;
   Place.FillingMilliCores_ = There->second.FillingMilliCores_;
-  Place.ServingTasks_ = There->second.ServingTasks_;
   const auto Step = There->second.TasksOfStep_.find(
       {Task.Job_, Task.Step_, Task.Occurrence_});
   if (Step != There->second.TasksOfStep_.end())
     Place.TasksOfStep_ = Step->second;
+  viewNeighbours(Job.stepOf(Task), There->second, Place);
   return Place;
 }
 
@@ -693,7 +747,7 @@
     claimTowards(Now, *Each, Out);
     if (Each->GrantedShards_.count(Shard_) == 0)
       continue;
-    Places.push_back(placeView(*Each, Task, Job.task(Task)));
+    Places.push_back(placeView(*Each, Job, Task));
     Candidates.push_back(Each);
   }
   const auto Chosen = choosePlace(Step, Places);
@@ -736,9 +790,10 @@
   auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Out);
   if (Chosen == nullptr) {
     ++Pass.Misses_;
-    // A step with a limit a worker, or a label, says nothing of other steps.
+    // A step with limits of its own says nothing of other steps.
     const auto &Step = Job.stepOf(Rank.Task_);
-    if (Step.MaxPerWorker_ == 0 && Step.RequiredLabel_.empty())
+    if (Step.MaxPerWorker_ == 0 && Step.RequiredLabel_.empty() &&
+        !Step.Fills_)
       Pass.NoRoom_.push_back(Need);
     return false;
   }
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -39,6 +39,7 @@
   TargetTable &Targets_;
   const Configuration &Configuration_;
   const RunGrants &Grants_;
+  const PressKnowledge &Presses_;
   Counters &Counters_;
   /// Whether this shard holds all of the system's tasks.
   bool OnlyShard_ = false;
@@ -139,7 +140,8 @@
     AgentId Agent_;
     Resources Amount_;
     std::int64_t FillingMilliCores_ = 0;
-    bool Serves_ = false;
+    Millis Target_{0};
+    std::string Image_;
   };
   /// One step of one occurrence of a job.
   using StepKey = std::tuple<JobId, std::uint32_t, std::uint32_t>;
@@ -147,7 +149,13 @@
   struct WorkerUse {
     Resources Amount_;
     std::int64_t FillingMilliCores_ = 0;
-    std::uint32_t ServingTasks_ = 0;
+    struct ServingUse {
+      std::uint32_t Tasks_ = 0;
+      Millis Target_{0};
+    };
+    /// By image: what serves, and the processors that fillers ask for.
+    std::map<std::string, ServingUse> Serving_;
+    std::map<std::string, std::int64_t> Filling_;
     std::map<StepKey, std::uint32_t> TasksOfStep_;
   };
   /// What one pass over the pending tasks has learned.
@@ -193,8 +201,14 @@
                     Random &Generator, EntryOutbox &Out) -> Target *;
   auto mayHost(Moment Now, const Target &Candidate, const Job &Job,
                const StepDeclaration &Step) const -> bool;
-  auto placeView(const Target &Candidate, const TaskId &Task,
-                 const TaskStatus &Status) const -> PlaceView;
+  auto placeView(const Target &Candidate, const Job &Job,
+                 const TaskId &Task) const -> PlaceView;
+  /// Adds what is known of the step's image and its neighbours there.
+  auto viewNeighbours(const StepDeclaration &Step, const WorkerUse &There,
+                      PlaceView &Place) const -> void;
+  /// How much the fillers at a worker lengthen a serving image's tail there.
+  auto pressThere(const std::string &Serving, const WorkerUse &There) const
+      -> double;
   auto withinQuota(const JobDeclaration &Wanted, const Resources &Need) const
       -> bool;
   auto claimTowards(Moment Now, Target &Agent, EntryOutbox &Out) -> void;
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -72,6 +72,36 @@
   return NewEnds;
 }
 
+auto TaskHost::anyOwner() const -> SessionNumber {
+  for (const auto &[Shard, Owner] : Owners_)
+    if (Owner.Session_ != 0)
+      return Owner.Session_;
+  return 0;
+}
+
+auto TaskHost::guardServing(TimePoint Now, const WorkerInventory &Inventory,
+                            AgentOutbox &Out) -> void {
+  std::vector<SharingTask> Tasks;
+  for (const auto &Seen : Inventory.Tasks_) {
+    const auto Found = Tasks_.find(Seen.Bind_.Task_);
+    if (Found == Tasks_.end() || isEnded(Seen.Phase_) ||
+        Found->second.Phase_ != TaskPhase::Running ||
+        Found->second.Bind_.Attempt_ != Seen.Bind_.Attempt_)
+      continue;
+    const auto &Bind = Found->second.Bind_;
+    Tasks.push_back({Bind.Task_, Bind.Attempt_, Bind.Image_, Bind.Fills_,
+                     Bind.TailTarget_, Seen.Tail_, Seen.MilliCores_});
+  }
+  const auto Orders = Guard_.look(Now, Tasks);
+  for (const auto &Pace : Orders.Paces_)
+    Out.push_back(Pace);
+  for (const auto &[Task, Attempt] : Orders.Evictions_)
+    stopHeld(Tasks_.at(Task), ErrorKind::Evicted, Out);
+  const auto Session = anyOwner();
+  if (!Orders.Sample_.Serving_.empty() && Session != 0)
+    Out.push_back(SendToEntry{Session, Orders.Sample_});
+}
+
 auto TaskHost::dropUnheld(const WorkerInventory &Inventory, AgentOutbox &Out)
     -> void {
   for (const auto &Task : Inventory.Tasks_) {
@@ -199,6 +229,9 @@
     if (Obeyed && Held.Bind_.Shard_ == Claim.Shard_)
       Confirm.Held_.push_back(reportOf(Held));
   Out.push_back(SendToEntry{Session, std::move(Confirm)});
+  // A new owner has not learned yet what disturbs what.
+  if (Obeyed && !Guard_.table().Rows_.empty())
+    Out.push_back(SendToEntry{Session, Guard_.table()});
 }
 
 auto TaskHost::bind(TimePoint Now, SessionNumber Session, const BindTask &Bind,
--- a/core/TaskHost.h
+++ b/core/TaskHost.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/AgentOutput.h"
+#include "core/ShareGuard.h"
 #include "core/StartPermits.h"
 
 #include <map>
@@ -30,6 +31,11 @@
   /// Ends everything that ran: the worker is gone.
   auto loseWorker(AgentOutbox &Out) -> void;
 
+  /// Paces what fills beside what serves, after a list was taken in.
+  auto guardServing(TimePoint Now, const WorkerInventory &Inventory,
+                    AgentOutbox &Out) -> void;
+  auto learnPresses(const PressTable &Table) -> void { Guard_.adopt(Table); }
+
   auto claim(SessionNumber Session, const ClaimOwnership &Claim,
              AgentOutbox &Out) -> void;
   auto bind(TimePoint Now, SessionNumber Session, const BindTask &Bind,
@@ -107,7 +113,10 @@
   auto startOrder() -> std::vector<HeldTask *>;
   auto onWorkerClock(TimePoint Until) const -> Micros;
 
+  auto anyOwner() const -> SessionNumber;
+
   ResourceLedger Ledger_;
+  ShareGuard Guard_;
   Incarnation Worker_ = 0;
   Micros WorkerClock_{0};
   TimePoint WorkerClockAt_{};
--- a/runtime/Process.cpp
+++ b/runtime/Process.cpp
@@ -80,6 +80,8 @@
       -> void {
     for (const auto &Each : Lines)
       LOG(INFO) << renderLog(Each.Decision_, processName(), Each.At_);
+    google::FlushLogFiles(google::GLOG_INFO);
+    std::fflush(stdout);
     if (LeftOut == 0)
       return;
     LogDecision Gap;
