A worker that was replaced frees its tasks at once; a dead owner grants nothing

Change: once an agent obeys the new owner and names another worker, what was bound to the former one is lost at once. An earlier owner whose entry runs again as another process grants nothing any more.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -823,6 +823,21 @@
          ownedShards() > Share && Shards_[Shard]->owning();
 }
 
+auto EntryCore::takeRule(const ShardHead &Head) const
+    -> std::optional<Duration> {
+  // A shard that nobody owns has only what the last owner has left on record.
+  if (Head.Owner_.empty())
+    return Head.OldGrantsFor_;
+  // An earlier process of an entry that runs again grants nothing any more.
+  if (Head.Owner_ == Identity_.Entry_)
+    return Duration{0};
+  if (View_.isRegistered(Head.Owner_, Head.OwnerIncarnation_))
+    return std::nullopt;
+  if (View_.isRegistered(Head.Owner_))
+    return Duration{0};
+  return View_.configuration().Document_.Policy_.OutageHorizon_;
+}
+
 auto EntryCore::balanceShards(Moment Now) -> void {
   // While this entry was not registered another one may have owned its shards
   // and handed them back; an owner with nothing to write would never notice.
@@ -835,12 +850,8 @@
     const auto Preferred = preferredOwner(Each->number());
     const auto Mine = Preferred == Identity_.Entry_ && View_.registered() &&
                       knownOwner(Now, Each->number()).empty();
-    if (Mine && Each->idle() && !Leaving_) {
-      Each->take([this](const ShardHead &Head) {
-        return Head.Owner_.empty() || Head.Owner_ == Identity_.Entry_ ||
-               !View_.isRegistered(Head.Owner_, Head.OwnerIncarnation_);
-      });
-    }
+    if (Mine && Each->idle() && !Leaving_)
+      Each->take([this](const ShardHead &Head) { return takeRule(Head); });
     if (Each->owning() && (Leaving_ || mayMove(Each->number(), Preferred)))
       Each->release();
   }
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -179,6 +179,9 @@
   /// Gives up a shard that a peer owns since a later epoch.
   auto noteSuccessors(Moment Now, const Peer &From, EntryOutbox &Out) -> void;
   auto ownedByEpoch() const -> std::vector<OwnedShard>;
+  /// Whether this entry may take a shard with that head, and how long earlier
+  /// owners may go on granting.
+  auto takeRule(const ShardHead &Head) const -> std::optional<Duration>;
   auto mayMove(ShardNumber Shard, const EntryId &Preferred) const -> bool;
   auto canAsk(Moment Now, const EntryId &Peer) const -> bool;
   auto expireForwards(Moment Now, EntryOutbox &Out) -> void;
--- a/core/EnvironmentView.cpp
+++ b/core/EnvironmentView.cpp
@@ -166,6 +166,12 @@
       });
 }
 
+auto EnvironmentView::isRegistered(const EntryId &Entry) const -> bool {
+  return std::any_of(
+      Leases_.begin(), Leases_.end(),
+      [&](const EntryRegistration &Each) { return Each.Entry_ == Entry; });
+}
+
 auto EnvironmentView::contact(Moment Now) const -> StoreContact {
   const auto FreshFor = Current_.Document_.Policy_.FreshFor_;
   if (FreshAt_ != TimePoint{} && FreshAt_ + FreshFor > Now.Steady_)
--- a/core/EnvironmentView.h
+++ b/core/EnvironmentView.h
@@ -58,6 +58,8 @@
     return Peers_;
   }
   auto isRegistered(const EntryId &Entry, Incarnation Number) const -> bool;
+  /// True if any process of the entry is registered.
+  auto isRegistered(const EntryId &Entry) const -> bool;
   /// Entries that may still be granting.
   auto grantors() const -> const std::map<EntryId, Grantor> & {
     return Grantors_;
--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -49,11 +49,9 @@
           std::to_string(++NextWrite_)};
 }
 
-auto LedgerWriter::take(std::function<bool(const ShardHead &)> MayTake,
-                        Duration Horizon) -> void {
+auto LedgerWriter::take(TakeRule MayTake) -> void {
   if (Phase_ != Phase::Idle || CallOpen_)
     return;
-  Horizon_ = Horizon;
   MayTake_ = std::move(MayTake);
   Phase_ = Phase::Reading;
   readHead();
@@ -76,16 +74,15 @@
   ShardHead Found;
   if (Result.Status_ == StoreStatus::Ok)
     Found = std::get<ShardHead>(Result.Value_);
-  if (!MayTake_(Found)) {
+  const auto OldGrants = MayTake_(Found);
+  if (!OldGrants) {
     Phase_ = Phase::Idle;
     return;
   }
   HeadIndex_ = Result.Status_ == StoreStatus::Ok ? Result.Index_ : 0;
   SKYLARK_ASSERT(Found.Epoch_ >= Head_.Epoch_, "epoch went down:", Head_.Epoch_,
                  "to", Found.Epoch_);
-  // A shard that nobody has owned yet has no owner whose grants could run on.
-  OldGrantsFor_ = Found.Owner_.empty() ? Duration(Found.OldGrantsFor_)
-                                       : withClockMargin(Horizon_);
+  OldGrantsFor_ = withClockMargin(*OldGrants);
   auto Next = Found;
   ++Next.Epoch_;
   Next.Owner_ = Identity_.Entry_;
--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -25,11 +25,12 @@
   LedgerWriter(LedgerIdentity Identity, StorePort &Store)
       : Identity_(std::move(Identity)), Store_(Store) {}
 
-  /// Tries to take the shard if `MayTake` allows it for the head found.
-  /// \param Horizon how long an owner that did not hand over may go on
-  /// granting.
-  auto take(std::function<bool(const ShardHead &)> MayTake, Duration Horizon)
-      -> void;
+  /// Says whether a shard with this head may be taken, and if so how long
+  /// earlier owners may go on granting.
+  using TakeRule = std::function<std::optional<Duration>(const ShardHead &)>;
+
+  /// Tries to take the shard if the rule allows it for the head found.
+  auto take(TakeRule MayTake) -> void;
   /// Queues a record for the next commit.
   auto append(LedgerRecord Record) -> void;
   /// Takes back a queued record that no write has carried yet.
@@ -91,7 +92,7 @@
   LedgerIdentity Identity_;
   StorePort &Store_;
   Phase Phase_ = Phase::Idle;
-  std::function<bool(const ShardHead &)> MayTake_;
+  TakeRule MayTake_;
   ShardHead Head_;
   std::uint64_t HeadIndex_ = 0;
   /// The write whose outcome is open.
@@ -100,7 +101,6 @@
   bool VerifyWanted_ = false;
   ShardState State_;
   std::size_t SegmentsLoaded_ = 0;
-  Duration Horizon_{};
   Duration OldGrantsFor_{};
   TimePoint OldGrantsUntil_{};
   std::uint64_t NextWrite_ = 0;
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -140,11 +140,10 @@
     : Shard_(Identity.Shard_), Ledger_(std::move(Identity), Store),
       View_(View) {}
 
-auto ShardOwner::take(std::function<bool(const ShardHead &)> MayTake) -> void {
+auto ShardOwner::take(LedgerWriter::TakeRule MayTake) -> void {
   Indexed_ = false;
   Draining_ = false;
-  Ledger_.take(std::move(MayTake),
-               View_.Configuration_.Document_.Policy_.OutageHorizon_);
+  Ledger_.take(std::move(MayTake));
 }
 
 auto ShardOwner::quiet() const -> bool {
@@ -1027,6 +1026,14 @@
     claimTowards(Now, *Where, Out);
     return;
   }
+  // The agent obeys this owner and has another worker now: the one that the
+  // task was bound to has ended, and what ran there with it.
+  if (Where != nullptr && Where->ConfirmedShards_.count(Shard_) != 0) {
+    loseTask(Now, Id);
+    return;
+  }
+  if (Where != nullptr)
+    claimTowards(Now, *Where, Out);
   // The worker stops the task by itself once its lease has run out; only
   // then may another worker get it.
   const auto Lease =
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -74,7 +74,7 @@
   /// Claims the shard towards an agent that has tasks of it.
   auto agentJoined(Moment Now, Target &Joined, EntryOutbox &Out) -> void;
 
-  auto take(std::function<bool(const ShardHead &)> MayTake) -> void;
+  auto take(LedgerWriter::TakeRule MayTake) -> void;
   /// Learns whether another entry has taken the shard meanwhile.
   auto verify() -> void { Ledger_.verify(); }
   /// Takes no new work, and hands the shard over once it is quiet.
--- a/test/correctness/LedgerTest.cpp
+++ b/test/correctness/LedgerTest.cpp
@@ -40,7 +40,7 @@
   }
 
   auto take() -> void {
-    Writer_.take([](const ShardHead &) { return true; }, Seconds{1});
+    Writer_.take([](const ShardHead &) { return Duration(Seconds{1}); });
     settle();
   }
 
