A silent worker's tasks end with its leases; quick starts; one look an image

(2) Fillers waited while workers were idle: 48 misses end a pass, and 74 tasks of one image that had no quiet place used them up. (3) A bound task waited for the agent's next tick, up to 50 ms, as the log lines of single jobs show.

Change: an agent counts its unanswered looks; after three the worker takes nothing new, its leases are not renewed, and once they have run out its tasks are reported as lost. Counted in looks, since a frozen agent must look again before it judges. A filling image without a quiet place is looked for once a pass. Agents start work as soon as it is bound.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -9,6 +9,8 @@
 constexpr Millis HeartbeatEvery{500};
 constexpr Millis PollEvery{500};
 constexpr Millis RepeatEvery{1000};
+/// Looks that a worker may leave unanswered before it counts as lost.
+constexpr int SilentLooks = 3;
 /// The worker's figures cover about this much time.
 constexpr Millis GuardEvery{400};
 /// How long a worker that has said goodbye may take to end what it runs.
@@ -159,8 +161,10 @@
 
 auto AgentCore::handle(Moment Now, SessionNumber Number, const BindTask &Bind,
                        AgentOutbox &Out) -> void {
-  if (!isDuplicate(Number, Bind.Sequence_))
-    Tasks_.bind(Now.Steady_, Number, Bind, Permits_, Out);
+  if (isDuplicate(Number, Bind.Sequence_))
+    return;
+  Tasks_.bind(Now.Steady_, Number, Bind, Permits_, Out);
+  startQueued(Now, Out);
 }
 
 auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
@@ -195,6 +199,7 @@
 
 auto AgentCore::workerListed(Moment Now, const WorkerInventory &Inventory,
                              AgentOutbox &Out) -> void {
+  OpenLooks_ = 0;
   if (!Listed_) {
     Tasks_.adopt(isBroken(Mutation::ForgetRunningTasks)
                      ? WorkerInventory{Inventory.Worker_, Inventory.Clock_, {}}
@@ -211,8 +216,10 @@
     return;
   }
   // An end has often more behind it, and its acknowledgement is to follow.
-  if (Tasks_.update(Now.Steady_, Inventory, Out))
+  if (Tasks_.update(Now.Steady_, Inventory, Out)) {
+    startQueued(Now, Out);
     pollWorker(Now, Out);
+  }
   if (Now.Steady_ >= NextGuard_) {
     NextGuard_ = Now.Steady_ + GuardEvery;
     Tasks_.guardServing(Now.Steady_, Inventory, Out);
@@ -260,7 +267,25 @@
 
 auto AgentCore::pollWorker(Moment Now, AgentOutbox &Out) -> void {
   NextPoll_ = Now.Steady_ + PollEvery;
-  Tasks_.poll(Out);
+  ++OpenLooks_;
+  Tasks_.poll(Now.Steady_, !WorkerSilent_, Out);
+}
+
+auto AgentCore::watchWorker(Moment Now, AgentOutbox &Out) -> void {
+  // Counted in looks, not in time: an agent that was frozen itself has to look
+  // again before it judges.
+  const auto Silent = Listed_ && OpenLooks_ > SilentLooks;
+  if (Silent != WorkerSilent_) {
+    WorkerSilent_ = Silent;
+    Out.push_back(LogDecision{Silent ? "worker-lost" : "worker-regained",
+                              Identity_.Agent_.Value_,
+                              Current_.Head_.Revision_, ErrorKind::None, ""});
+    sendHeartbeats(Now, Out);
+  }
+  // A worker that nobody reaches ends everything once its leases have run out.
+  const auto Over = WorkerSilent_ && Now.Steady_ > Tasks_.leasesEnd();
+  if (Over || Now.Steady_ >= WorkerGoneAt_)
+    Tasks_.loseWorker(Out);
 }
 
 auto AgentCore::targetAnswered(Moment Now, const TargetResult &Result,
@@ -272,8 +297,7 @@
   Tasks_.refreshLeases(Now.Steady_, Permits_, Out);
   if (Now.Steady_ >= NextPoll_)
     pollWorker(Now, Out);
-  if (Now.Steady_ >= WorkerGoneAt_)
-    Tasks_.loseWorker(Out);
+  watchWorker(Now, Out);
   if (!Ready_)
     return;
   if (Now.Steady_ >= NextHeartbeat_)
@@ -282,6 +306,15 @@
     NextRepeat_ = Now.Steady_ + RepeatEvery;
     Tasks_.repeatReports(Out);
   }
+  startQueued(Now, Out);
+  Requests_.advance(Now.Steady_, Out);
+  if (Leaving_ && !ExitSent_ && Requests_.idle() && Tasks_.empty()) {
+    ExitSent_ = true;
+    Out.push_back(ExitProcess{});
+  }
+}
+
+auto AgentCore::startQueued(Moment Now, AgentOutbox &Out) -> void {
   const auto Reason = refuseReason();
   const auto Stays = Reason == ErrorKind::DataCentreOut &&
                      !Current_.Document_.Policy_.MoveWhenOut_;
@@ -291,11 +324,6 @@
     Tasks_.returnQueued(Reason, Out);
   else
     Tasks_.startQueued(Now.Steady_, Permits_, Current_.Head_.Revision_, Out);
-  Requests_.advance(Now.Steady_, Out);
-  if (Leaving_ && !ExitSent_ && Requests_.idle() && Tasks_.empty()) {
-    ExitSent_ = true;
-    Out.push_back(ExitProcess{});
-  }
 }
 
 auto AgentCore::leave(Moment Now, AgentOutbox &Out) -> void {
--- a/core/AgentCore.h
+++ b/core/AgentCore.h
@@ -50,7 +50,9 @@
   /// Connections that have been silent for too long and must be replaced.
   auto silentSessions(Moment Now) const -> std::vector<SessionNumber>;
   /// Whether the worker takes nothing new, because it or the agent leaves.
-  auto leaving() const -> bool { return Leaving_ || WorkerLeaving_; }
+  auto leaving() const -> bool {
+    return Leaving_ || WorkerLeaving_ || WorkerSilent_;
+  }
   auto configuration() const -> const Configuration & { return Current_; }
   auto ready() const -> bool { return Ready_; }
 
@@ -68,7 +70,10 @@
       -> void;
   auto sendHeartbeats(Moment Now, AgentOutbox &Out) -> void;
   auto isDuplicate(SessionNumber Number, std::uint64_t Sequence) -> bool;
+  auto watchWorker(Moment Now, AgentOutbox &Out) -> void;
   auto becomeReady(AgentOutbox &Out) -> void;
+  /// Starts what waits, or hands it back where nothing may start here.
+  auto startQueued(Moment Now, AgentOutbox &Out) -> void;
   auto pollWorker(Moment Now, AgentOutbox &Out) -> void;
   auto refuseReason() const -> ErrorKind;
   auto load() const -> AgentLoad;
@@ -103,6 +108,10 @@
   bool Listed_ = false;
   bool Ready_ = false;
   bool WorkerLeaving_ = false;
+  /// The worker has not answered for a while; it may run on under its leases.
+  bool WorkerSilent_ = false;
+  /// Looks sent since the worker last answered one.
+  int OpenLooks_ = 0;
   /// When everything on a worker that has ended counts as over.
   TimePoint WorkerGoneAt_ = TimePoint::max();
   Incarnation AnnouncedWorker_ = 0;
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -146,6 +146,14 @@
   Ledger_.take(std::move(MayTake));
 }
 
+auto ShardOwner::log(std::string_view Event, std::string Subject,
+                     ErrorKind Reason, std::string Detail,
+                     EntryOutbox &Out) const -> void {
+  Out.push_back(LogDecision{Event, std::move(Subject),
+                            View_.Configuration_.Head_.Revision_, Reason,
+                            std::move(Detail)});
+}
+
 auto ShardOwner::quiet() const -> bool {
   return Ledger_.queued() == 0 && PendingClaims_.empty() && Dispatched_.empty();
 }
@@ -424,6 +432,10 @@
                            EntryOutbox &Out) -> void {
   const auto *Added = state().findJob(Record.Job_.Id_);
   index(*Added);
+  log("job-accepted", Added->Id_.Value_, ErrorKind::None,
+      "queue " + Added->Declaration_.Queue_.Value_ + ", " +
+          std::to_string(Added->Tasks_.size()) + " tasks",
+      Out);
   const auto Waiting = WaitingAdd_.find(Record.Job_.Id_);
   if (Waiting == WaitingAdd_.end())
     return;
@@ -474,6 +486,7 @@
 auto ShardOwner::committed(Moment /*Now*/, const JobCancelled &Record,
                            EntryOutbox &Out) -> void {
   Cancelling_.erase(Record.Job_);
+  log("job-cancelled", Record.Job_.Value_, ErrorKind::Cancelled, "", Out);
   const auto *Cancelled = state().findJob(Record.Job_);
   if (Cancelled == nullptr)
     return;
@@ -637,6 +650,10 @@
   auto *Where = View_.Targets_.findAgent(Record.Agent_);
   if (Record.State_ == TaskState::Bound) {
     ++View_.Counters_.TasksBound_;
+    log("task-bound", Record.Task_.text(), ErrorKind::None,
+        "attempt " + std::to_string(Record.Attempt_) + " to " +
+            Record.Agent_.Value_,
+        Out);
     if (Where != nullptr && Where->GrantedShards_.count(Shard_) != 0)
       sendBind(Now, Record.Task_, *Where, Out);
     return;
@@ -646,11 +663,10 @@
   if (Where != nullptr)
     Out.push_back(SendToAgent{Where->Session_,
                               TaskReportAck{Record.Task_, Record.Attempt_}});
-  Out.push_back(LogDecision{
-      "task-changed",
-      Record.Task_.text(),
-      View_.Configuration_.Head_.Revision_, Record.Reason_,
-      std::string(taskStateText(Record.State_))});
+  log("task-settled", Record.Task_.text(), Record.Reason_,
+      std::string(taskStateText(Record.State_)) + " after attempt " +
+          std::to_string(Record.Attempt_) + " at " + Record.Agent_.Value_,
+      Out);
 }
 
 // Binding.
@@ -786,13 +802,16 @@
       [&](const Resources &Smaller) { return Need.holds(Smaller); });
   if (Hopeless)
     return false;
+  const auto &Step = Job.stepOf(Rank.Task_);
+  if (Step.Fills_ && Pass.NoQuietPlace_.count(Step.Image_) != 0)
+    return false;
   auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Out);
   if (Chosen == nullptr) {
     ++Pass.Misses_;
+    if (Step.Fills_)
+      Pass.NoQuietPlace_.insert(Step.Image_);
     // A step with limits of its own says nothing of other steps.
-    const auto &Step = Job.stepOf(Rank.Task_);
-    if (Step.MaxPerWorker_ == 0 && Step.RequiredLabel_.empty() &&
-        !Step.Fills_)
+    else if (Step.MaxPerWorker_ == 0 && Step.RequiredLabel_.empty())
       Pass.NoRoom_.push_back(Need);
     return false;
   }
@@ -977,6 +996,12 @@
   if (Report.Phase_ == TaskPhase::Stopped &&
       Report.Reason_ != ErrorKind::Cancelled)
     ++View_.Counters_.Evictions_;
+  // Nobody can say how far the task came before its worker fell silent.
+  if (Report.Phase_ == TaskPhase::Stopped &&
+      Report.Reason_ == ErrorKind::WorkerGone) {
+    loseTask(Now, Report.Task_, Report.Checkpoint_);
+    return;
+  }
   const auto Done = Report.Phase_ == TaskPhase::Finished &&
                     !Job.stepOf(Report.Task_).LongRunning_;
   if (!Done) {
@@ -1029,7 +1054,7 @@
   // The agent obeys this owner and has another worker now: the one that the
   // task was bound to has ended, and what ran there with it.
   if (Where != nullptr && Where->ConfirmedShards_.count(Shard_) != 0) {
-    loseTask(Now, Id);
+    loseTask(Now, Id, {});
     return;
   }
   if (Where != nullptr)
@@ -1042,14 +1067,16 @@
       std::max(View_.Grants_.until({Task.Agent_, Task.Worker_}),
                Ledger_.oldGrantsUntil() + Lease);
   if (Now.Steady_ > GrantedUntil || isBroken(Mutation::ResumeBeforeLeaseEnds))
-    loseTask(Now, Id);
+    loseTask(Now, Id, {});
 }
 
-auto ShardOwner::loseTask(Moment Now, const TaskId &Id) -> void {
+auto ShardOwner::loseTask(Moment Now, const TaskId &Id,
+                          const CheckpointId &Saved) -> void {
   const auto &Job = *state().findJob(Id.Job_);
   const auto &Task = Job.task(Id);
   if (Job.Declaration_.RerunWhenLost_ || Job.stepOf(Id).LongRunning_) {
-    requeue(Now, Id, ErrorKind::WorkerGone, Task.Checkpoint_, false);
+    requeue(Now, Id, ErrorKind::WorkerGone,
+            Saved.empty() ? Task.Checkpoint_ : Saved, false);
     return;
   }
   propose(Id,
@@ -1076,6 +1103,8 @@
 }
 
 auto ShardOwner::lost(EntryOutbox &Out) -> void {
+  log("shard-given-up", std::to_string(Shard_), ErrorKind::StaleEpoch,
+      "epoch " + std::to_string(Ledger_.epoch()), Out);
   for (const auto &[Key, Claim] : PendingClaims_)
     refuse(Claim.Token_, ErrorKind::KeyNotChecked, Key.Value_, Out);
   PendingClaims_.clear();
@@ -1106,6 +1135,11 @@
   }
   if (!Indexed_) {
     reindex();
+    log("shard-taken", std::to_string(Shard_), ErrorKind::None,
+        "epoch " + std::to_string(Ledger_.epoch()) + ", " +
+            std::to_string(state().jobs().size()) + " jobs, " +
+            std::to_string(Bound_.size()) + " tasks bound",
+        Out);
     for (auto *Each : View_.Targets_.all())
       agentJoined(Now, *Each, Out);
   }
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -162,6 +162,8 @@
   struct BindPass {
     int Misses_ = 0;
     std::vector<Resources> NoRoom_;
+    /// Filling images that disturb what serves wherever there is room.
+    std::set<std::string> NoQuietPlace_;
   };
   struct WaitingCaller {
     CallerToken Token_ = 0;
@@ -183,7 +185,9 @@
   auto propose(const TaskId &Task, TaskChanged Change) -> void;
   auto requeue(Moment Now, const TaskId &Task, ErrorKind Reason,
                const CheckpointId &Checkpoint, bool Failed) -> void;
-  auto loseTask(Moment Now, const TaskId &Task) -> void;
+  /// \param Saved a newer checkpoint than the ledger's, where one is known.
+  auto loseTask(Moment Now, const TaskId &Task, const CheckpointId &Saved)
+      -> void;
   auto reindex() -> void;
   auto index(const Job &Job) -> void;
   auto indexStep(const Job &Job, std::uint32_t Step, std::uint32_t Occurrence)
@@ -225,6 +229,8 @@
   auto forgetOld(Moment Now) -> void;
   auto teamUse(const TeamName &Team) const -> Resources;
   auto lost(EntryOutbox &Out) -> void;
+  auto log(std::string_view Event, std::string Subject, ErrorKind Reason,
+           std::string Detail, EntryOutbox &Out) const -> void;
 
   auto committed(Moment Now, const JobAdded &Record, EntryOutbox &Out) -> void;
   auto committed(Moment Now, const JobCancelled &Record, EntryOutbox &Out)
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -17,6 +17,19 @@
   return {Bind.Task_, Bind.Attempt_};
 }
 
+auto endEvent(TaskPhase Phase) -> std::string_view {
+  switch (Phase) {
+  case TaskPhase::Finished:
+    return "attempt-finished";
+  case TaskPhase::Failed:
+    return "attempt-failed";
+  case TaskPhase::NotStarted:
+    return "attempt-not-started";
+  default:
+    return "attempt-stopped";
+  }
+}
+
 } // namespace
 
 auto TaskHost::reportOf(const HeldTask &Held) -> TaskReport {
@@ -159,6 +172,7 @@
                Permits.startUntil(Held.StartRevision_));
   if (Until <= Now)
     return;
+  noteLease(Now, Until);
   Held.StartLeaseUntil_ = std::max(Held.StartLeaseUntil_, onWorkerClock(Until));
   Out.push_back(StartOnWorker{Held.Bind_, Held.StartLeaseUntil_});
 }
@@ -193,9 +207,17 @@
   Held.Phase_ = Phase;
   Held.Reason_ = Reason;
   Ledger_.release(Held.Bind_.Task_);
+  log(endEvent(Phase), Held, Out);
   report(Held, Out);
 }
 
+auto TaskHost::log(std::string_view Event, const HeldTask &Held,
+                   AgentOutbox &Out) -> void {
+  Out.push_back(LogDecision{Event, Held.Bind_.Task_.text(), Held.StartRevision_,
+                            Held.Reason_,
+                            "attempt " + std::to_string(Held.Bind_.Attempt_)});
+}
+
 auto TaskHost::report(const HeldTask &Held, AgentOutbox &Out) const -> void {
   const auto Session = sessionOf(Held.Bind_.Shard_);
   if (Session == 0)
@@ -297,8 +319,10 @@
   }
   if (Held.Phase_ != TaskPhase::Running && Held.Phase_ != TaskPhase::Stopping)
     return;
-  if (Held.Phase_ == TaskPhase::Running)
+  if (Held.Phase_ == TaskPhase::Running) {
     Held.Reason_ = Reason;
+    log("stop-ordered", Held, Out);
+  }
   Held.Phase_ = TaskPhase::Stopping;
   Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
 }
@@ -364,9 +388,11 @@
         std::min({Held->LeaseUntil_, runUntil(*Held, Permits), StartUntil});
     if (LeaseUntil <= Now)
       continue;
-    if (Ledger_.fits(Held->Bind_.Resources_) ||
-        isBroken(Mutation::StartWithoutRoom))
-      startTask(*Held, LeaseUntil, Seen, Out);
+    if (!Ledger_.fits(Held->Bind_.Resources_) &&
+        !isBroken(Mutation::StartWithoutRoom))
+      continue;
+    noteLease(Now, LeaseUntil);
+    startTask(*Held, LeaseUntil, Seen, Out);
   }
 }
 
@@ -393,6 +419,7 @@
   Held.Phase_ = TaskPhase::Starting;
   Held.StartRevision_ = Seen;
   Held.StartLeaseUntil_ = onWorkerClock(LeaseUntil);
+  log("start-ordered", Held, Out);
   Out.push_back(StartOnWorker{Held.Bind_, Held.StartLeaseUntil_});
 }
 
@@ -427,16 +454,25 @@
   }
 }
 
-auto TaskHost::poll(AgentOutbox &Out) -> void {
+auto TaskHost::noteLease(TimePoint Now, TimePoint Until) -> void {
+  if (Until > Now)
+    LeasesEnd_ = std::max(LeasesEnd_, Now + withClockMargin(Until - Now));
+}
+
+auto TaskHost::poll(TimePoint Now, bool Renew, AgentOutbox &Out) -> void {
   PollWorker Poll;
   for (const auto &[Task, Held] : Tasks_) {
+    if (!Renew)
+      break;
     const auto RunUntil = Held.LeaseUntil_;
     const auto Renewable = Held.Phase_ == TaskPhase::Starting ||
                            Held.Phase_ == TaskPhase::Running ||
                            Held.Phase_ == TaskPhase::Stopping;
-    if (Renewable && RunUntil != TimePoint{} && WorkerClock_ != Micros{0})
-      Poll.Leases_.push_back(
-          {Task, Held.Bind_.Attempt_, onWorkerClock(RunUntil)});
+    if (!Renewable || RunUntil == TimePoint{} || WorkerClock_ == Micros{0})
+      continue;
+    noteLease(Now, RunUntil);
+    Poll.Leases_.push_back(
+        {Task, Held.Bind_.Attempt_, onWorkerClock(RunUntil)});
   }
   Out.push_back(std::move(Poll));
 }
--- a/core/TaskHost.h
+++ b/core/TaskHost.h
@@ -62,8 +62,12 @@
   auto returnQueued(ErrorKind Reason, AgentOutbox &Out) -> void;
   /// Repeats the reports that the owner has not acknowledged.
   auto repeatReports(AgentOutbox &Out) -> void;
-  /// Asks the worker for its list and renews the leases it may renew.
-  auto poll(AgentOutbox &Out) -> void;
+  /// Asks the worker for its list.
+  /// \param Renew whether to renew the leases that may be renewed.
+  auto poll(TimePoint Now, bool Renew, AgentOutbox &Out) -> void;
+  /// When the worker has ended all it runs by itself, if it gets no order any
+  /// more.
+  auto leasesEnd() const -> TimePoint { return LeasesEnd_; }
   /// Forgets which connection owns shards; epochs stay.
   auto close(SessionNumber Session) -> void;
 
@@ -113,10 +117,15 @@
   auto startOrder() -> std::vector<HeldTask *>;
   auto onWorkerClock(TimePoint Until) const -> Micros;
 
+  static auto log(std::string_view Event, const HeldTask &Held,
+                  AgentOutbox &Out) -> void;
   auto anyOwner() const -> SessionNumber;
 
   ResourceLedger Ledger_;
   ShareGuard Guard_;
+  auto noteLease(TimePoint Now, TimePoint Until) -> void;
+
+  TimePoint LeasesEnd_{};
   Incarnation Worker_ = 0;
   Micros WorkerClock_{0};
   TimePoint WorkerClockAt_{};
