A released shard is taken by an entry that stays

Change: beats say who leaves; only entries that are heard of, fresh and staying are preferred; a beat with fewer shards, or a lost connection, makes an entry look at once.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -327,15 +327,24 @@
 
 // Other entries.
 
-auto EntryCore::preferredOwner(ShardNumber Shard) const -> EntryId {
-  // Rendezvous hashing over the registered entries: a change of the set moves
-  // only the shards of the entry that came or went.
-  auto Best = View_.registered() ? Identity_.Entry_ : EntryId{};
+auto EntryCore::mayOwn(Moment Now, const EntryId &Peer) const -> bool {
+  const auto Known = Peers_.find(Peer);
+  return Known != Peers_.end() && canAsk(Now, Peer) && Known->second.Fresh_ &&
+         !Known->second.Leaving_;
+}
+
+auto EntryCore::preferredOwner(Moment Now, ShardNumber Shard) const -> EntryId {
+  // Rendezvous hashing over the entries that could own: a change of the set
+  // moves only the shards of the entry that came or went. Where entries differ
+  // on the set, the store's record lets one of them win.
+  const auto Self = View_.registered() && !Leaving_;
+  auto Best = Self ? Identity_.Entry_ : EntryId{};
   const auto Score = [&](const EntryId &Entry) {
     return digest64(Entry.Value_ + "#" + std::to_string(Shard));
   };
   for (const auto &Each : View_.peers())
-    if (Best.empty() || Score(Each.Entry_) > Score(Best))
+    if (mayOwn(Now, Each.Entry_) &&
+        (Best.empty() || Score(Each.Entry_) > Score(Best)))
       Best = Each.Entry_;
   return Best;
 }
@@ -363,7 +372,7 @@
   const auto FromPeer = Token >= FirstPeerToken;
   auto Owner = knownOwner(Now, Shard);
   if (Owner.empty())
-    Owner = preferredOwner(Shard);
+    Owner = preferredOwner(Now, Shard);
   if (FromPeer) {
     refuse(Token, ErrorKind::ShardMoving, "shard " + std::to_string(Shard),
            Out);
@@ -473,6 +482,8 @@
 auto EntryCore::peerGone(Moment Now, const EntryId &Peer, EntryOutbox &Out)
     -> void {
   Peers_[Peer].Open_ = false;
+  Peers_[Peer].Owned_.clear();
+  NextBalance_ = Now.Steady_;
   expireForwards(Now, Out);
   complete(Now, Out);
 }
@@ -497,6 +508,9 @@
   Known.SeenRevision_ = std::max(Known.SeenRevision_, Message.SeenRevision_);
   Known.ConfirmedRevision_ =
       std::max(Known.ConfirmedRevision_, Message.ConfirmedRevision_);
+  // A shard that has lost its owner is taken at once.
+  if (Known.Owned_.size() > Message.Owned_.size())
+    NextBalance_ = Now.Steady_;
   Known.Owned_.clear();
   for (const auto &Each : Message.Owned_)
     Known.Owned_[Each.Shard_] = Each.Epoch_;
@@ -504,6 +518,7 @@
   for (const auto &Each : Message.Renounced_)
     Known.Renounced_[Each.Shard_] = Each.Epoch_;
   Known.Fresh_ = Message.Fresh_;
+  Known.Leaving_ = Message.Leaving_;
   noteSuccessors(Now, Known, Out);
 }
 
@@ -607,6 +622,7 @@
   PeerBeat Beat{Identity_.Entry_, Identity_.Incarnation_,
                       View_.revision(), confirmedRevision(Now),
                       ownedByEpoch(), {}, false};
+  Beat.Leaving_ = Leaving_;
   Beat.Fresh_ = View_.contact(Now) == StoreContact::Fresh;
   for (const auto &[Shard, Epoch] : Renounced_)
     Beat.Renounced_.push_back({Shard, Epoch});
@@ -916,7 +932,7 @@
     if (Returned && Each->owning())
       Each->verify();
   for (const auto &Each : Shards_) {
-    const auto Preferred = preferredOwner(Each->number());
+    const auto Preferred = preferredOwner(Now, Each->number());
     const auto Mine = Preferred == Identity_.Entry_ && View_.registered() &&
                       View_.contact(Now) == StoreContact::Fresh &&
                       knownOwner(Now, Each->number()).empty();
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -79,6 +79,7 @@
     std::map<ShardNumber, Epoch> Owned_;
     std::map<ShardNumber, Epoch> Renounced_;
     bool Fresh_ = false;
+    bool Leaving_ = false;
   };
   struct ForwardedCall {
     CallerToken Token_ = 0;
@@ -194,7 +195,9 @@
   auto mayMove(ShardNumber Shard, const EntryId &Preferred) const -> bool;
   auto canAsk(Moment Now, const EntryId &Peer) const -> bool;
   auto expireForwards(Moment Now, EntryOutbox &Out) -> void;
-  auto preferredOwner(ShardNumber Shard) const -> EntryId;
+  auto preferredOwner(Moment Now, ShardNumber Shard) const -> EntryId;
+  /// Whether a peer could take a shard, as far as this entry knows.
+  auto mayOwn(Moment Now, const EntryId &Peer) const -> bool;
   auto balanceShards(Moment Now) -> void;
   auto closeSilent(Moment Now, EntryOutbox &Out) -> void;
   auto sendPeerBeats(Moment Now, EntryOutbox &Out) -> void;
--- a/core/EntryOutput.h
+++ b/core/EntryOutput.h
@@ -316,12 +316,15 @@
   std::vector<OwnedShard> Renounced_;
   /// True if the sender has read the store within the freshness time.
   bool Fresh_ = false;
+  /// True if the sender stops and takes no shard any more.
+  bool Leaving_ = false;
 
   static constexpr auto fields() {
     return std::make_tuple(&PeerBeat::Entry_, &PeerBeat::Incarnation_,
                            &PeerBeat::SeenRevision_,
                            &PeerBeat::ConfirmedRevision_, &PeerBeat::Owned_,
-                           &PeerBeat::Renounced_, &PeerBeat::Fresh_);
+                           &PeerBeat::Renounced_, &PeerBeat::Fresh_,
+                           &PeerBeat::Leaving_);
   }
 };
 
