--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -10,6 +10,10 @@
 
 constexpr Millis PeerBeatEvery{300};
 constexpr Millis BalanceEvery{500};
+/// A peer's reading of the store that is this much newer than an entry's own
+/// last one shows that the store is not down for all. Readings in the same
+/// outage differ by less: by one period and the time-out of a call.
+constexpr Millis AloneAfter{1500};
 constexpr Millis PressesEvery{500};
 constexpr Millis ForwardPatience{7000};
 /// How long a request to a queue may take inside the system.
@@ -329,7 +333,9 @@
 
 auto EntryCore::mayOwn(Moment Now, const EntryId &Peer) const -> bool {
   const auto Known = Peers_.find(Peer);
-  return Known != Peers_.end() && canAsk(Now, Peer) && Known->second.Fresh_ &&
+  const auto FreshFor = View_.configuration().Document_.Policy_.FreshFor_;
+  return Known != Peers_.end() && canAsk(Now, Peer) &&
+         Known->second.StoreReadAt_ + FreshFor + PeerBeatEvery > Now.Steady_ &&
          !Known->second.Leaving_;
 }
 
@@ -517,7 +523,7 @@
   Known.Renounced_.clear();
   for (const auto &Each : Message.Renounced_)
     Known.Renounced_[Each.Shard_] = Each.Epoch_;
-  Known.Fresh_ = Message.Fresh_;
+  Known.StoreReadAt_ = Now.Steady_ - Message.StoreReadAge_;
   Known.Leaving_ = Message.Leaving_;
   noteSuccessors(Now, Known, Out);
 }
@@ -619,11 +625,15 @@
 }
 
 auto EntryCore::beatNow(Moment Now, EntryOutbox &Out) -> void {
-  PeerBeat Beat{Identity_.Entry_, Identity_.Incarnation_,
-                      View_.revision(), confirmedRevision(Now),
-                      ownedByEpoch(), {}, false};
+  PeerBeat Beat;
+  Beat.Entry_ = Identity_.Entry_;
+  Beat.Incarnation_ = Identity_.Incarnation_;
+  Beat.SeenRevision_ = View_.revision();
+  Beat.ConfirmedRevision_ = confirmedRevision(Now);
+  Beat.Owned_ = ownedByEpoch();
   Beat.Leaving_ = Leaving_;
-  Beat.Fresh_ = View_.contact(Now) == StoreContact::Fresh;
+  Beat.StoreReadAge_ =
+      std::chrono::duration_cast<Millis>(Now.Steady_ - View_.freshAt());
   for (const auto &[Shard, Epoch] : Renounced_)
     Beat.Renounced_.push_back({Shard, Epoch});
   AnnouncedShards_ = Beat.Owned_.size();
@@ -893,7 +903,8 @@
   const auto Alone =
       View_.contact(Now) == StoreContact::Outage &&
       std::any_of(Peers_.begin(), Peers_.end(), [&](const auto &Each) {
-        return Each.second.Fresh_ && canAsk(Now, Each.first);
+        return Each.second.StoreReadAt_ > View_.freshAt() + AloneAfter &&
+               canAsk(Now, Each.first);
       });
   if (!Alone)
     return;
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -78,7 +78,8 @@
     /// The shards that it said it owns.
     std::map<ShardNumber, Epoch> Owned_;
     std::map<ShardNumber, Epoch> Renounced_;
-    bool Fresh_ = false;
+    /// When it last read the store, as far as this entry knows.
+    TimePoint StoreReadAt_{};
     bool Leaving_ = false;
   };
   struct ForwardedCall {
--- a/core/EntryOutput.h
+++ b/core/EntryOutput.h
@@ -314,8 +314,8 @@
   /// Shards that the sender still owns by the store's record and has given up,
   /// since it can't reach the store to say so there.
   std::vector<OwnedShard> Renounced_;
-  /// True if the sender has read the store within the freshness time.
-  bool Fresh_ = false;
+  /// How long ago the sender last read the store.
+  Millis StoreReadAge_{0};
   /// True if the sender stops and takes no shard any more.
   bool Leaving_ = false;
 
@@ -323,7 +323,7 @@
     return std::make_tuple(&PeerBeat::Entry_, &PeerBeat::Incarnation_,
                            &PeerBeat::SeenRevision_,
                            &PeerBeat::ConfirmedRevision_, &PeerBeat::Owned_,
-                           &PeerBeat::Renounced_, &PeerBeat::Fresh_,
+                           &PeerBeat::Renounced_, &PeerBeat::StoreReadAge_,
                            &PeerBeat::Leaving_);
   }
 };
--- a/core/EnvironmentView.h
+++ b/core/EnvironmentView.h
@@ -46,6 +46,8 @@
   auto asOf() const -> Revision { return std::max(AsOf_, revision()); }
   auto environment() const -> const EnvironmentName & { return Environment_; }
   auto contact(Moment Now) const -> StoreContact;
+  /// When the store was last read.
+  auto freshAt() const -> TimePoint { return FreshAt_; }
   /// True if this entry may grant at all: it is registered, and fresh or within
   /// the outage horizon.
   auto mayGrant(Moment Now) const -> bool;
--- /dev/null
+++ b/test/correctness/SharingTest.cpp
@@ -0,0 +1,141 @@
+/// \file
+/// Tests what is learned of images that disturb each other, and what an agent
+/// does about it.
+
+#include "core/Interference.h"
+#include "core/ShareGuard.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+
+using namespace skylark;
+
+namespace {
+
+constexpr Millis Target{18};
+
+/// A worker's look where the tail of "web" follows its own level of 6 ms and
+/// half a logarithm for each core of "loud"; "quiet" doesn't matter.
+auto lookWith(double LoudCores, double QuietCores) -> SharingSample {
+  const auto Tail = 6.0 * std::exp(0.5 * LoudCores);
+  SharingSample Sample;
+  Sample.Serving_.push_back(
+      {"web", Target, Millis{static_cast<std::int64_t>(Tail)}});
+  if (LoudCores > 0)
+    Sample.Filling_.push_back(
+        {"loud", static_cast<std::int64_t>(LoudCores * 1000)});
+  if (QuietCores > 0)
+    Sample.Filling_.push_back(
+        {"quiet", static_cast<std::int64_t>(QuietCores * 1000)});
+  return Sample;
+}
+
+auto learned() -> InterferenceModel {
+  InterferenceModel Model;
+  for (int Round = 0; Round < 12; ++Round) {
+    Model.learn(lookWith(0, 0));
+    Model.learn(lookWith(2, 0));
+    Model.learn(lookWith(0, 4));
+    Model.learn(lookWith(3, 4));
+  }
+  Model.refresh();
+  return Model;
+}
+
+auto serving(Millis Tail) -> SharingTask {
+  return {{{"serves"}, 0}, 1, "web", false, Target, Tail, 0};
+}
+
+auto filling(const std::string &Image) -> SharingTask {
+  return {{{Image}, 0}, 1, Image, true, Millis{0}, Millis{0}, 3000};
+}
+
+auto paceOf(const SharingOrders &Orders, const std::string &Image) -> int {
+  for (const auto &Each : Orders.Paces_)
+    if (Each.Task_.Job_.Value_ == Image)
+      return static_cast<int>(Each.Percent_);
+  return -1;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Sharing)
+
+BOOST_AUTO_TEST_CASE(TellsTheLoudImageFromTheQuietOne) {
+  const auto Model = learned();
+  const auto &Known = Model.knowledge();
+  BOOST_TEST(Known.press("web", "loud", 2000) > 0.7);
+  BOOST_TEST(Known.press("web", "quiet", 2000) < 0.1);
+}
+
+BOOST_AUTO_TEST_CASE(NoPressIsEverNegative) {
+  InterferenceModel Model;
+  for (int Round = 0; Round < 10; ++Round) {
+    auto Calm = lookWith(0, 4);
+    Calm.Serving_.front().Tail_ = Millis{2};
+    Model.learn(Calm);
+    Model.learn(lookWith(0, 0));
+  }
+  Model.refresh();
+  BOOST_TEST(Model.knowledge().press("web", "quiet", 1000) >= 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(SlackShrinksWithTheOwnLevel) {
+  const auto Model = learned();
+  const auto &Known = Model.knowledge();
+  BOOST_TEST(Known.slack("web", Target) > Known.slack("web", Millis{9}));
+}
+
+BOOST_AUTO_TEST_CASE(ASuccessorBeginsWithWhatWasLearned) {
+  const auto Model = learned();
+  InterferenceModel Successor;
+  Successor.adopt(Model.knowledge().table());
+  Successor.refresh();
+  BOOST_TEST(Successor.knowledge().press("web", "loud", 2000) > 0.7);
+}
+
+BOOST_AUTO_TEST_CASE(NothingNewNeedsNoRefresh) {
+  auto Model = learned();
+  BOOST_TEST(!Model.refresh());
+}
+
+BOOST_AUTO_TEST_CASE(PausesOnlyWhatPresses) {
+  ShareGuard Guard;
+  Guard.adopt(learned().knowledge().table());
+  const auto Orders =
+      Guard.look(TimePoint(Seconds{1}),
+                 {serving(Millis{30}), filling("loud"), filling("quiet")});
+  BOOST_TEST(paceOf(Orders, "loud") == 0);
+  BOOST_TEST(paceOf(Orders, "quiet") == -1);
+}
+
+BOOST_AUTO_TEST_CASE(PausesAllWhereKnowledgeDoesNotHelp) {
+  ShareGuard Guard;
+  Guard.adopt(learned().knowledge().table());
+  const std::vector<SharingTask> Tasks{serving(Millis{30}), filling("quiet")};
+  BOOST_TEST(paceOf(Guard.look(TimePoint(Seconds{1}), Tasks), "quiet") == -1);
+  BOOST_TEST(paceOf(Guard.look(TimePoint(Millis{2300}), Tasks), "quiet") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ResumesOnceTailsAreCalm) {
+  ShareGuard Guard;
+  Guard.adopt(learned().knowledge().table());
+  Guard.look(TimePoint(Seconds{1}), {serving(Millis{30}), filling("loud")});
+  const auto Still = Guard.look(TimePoint(Millis{1400}),
+                                {serving(Millis{15}), filling("loud")});
+  BOOST_TEST(paceOf(Still, "loud") == -1);
+  const auto Calm = Guard.look(TimePoint(Millis{1800}),
+                               {serving(Millis{7}), filling("loud")});
+  BOOST_TEST(paceOf(Calm, "loud") == 100);
+}
+
+BOOST_AUTO_TEST_CASE(SendsAwayWhatStaysPaused) {
+  ShareGuard Guard;
+  Guard.adopt(learned().knowledge().table());
+  const std::vector<SharingTask> Tasks{serving(Millis{30}), filling("loud")};
+  BOOST_TEST(Guard.look(TimePoint(Seconds{1}), Tasks).Evictions_.empty());
+  BOOST_TEST(Guard.look(TimePoint(Seconds{3}), Tasks).Evictions_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
