--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -434,7 +434,8 @@
   index(*Added);
   log("job-accepted", Added->Id_.Value_, ErrorKind::None,
       "queue " + Added->Declaration_.Queue_.Value_ + ", " +
-          std::to_string(Added->Tasks_.size()) + " tasks",
+          std::to_string(Added->Tasks_.size()) + " tasks, chain " +
+          std::to_string(Added->Declaration_.longestChain().count()) + " ms",
       Out);
   const auto Waiting = WaitingAdd_.find(Record.Job_.Id_);
   if (Waiting == WaitingAdd_.end())
