Agents are told of entries that come later

The owner's address was not among the seeds, and agents whose seeds all answered asked the store again only after 20 s (log: connected at 55.3 s).

Change: entries tell agents which entries there are, when they join and when that changes. Sources laid out by the formatter.

--- a/agent/AgentProcess.cpp
+++ b/agent/AgentProcess.cpp
@@ -178,8 +178,8 @@
     asio::post(Threads_.traffic(), [this] {
       Store_->call(0, ReadEntries{Settings_.Environment_},
                    [this](StoreResult Result) {
-                     decide([this, Result = std::move(Result)](
-                                Moment Then, AgentOutbox &) {
+                     decide([this, Result = std::move(Result)](Moment Then,
+                                                               AgentOutbox &) {
                        entriesFound(Then.Steady_, Result);
                      });
                    });
@@ -260,6 +260,14 @@
 
   auto carryOut(const LogDecision &Decision) -> void { writeLog(Decision); }
 
+  auto carryOut(const ConnectEntries &Connect) -> void {
+    // The entries of a fixed list are reached by the addresses in it.
+    if (!Store_)
+      return;
+    for (const auto &Address : Connect.Addresses_)
+      connect(Address);
+  }
+
   auto carryOut(const StartAnew & /*Anew*/) -> void {
     const auto Open = LinkOf_;
     for (const auto &Each : Open)
--- a/agent/AgentProcess.h
+++ b/agent/AgentProcess.h
@@ -15,8 +15,7 @@
   std::unique_ptr<WorkerLink> (*MakeWorker_)(asio::io_context &, HttpClient &,
                                              const Settings &, Incarnation,
                                              WorkerLinkHandlers);
-  std::unique_ptr<StoreTransport> (*MakeStore_)(HttpClient &,
-                                                const Settings &);
+  std::unique_ptr<StoreTransport> (*MakeStore_)(HttpClient &, const Settings &);
 };
 
 /// Runs an agent until it is told to stop. Returns the exit status.
--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -154,11 +154,15 @@
 }
 
 auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
-                       const PressTable &Table, AgentOutbox & /*Out*/)
-    -> void {
+                       const PressTable &Table, AgentOutbox & /*Out*/) -> void {
   Tasks_.learnPresses(Table);
 }
 
+auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
+                       const KnownEntries &Entries, AgentOutbox &Out) -> void {
+  Out.push_back(ConnectEntries{Entries.Addresses_});
+}
+
 auto AgentCore::handle(Moment Now, SessionNumber Number, const BindTask &Bind,
                        AgentOutbox &Out) -> void {
   if (isDuplicate(Number, Bind.Sequence_))
@@ -282,8 +286,8 @@
   if (Silent != WorkerSilent_) {
     WorkerSilent_ = Silent;
     Out.push_back(LogDecision{Silent ? "worker-lost" : "worker-regained",
-                              Identity_.Agent_.Value_,
-                              Current_.Head_.Revision_, ErrorKind::None, ""});
+                              Identity_.Agent_.Value_, Current_.Head_.Revision_,
+                              ErrorKind::None, ""});
     sendHeartbeats(Now, Out);
   }
   // A worker that nobody reaches ends everything once its leases have run out.
--- a/core/AgentCore.h
+++ b/core/AgentCore.h
@@ -96,6 +96,8 @@
               AgentOutbox &Out) -> void;
   auto handle(Moment Now, SessionNumber Number, const PressTable &Table,
               AgentOutbox &Out) -> void;
+  auto handle(Moment Now, SessionNumber Number, const KnownEntries &Entries,
+              AgentOutbox &Out) -> void;
 
   AgentIdentity Identity_;
   Configuration Current_;
--- a/core/AgentOutput.h
+++ b/core/AgentOutput.h
@@ -129,6 +129,11 @@
 /// connections.
 struct StartAnew {};
 
+/// Asks the driver to hold a connection to each of these entries.
+struct ConnectEntries {
+  std::vector<std::string> Addresses_;
+};
+
 /// Lets a task work, and disturb its neighbours, at a share of its speed.
 struct PaceOnWorker {
   TaskId Task_;
@@ -139,7 +144,7 @@
 using AgentOutput =
     std::variant<SendToEntry, StartOnWorker, StopOnWorker, ForgetOnWorker,
                  PollWorker, PaceOnWorker, CallTarget, LogDecision, ExitProcess,
-                 StartAnew>;
+                 StartAnew, ConnectEntries>;
 using AgentOutbox = std::vector<AgentOutput>;
 
 } // namespace skylark
--- a/core/Document.cpp
+++ b/core/Document.cpp
@@ -41,8 +41,8 @@
     const auto Matches =
         Each.Host_ == Host &&
         Path.compare(0, Each.PathPrefix_.size(), Each.PathPrefix_) == 0;
-    if (Matches && (Best == nullptr ||
-                    Each.PathPrefix_.size() > Best->PathPrefix_.size()))
+    if (Matches &&
+        (Best == nullptr || Each.PathPrefix_.size() > Best->PathPrefix_.size()))
       Best = &Each;
   }
   return Best;
--- a/core/Document.h
+++ b/core/Document.h
@@ -156,9 +156,8 @@
   static constexpr auto fields() {
     return std::make_tuple(
         &EnvironmentHead::Revision_, &EnvironmentHead::DocumentRevision_,
-        &EnvironmentHead::StartRevision_,
-        &EnvironmentHead::DocumentDigest_, &EnvironmentHead::Out_,
-        &EnvironmentHead::RecentWrites_);
+        &EnvironmentHead::StartRevision_, &EnvironmentHead::DocumentDigest_,
+        &EnvironmentHead::Out_, &EnvironmentHead::RecentWrites_);
   }
   auto isOut(const DataCentreName &Name) const -> bool;
   /// The revision that `Write` made, or 0 where it is not among recent writes.
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -225,16 +225,15 @@
     refuse(Token, ErrorKind::StoreUnavailable, "no configuration yet", Out);
     return nullptr;
   }
-  const auto *Found = View_.configuration().Document_.findQueue(
-      Address.Host_, Address.Path_);
+  const auto *Found =
+      View_.configuration().Document_.findQueue(Address.Host_, Address.Path_);
   if (Found == nullptr)
     refuse(Token, ErrorKind::UnknownQueue, Address.Host_ + Address.Path_, Out);
   return Found;
 }
 
 auto EntryCore::handle(Moment Now, CallerToken Token,
-                       const SubmitToQueue &Request, EntryOutbox &Out)
-    -> void {
+                       const SubmitToQueue &Request, EntryOutbox &Out) -> void {
   const auto *Queue = queueAt(Token, Request.Address_, Out);
   if (Queue == nullptr)
     return;
@@ -266,8 +265,7 @@
 }
 
 auto EntryCore::handle(Moment Now, CallerToken Token,
-                       const CancelInQueue &Request, EntryOutbox &Out)
-    -> void {
+                       const CancelInQueue &Request, EntryOutbox &Out) -> void {
   const auto *Queue = queueAt(Token, Request.Address_, Out);
   if (Queue == nullptr)
     return;
@@ -605,8 +603,8 @@
   EntryOutbox Kept;
   for (auto &Each : Out) {
     const auto *Answer = std::get_if<AnswerCaller>(&Each);
-    const auto Found = Answer == nullptr ? WithOwner_.end()
-                                         : WithOwner_.find(Answer->Token_);
+    const auto Found =
+        Answer == nullptr ? WithOwner_.end() : WithOwner_.find(Answer->Token_);
     if (Found == WithOwner_.end()) {
       Kept.push_back(std::move(Each));
       continue;
@@ -755,6 +753,7 @@
   auto *Joined = Targets_.find(Session);
   for (const auto &Shard : Shards_)
     Shard->agentJoined(Now, *Joined, Out);
+  Out.push_back(SendToAgent{Session, knownEntries()});
   Out.push_back(LogDecision{"agent-joined", Message.Agent_.Value_,
                             View_.revision(), ErrorKind::None,
                             Message.DataCentre_.Value_});
@@ -774,9 +773,8 @@
   if (Message.Revision_ < View_.configuration().startRevision() &&
       From.ConfigurationSentAt_ + ConfigurationEvery <= Now.Steady_) {
     From.ConfigurationSentAt_ = Now.Steady_;
-    Out.push_back(
-        SendToAgent{From.Session_,
-                    ConfigurationUpdate{View_.configuration().forAgents()}});
+    Out.push_back(SendToAgent{
+        From.Session_, ConfigurationUpdate{View_.configuration().forAgents()}});
   }
   HeartbeatAck Ack;
   Ack.Sequence_ = Message.Sequence_;
@@ -842,6 +840,23 @@
   Interference_.adopt(Message);
 }
 
+auto EntryCore::knownEntries() const -> KnownEntries {
+  KnownEntries Known{{Identity_.PeerAddress_}};
+  for (const auto &Each : View_.peers())
+    Known.Addresses_.push_back(Each.PeerAddress_);
+  std::sort(Known.Addresses_.begin(), Known.Addresses_.end());
+  return Known;
+}
+
+auto EntryCore::announceEntries(EntryOutbox &Out) -> void {
+  const auto Known = knownEntries();
+  if (Known.Addresses_ == AnnouncedEntries_)
+    return;
+  AnnouncedEntries_ = Known.Addresses_;
+  for (const auto *Each : Targets_.all())
+    Out.push_back(SendToAgent{Each->Session_, Known});
+}
+
 auto EntryCore::sendPresses(Moment Now, EntryOutbox &Out) -> void {
   if (Now.Steady_ < NextPresses_ || ownedShards() == 0 ||
       !Interference_.refresh())
@@ -1016,6 +1031,7 @@
   expireForwards(Now, Out);
   sendPeerBeats(Now, Out);
   sendPresses(Now, Out);
+  announceEntries(Out);
   if (Leaving_)
     finishLeaving(Now, Out);
   complete(Now, Out);
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -148,6 +148,9 @@
               EntryOutbox &Out) -> void;
   /// Tells agents what has been learned of images that disturb each other.
   auto sendPresses(Moment Now, EntryOutbox &Out) -> void;
+  auto knownEntries() const -> KnownEntries;
+  /// Tells agents of entries that have come or gone.
+  auto announceEntries(EntryOutbox &Out) -> void;
 
   auto handle(Moment Now, const EntryId &Peer, const PeerBeat &Message,
               EntryOutbox &Out) -> void;
@@ -225,6 +228,7 @@
   RunGrants Grants_;
   InterferenceModel Interference_;
   TimePoint NextPresses_{};
+  std::vector<std::string> AnnouncedEntries_;
   RequestDesk Desk_;
   ChangeDesk Changes_;
   std::vector<std::unique_ptr<ShardOwner>> Shards_;
--- a/core/EntryOutput.h
+++ b/core/EntryOutput.h
@@ -94,8 +94,7 @@
   QueueName Queue_;
 
   static constexpr auto fields() {
-    return std::make_tuple(&GetJob::Job_, &GetJob::StateOnly_,
-                           &GetJob::Queue_);
+    return std::make_tuple(&GetJob::Job_, &GetJob::StateOnly_, &GetJob::Queue_);
   }
 };
 
@@ -164,11 +163,11 @@
   static constexpr auto fields() { return std::make_tuple(); }
 };
 
-using CallerRequest = std::variant<QuickRequest, SubmitJob, GetJob, CancelJob,
-                                   ExplainRequest, GetDocument, PutDocument,
-                                   PromoteDocument, SetDataCentre, ListTargets,
-                                   SubmitToQueue, ReadQueue, CancelInQueue,
-                                   CountUnstarted>;
+using CallerRequest =
+    std::variant<QuickRequest, SubmitJob, GetJob, CancelJob, ExplainRequest,
+                 GetDocument, PutDocument, PromoteDocument, SetDataCentre,
+                 ListTargets, SubmitToQueue, ReadQueue, CancelInQueue,
+                 CountUnstarted>;
 
 struct ErrorReply {
   ErrorKind Kind_ = ErrorKind::None;
@@ -289,9 +288,9 @@
   }
 };
 
-using CallerReply = std::variant<ErrorReply, QuickReply, JobReply, ExplainReply,
-                                 DocumentReply, ChangeReply, TargetsReply,
-                                 JobStateReply, UnstartedReply>;
+using CallerReply =
+    std::variant<ErrorReply, QuickReply, JobReply, ExplainReply, DocumentReply,
+                 ChangeReply, TargetsReply, JobStateReply, UnstartedReply>;
 
 /// A shard that an entry owns and serves, and since which epoch.
 struct OwnedShard {
@@ -320,11 +319,10 @@
   bool Leaving_ = false;
 
   static constexpr auto fields() {
-    return std::make_tuple(&PeerBeat::Entry_, &PeerBeat::Incarnation_,
-                           &PeerBeat::SeenRevision_,
-                           &PeerBeat::ConfirmedRevision_, &PeerBeat::Owned_,
-                           &PeerBeat::Renounced_, &PeerBeat::StoreReadAge_,
-                           &PeerBeat::Leaving_);
+    return std::make_tuple(
+        &PeerBeat::Entry_, &PeerBeat::Incarnation_, &PeerBeat::SeenRevision_,
+        &PeerBeat::ConfirmedRevision_, &PeerBeat::Owned_, &PeerBeat::Renounced_,
+        &PeerBeat::StoreReadAge_, &PeerBeat::Leaving_);
   }
 };
 
--- a/core/Ids.h
+++ b/core/Ids.h
@@ -83,9 +83,8 @@
   }
 
 private:
-  auto ranked() const
-      -> std::tuple<const JobId &, std::uint32_t, std::uint32_t,
-                    std::uint32_t> {
+  auto ranked() const -> std::tuple<const JobId &, std::uint32_t, std::uint32_t,
+                                    std::uint32_t> {
     return {Job_, Occurrence_, Step_, Index_};
   }
 };
--- a/core/Interference.cpp
+++ b/core/Interference.cpp
@@ -76,9 +76,8 @@
   for (const auto &Each : Sample.Filling_) {
     const auto Column = column(Each.Image_);
     if (Column != 0)
-      Row.emplace_back(Column,
-                       static_cast<double>(Each.MilliCores_) /
-                           MilliCoresPerCore);
+      Row.emplace_back(Column, static_cast<double>(Each.MilliCores_) /
+                                   MilliCoresPerCore);
   }
   const auto Size = Images_.size() + 1;
   for (const auto &Each : Sample.Serving_) {
@@ -137,14 +136,14 @@
   for (std::size_t Column = 0; Column < Size; ++Column) {
     Squares -= 2 * Weights[Column] * Seen.WithTail_[Column];
     for (std::size_t Other = 0; Other < Size; ++Other)
-      Squares += Weights[Column] * Weights[Other] *
-                 Seen.Products_[Column][Other];
+      Squares +=
+          Weights[Column] * Weights[Other] * Seen.Products_[Column][Other];
   }
   ServingRow Row;
   Row.Serving_ = Serving;
   Row.Alone_ = Weights[0];
-  Row.Spread_ = std::min(UnknownSpread,
-                         std::sqrt(std::max(0.0, Squares) / Seen.Count_));
+  Row.Spread_ =
+      std::min(UnknownSpread, std::sqrt(std::max(0.0, Squares) / Seen.Count_));
   for (std::size_t Column = 1; Column < Size; ++Column)
     Row.Presses_.push_back({Images_[Column - 1], Weights[Column]});
   return Row;
--- a/core/Interference.h
+++ b/core/Interference.h
@@ -74,9 +74,7 @@
 struct PressTable {
   std::vector<ServingRow> Rows_;
 
-  static constexpr auto fields() {
-    return std::make_tuple(&PressTable::Rows_);
-  }
+  static constexpr auto fields() { return std::make_tuple(&PressTable::Rows_); }
 };
 
 /// What is known, ready to be asked.
--- a/core/Job.cpp
+++ b/core/Job.cpp
@@ -54,8 +54,7 @@
 
 auto Job::positionOf(const TaskId &Task) const -> std::size_t {
   const auto &Steps = Declaration_.Steps_;
-  if (Task.Step_ >= Steps.size() ||
-      Task.Index_ >= Steps[Task.Step_].TaskCount_)
+  if (Task.Step_ >= Steps.size() || Task.Index_ >= Steps[Task.Step_].TaskCount_)
     return Tasks_.size();
   auto Position = Task.Occurrence_ * Declaration_.tasksPerOccurrence();
   for (std::uint32_t Step = 0; Step < Task.Step_; ++Step)
@@ -65,8 +64,7 @@
 
 auto Job::taskAt(std::size_t Position) const -> TaskId {
   const auto PerOccurrence = Declaration_.tasksPerOccurrence();
-  TaskId Task{Id_, 0, 0,
-              static_cast<std::uint32_t>(Position / PerOccurrence)};
+  TaskId Task{Id_, 0, 0, static_cast<std::uint32_t>(Position / PerOccurrence)};
   auto Left = static_cast<std::uint32_t>(Position % PerOccurrence);
   while (Left >= Declaration_.Steps_[Task.Step_].TaskCount_)
     Left -= Declaration_.Steps_[Task.Step_++].TaskCount_;
@@ -75,7 +73,8 @@
 }
 
 auto Job::stepOf(const TaskId &Task) const -> const StepDeclaration & {
-  SKYLARK_ASSERT(Task.Step_ < Declaration_.Steps_.size(), "no such step:", Task);
+  SKYLARK_ASSERT(Task.Step_ < Declaration_.Steps_.size(),
+                 "no such step:", Task);
   return Declaration_.Steps_[Task.Step_];
 }
 
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -214,10 +214,18 @@
 
   static constexpr auto fields() {
     return std::make_tuple(&HeartbeatAck::Sequence_, &HeartbeatAck::Revision_,
-                           &HeartbeatAck::AsOf_,
-                           &HeartbeatAck::StartFor_, &HeartbeatAck::RunFor_,
-                           &HeartbeatAck::Shards_, &HeartbeatAck::Fresh_,
-                           &HeartbeatAck::Leaving_);
+                           &HeartbeatAck::AsOf_, &HeartbeatAck::StartFor_,
+                           &HeartbeatAck::RunFor_, &HeartbeatAck::Shards_,
+                           &HeartbeatAck::Fresh_, &HeartbeatAck::Leaving_);
+  }
+};
+
+/// The addresses of all entries that the sender knows of, itself included.
+struct KnownEntries {
+  std::vector<std::string> Addresses_;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&KnownEntries::Addresses_);
   }
 };
 
@@ -278,14 +286,14 @@
 };
 
 /// Everything that an agent sends to an entry.
-using AgentMessage = std::variant<Hello, Heartbeat, ConfigurationUpdate,
-                                  ConfirmOwnership, TaskReport, DispatchAnswer,
-                                  SharingSample, PressTable>;
+using AgentMessage =
+    std::variant<Hello, Heartbeat, ConfigurationUpdate, ConfirmOwnership,
+                 TaskReport, DispatchAnswer, SharingSample, PressTable>;
 
 /// Everything that an entry sends to an agent.
 using EntryMessage =
     std::variant<HeartbeatAck, ConfigurationUpdate, ClaimOwnership, BindTask,
                  StopTask, TaskReportAck, DispatchRequest, CancelDispatch,
-                 PressTable>;
+                 PressTable, KnownEntries>;
 
 } // namespace skylark
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -374,8 +374,8 @@
     auto Problem = checkStep(Step, Document.LargestWorker_,
                              "the largest worker has", Detail);
     if (Problem == ErrorKind::None)
-      Problem = checkStep(Step, Team->Quota_, "the quota of the team is",
-                          Detail);
+      Problem =
+          checkStep(Step, Team->Quota_, "the quota of the team is", Detail);
     if (Problem != ErrorKind::None)
       return Problem;
   }
@@ -397,8 +397,8 @@
     return;
   }
   const auto StateOnly = !Submission.Job_.empty();
-  const auto Id = StateOnly ? Submission.Job_
-                            : mintJobId(Submission, Generator);
+  const auto Id =
+      StateOnly ? Submission.Job_ : mintJobId(Submission, Generator);
   if (const auto *Known = state().findJob(Id)) {
     Out.push_back(AnswerCaller{Token, jobAnswer(*Known, StateOnly)});
     return;
@@ -456,11 +456,11 @@
 }
 
 auto ShardOwner::countUnstarted(const QueueName &Queue) const -> std::uint64_t {
-  return std::count_if(
-      state().jobs().begin(), state().jobs().end(), [&](const auto &Each) {
-        return Each.second.Declaration_.Queue_ == Queue &&
-               jobState(Each.second) == JobState::Queued;
-      });
+  return std::count_if(state().jobs().begin(), state().jobs().end(),
+                       [&](const auto &Each) {
+                         return Each.second.Declaration_.Queue_ == Queue &&
+                                jobState(Each.second) == JobState::Queued;
+                       });
 }
 
 auto ShardOwner::cancel(Moment Now, CallerToken Token, const CancelJob &Request,
@@ -550,13 +550,12 @@
   auto &There = HeldAt_[Held.Agent_];
   There.Amount_ -= Held.Amount_;
   There.FillingMilliCores_ -= Held.FillingMilliCores_;
-  if (Held.Target_ > Millis{0} &&
-      --There.Serving_[Held.Image_].Tasks_ == 0)
+  if (Held.Target_ > Millis{0} && --There.Serving_[Held.Image_].Tasks_ == 0)
     There.Serving_.erase(Held.Image_);
   if (Held.FillingMilliCores_ > 0)
     takeAway(There.Filling_, Held.Image_, Held.FillingMilliCores_);
-  takeAway(There.TasksOfStep_,
-           StepKey{Task.Job_, Task.Step_, Task.Occurrence_}, 1U);
+  takeAway(There.TasksOfStep_, StepKey{Task.Job_, Task.Step_, Task.Occurrence_},
+           1U);
 }
 
 auto ShardOwner::indexTask(const Job &Job, const TaskId &Id, bool Ready)
@@ -587,8 +586,7 @@
 
 auto ShardOwner::index(const Job &Job) -> void {
   const auto Occurrences = std::max(Job.Declaration_.Occurrences_, 1U);
-  const auto Steps =
-      static_cast<std::uint32_t>(Job.Declaration_.Steps_.size());
+  const auto Steps = static_cast<std::uint32_t>(Job.Declaration_.Steps_.size());
   for (std::uint32_t Occurrence = 0; Occurrence < Occurrences; ++Occurrence)
     for (std::uint32_t Step = 0; Step < Steps; ++Step)
       indexStep(Job, Step, Occurrence);
@@ -680,10 +678,9 @@
   const auto Serves =
       Service.empty() ||
       std::find(Offered.begin(), Offered.end(), Service) != Offered.end();
-  const auto Labelled =
-      Step.RequiredLabel_.empty() ||
-      std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) !=
-          Labels.end();
+  const auto Labelled = Step.RequiredLabel_.empty() ||
+                        std::find(Labels.begin(), Labels.end(),
+                                  Step.RequiredLabel_) != Labels.end();
   return Serves && Labelled &&
          mayGetWork(Candidate, View_.Configuration_, Now.Steady_) &&
          Candidate.QuarantinedUntil_ <= Now.Steady_ &&
@@ -755,8 +752,8 @@
   std::vector<Target *> Candidates;
   const auto First =
       std::uniform_int_distribution<std::size_t>(0, All.size() - 1)(Generator);
-  for (std::size_t Draw = 0;
-       Draw < All.size() && Candidates.size() < DrawCount; ++Draw) {
+  for (std::size_t Draw = 0; Draw < All.size() && Candidates.size() < DrawCount;
+       ++Draw) {
     auto *Each = All[(First + Draw) % All.size()];
     if (!mayHost(Now, *Each, Job, Step))
       continue;
@@ -787,8 +784,7 @@
   if (!Wanted.Queue_.empty())
     return true;
   const auto *Team = View_.Configuration_.Document_.findTeam(Wanted.Team_);
-  return Team != nullptr &&
-         Team->Quota_.holds(teamUse(Wanted.Team_) + Need);
+  return Team != nullptr && Team->Quota_.holds(teamUse(Wanted.Team_) + Need);
 }
 
 auto ShardOwner::bindOne(Moment Now, const PendingRank &Rank, BindPass &Pass,
@@ -1009,9 +1005,8 @@
     requeue(Now, Report.Task_, Report.Reason_, Report.Checkpoint_, Failed);
     return;
   }
-  auto Change =
-      changeOf(Job.task(Report.Task_), TaskState::Finished, ErrorKind::None,
-               Now);
+  auto Change = changeOf(Job.task(Report.Task_), TaskState::Finished,
+                         ErrorKind::None, Now);
   propose(Report.Task_, std::move(Change));
 }
 
--- a/core/ShareGuard.cpp
+++ b/core/ShareGuard.cpp
@@ -80,8 +80,8 @@
                         const std::vector<SharingTask> &Tasks) const -> bool {
   // What was learned may be wrong. Where a task stays over its target although
   // all that is known to press it is paused, everything that fills is.
-  const auto LongOver = std::any_of(
-      OverSince_.begin(), OverSince_.end(), [&](const auto &Each) {
+  const auto LongOver =
+      std::any_of(OverSince_.begin(), OverSince_.end(), [&](const auto &Each) {
         return Each.second + DoubtKnowledgeAfter <= Now;
       });
   if (LongOver)
@@ -116,8 +116,7 @@
     const auto Changed = Known.Percent_ != Wanted;
     if (Changed && !MayRun)
       Known.PausedAt_ = Now;
-    const auto Repeat =
-        !MayRun && Known.OrderedAt_ + RepeatPaceAfter <= Now;
+    const auto Repeat = !MayRun && Known.OrderedAt_ + RepeatPaceAfter <= Now;
     if (Changed || Repeat) {
       Known.Percent_ = Wanted;
       Known.OrderedAt_ = Now;
@@ -127,8 +126,8 @@
       Orders.Evictions_.push_back({Each.Task_, Each.Attempt_});
   }
   for (auto Each = Paced_.begin(); Each != Paced_.end();)
-    Each = Present.count(Each->first) == 0 ? Paced_.erase(Each)
-                                           : std::next(Each);
+    Each =
+        Present.count(Each->first) == 0 ? Paced_.erase(Each) : std::next(Each);
   return Orders;
 }
 
--- a/core/StartPermits.cpp
+++ b/core/StartPermits.cpp
@@ -34,9 +34,8 @@
     // A grant under a newer revision counts only once the agent has applied
     // that revision: it may say that nothing starts here. One of an entry that
     // has not seen what the agent has seen doesn't count either.
-    const auto Current =
-        (Grant.Revision_ <= Seen && Seen <= Grant.AsOf_) ||
-        isBroken(Mutation::StartUnderOldRevision);
+    const auto Current = (Grant.Revision_ <= Seen && Seen <= Grant.AsOf_) ||
+                         isBroken(Mutation::StartUnderOldRevision);
     if (Current)
       Until = std::max(Until, Grant.StartUntil_);
   }
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -33,9 +33,8 @@
 } // namespace
 
 auto TaskHost::reportOf(const HeldTask &Held) -> TaskReport {
-  return {Held.Bind_.Shard_, Held.Bind_.Task_, Held.Bind_.Attempt_,
-          Held.Phase_,       Held.Checkpoint_, Held.Reason_,
-          Held.NeedsBinding_};
+  return {Held.Bind_.Shard_, Held.Bind_.Task_, Held.Bind_.Attempt_, Held.Phase_,
+          Held.Checkpoint_,  Held.Reason_,     Held.NeedsBinding_};
 }
 
 auto TaskHost::adopt(const WorkerInventory &Inventory) -> void {
@@ -167,9 +166,8 @@
     return;
   }
   // A second copy of the order is harmless: the worker runs an attempt once.
-  const auto Until =
-      std::min(runUntil(Held, Permits),
-               Permits.startUntil(Held.StartRevision_));
+  const auto Until = std::min(runUntil(Held, Permits),
+                              Permits.startUntil(Held.StartRevision_));
   if (Until <= Now)
     return;
   noteLease(Now, Until);
--- a/entry/CallerServer.h
+++ b/entry/CallerServer.h
@@ -43,8 +43,7 @@
 
 /// The interfaces that an entry speaks to the world around the system.
 struct EntryProtocols {
-  std::unique_ptr<StoreTransport> (*MakeStore_)(HttpClient &,
-                                                const Settings &);
+  std::unique_ptr<StoreTransport> (*MakeStore_)(HttpClient &, const Settings &);
   std::unique_ptr<CallerServer> (*MakeCallers_)(asio::io_context &,
                                                 const Settings &,
                                                 CallerHandlers);
--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -1,9 +1,9 @@
 #include "entry/EntryProcess.h"
 
 #include "entry/Metrics.h"
-#include "runtime/Process.h"
 #include "runtime/HttpClient.h"
 #include "runtime/HttpServer.h"
+#include "runtime/Process.h"
 #include "wire/Cbor.h"
 #include "wire/Link.h"
 
@@ -267,10 +267,11 @@
     Waiting_.erase(Found);
     Latency_.record(std::chrono::duration_cast<Micros>(SteadyClock::now() -
                                                        Caller.AskedAt_));
-    asio::post(Threads_.traffic(), [Send = std::move(Caller.Send_),
-                                    Reply = std::move(Answer.Reply_)]() mutable {
-      Send(std::move(Reply));
-    });
+    asio::post(Threads_.traffic(),
+               [Send = std::move(Caller.Send_),
+                Reply = std::move(Answer.Reply_)]() mutable {
+                 Send(std::move(Reply));
+               });
   }
 
   auto carryOut(const CallStore &Call) -> void {
--- a/entry/EntryProcess.h
+++ b/entry/EntryProcess.h
@@ -8,7 +8,6 @@
 namespace skylark {
 
 /// Runs an entry until it is told to stop. Returns the exit status.
-auto runEntry(const Settings &Settings, const EntryProtocols &Protocols)
-    -> int;
+auto runEntry(const Settings &Settings, const EntryProtocols &Protocols) -> int;
 
 } // namespace skylark
--- a/entry/HttpApi.cpp
+++ b/entry/HttpApi.cpp
@@ -163,7 +163,8 @@
     if (!Parsed.Problems_.empty())
       return refuse(From, ErrorKind::MalformedRequest,
                     joined(Parsed.Problems_));
-    return ask(From, SubmitJob{std::move(Parsed.Declaration_), keyOf(From), {}});
+    return ask(From,
+               SubmitJob{std::move(Parsed.Declaration_), keyOf(From), {}});
   }
 
   auto putDocument(const Request &From, const std::string &Name)
@@ -208,10 +209,10 @@
     Routes->http_get("/v1/jobs/:id", [this](const auto &From, auto Each) {
       return ask(From, GetJob{{parameter(Each, "id")}, false, {}});
     });
-    Routes->http_post("/v1/jobs/:id/cancel",
-                      [this](const auto &From, auto Each) {
-                        return ask(From, CancelJob{{parameter(Each, "id")}, false, {}});
-                      });
+    Routes->http_post(
+        "/v1/jobs/:id/cancel", [this](const auto &From, auto Each) {
+          return ask(From, CancelJob{{parameter(Each, "id")}, false, {}});
+        });
     Routes->http_get("/v1/environments/:name/document",
                      [this](const auto &From, auto Each) {
                        return ask(From, GetDocument{{parameter(Each, "name")}});
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -110,8 +110,8 @@
   auto list(const std::vector<std::string> &Running) const -> WorkerInventory {
     WorkerInventory Inventory;
     Inventory.Worker_ = 7;
-    Inventory.Clock_ = std::chrono::duration_cast<Micros>(
-        Now_.Steady_.time_since_epoch());
+    Inventory.Clock_ =
+        std::chrono::duration_cast<Micros>(Now_.Steady_.time_since_epoch());
     for (const auto &Job : Running) {
       WorkerTask Task;
       Task.NameOnly_ = true;
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -132,6 +132,8 @@
   std::array<std::unique_ptr<EntryCore>, EntryCount> Entries_;
   std::array<bool, EntryCount> StoreCut_{};
   std::vector<BindTask> Binds_;
+  /// The entries that the agent was last told of.
+  std::vector<std::string> Known_;
   Moment Now_{TimePoint(Seconds{100}), WallTime(Seconds{1000})};
 
 private:
@@ -184,9 +186,9 @@
   auto carryOut(std::size_t From, const CallStore &Call) -> void {
     StoreResult Result;
     if (!StoreCut_[From])
-      Result = Store_.apply(std::chrono::duration_cast<Micros>(
-                                Now_.Steady_.time_since_epoch()),
-                            Call.Operation_);
+      Result = Store_.apply(
+          std::chrono::duration_cast<Micros>(Now_.Steady_.time_since_epoch()),
+          Call.Operation_);
     Result.Call_ = Call.Call_;
     with(From, [&](EntryCore &Core, EntryOutbox &Out) {
       Core.storeAnswered(Now_, Result, Out);
@@ -204,6 +206,8 @@
       return;
     if (const auto *Bind = std::get_if<BindTask>(&Send.Message_))
       Binds_.push_back(*Bind);
+    if (const auto *Known = std::get_if<KnownEntries>(&Send.Message_))
+      Known_ = Known->Addresses_;
     if (const auto *Claim = std::get_if<ClaimOwnership>(&Send.Message_))
       say(From, ConfirmOwnership{Claim->Shard_, Claim->Epoch_, Worker_, {}});
   }
@@ -319,6 +323,18 @@
   BOOST_TEST(Bench.task("a")->Attempt_ == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(AgentsLearnOfAnEntryThatComesLater) {
+  EntryBench Bench;
+  Bench.kill(1);
+  Bench.pass(Millis{4000});
+  Bench.join(1);
+  Bench.pass(Millis{500});
+  BOOST_TEST(Bench.Known_.size() == 1U);
+  Bench.bear(1);
+  Bench.pass(Millis{2000});
+  BOOST_TEST(Bench.Known_.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(ARepeatedSubmissionIsOneJob) {
   EntryBench Bench;
   Bench.submit(0, "a");
--- a/test/correctness/PlatformTest.cpp
+++ b/test/correctness/PlatformTest.cpp
@@ -28,9 +28,9 @@
 BOOST_AUTO_TEST_SUITE(PlatformTexts)
 
 BOOST_AUTO_TEST_CASE(ReadsAJobWithItsSteps) {
-  const auto Read = Platform::readRequest(requestWith(
-      "POST",
-      R"({"spec":"s","steps":[{"count":4,"cpu":500,"mem_mb":256,
+  const auto Read = Platform::readRequest(
+      requestWith("POST",
+                  R"({"spec":"s","steps":[{"count":4,"cpu":500,"mem_mb":256,
           "estimate_ms":900.5},{"count":2,"cpu":9,"mem_mb":1,"estimate_ms":7,
           "after":[0],"checkpointing":true,"fills":true,"image":"i",
           "max_per_server":1}]})"));
@@ -45,9 +45,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(IgnoresFieldsItDoesNotKnow) {
-  BOOST_TEST(Platform::readRequest(
-                 requestWith("POST", R"({"steps":[{"count":1,"new":{}}],"x":1})"))
-                 .has_value());
+  BOOST_TEST(
+      Platform::readRequest(
+          requestWith("POST", R"({"steps":[{"count":1,"new":{}}],"x":1})"))
+          .has_value());
 }
 
 BOOST_AUTO_TEST_CASE(RefusesBodiesThatAreNoJob) {
@@ -77,8 +78,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(WritesStatesAndCounts) {
-  BOOST_TEST(Platform::renderAnswer("GET", JobStateReply{JobState::Running})
-                 .Body_ == R"({"state":"running"})");
+  BOOST_TEST(
+      Platform::renderAnswer("GET", JobStateReply{JobState::Running}).Body_ ==
+      R"({"state":"running"})");
   BOOST_TEST(Platform::renderAnswer("GET", UnstartedReply{12}).Body_ ==
              R"({"pending":12})");
 }
--- a/test/fuzz/World.cpp
+++ b/test/fuzz/World.cpp
@@ -638,6 +638,9 @@
 auto World::carryOutAgent(std::size_t /*Agent*/, const PaceOnWorker & /*Pace*/)
     -> void {}
 
+auto World::carryOutAgent(std::size_t /*Agent*/,
+                          const ConnectEntries & /*Connect*/) -> void {}
+
 auto World::carryOutAgent(std::size_t Agent, const StartAnew & /*Anew*/)
     -> void {
   carryOutAgent(Agent, ExitProcess{});
@@ -709,8 +712,8 @@
   Step.LongRunning_ = chance(0.2);
   Step.TaskCount_ = Step.LongRunning_ ? 1 : 1 + pick(5);
   Step.Resources_ = {static_cast<std::int64_t>(500 + 500 * pick(4)),
-                        static_cast<std::int64_t>(500 + 500 * pick(6)),
-                        chance(0.1) ? 1 : 0};
+                     static_cast<std::int64_t>(500 + 500 * pick(6)),
+                     chance(0.1) ? 1 : 0};
   Step.RunTime_ = Millis{200 + 400 * static_cast<int>(pick(8))};
   Job.Deadline_ = WallStart + Seconds{300};
   Job.RerunWhenLost_ = chance(0.5);
@@ -727,10 +730,11 @@
 }
 
 auto World::cancelJob(const JobId &Id, int Left) -> void {
-  ask(CancelJob{Id, false, {}}, "", true, [this, Id, Left](const CallerReply &Reply) {
-    if (std::holds_alternative<ErrorReply>(Reply) && Left > 0)
-      after(Millis{2000}, [this, Id, Left] { cancelJob(Id, Left - 1); });
-  });
+  ask(CancelJob{Id, false, {}}, "", true,
+      [this, Id, Left](const CallerReply &Reply) {
+        if (std::holds_alternative<ErrorReply>(Reply) && Left > 0)
+          after(Millis{2000}, [this, Id, Left] { cancelJob(Id, Left - 1); });
+      });
 }
 
 auto World::callerStep() -> void {
@@ -890,7 +894,8 @@
     break;
   case FaultKind::CancelJobs:
     for (std::size_t Index = 0; Index < Jobs_.size(); Index += 2)
-      ask(CancelJob{Jobs_[Index], false, {}}, "", true, [](const CallerReply &) {});
+      ask(CancelJob{Jobs_[Index], false, {}}, "", true,
+          [](const CallerReply &) {});
     break;
   default:
     ActiveUntil_[Each.Kind_] = Until;
--- a/wire/Settings.cpp
+++ b/wire/Settings.cpp
@@ -2,7 +2,6 @@
 
 #include "wire/CheckedJson.h"
 #include "wire/ResourcesText.h"
-#include "wire/ResourcesText.h"
 
 #include <array>
 #include <optional>
@@ -77,10 +76,9 @@
       static_cast<ShardNumber>(Top.integer("shards", {1, 4096}, 8));
   Entry.Seed_ =
       static_cast<std::uint64_t>(Top.integer("seed", {0, 1000000000}, 0));
-  Entry.StopWithin_ =
-      Seconds{Top.integer("stop_within_s", {3, 600},
-                          std::chrono::duration_cast<Seconds>(Entry.StopWithin_)
-                              .count())};
+  Entry.StopWithin_ = Seconds{Top.integer(
+      "stop_within_s", {3, 600},
+      std::chrono::duration_cast<Seconds>(Entry.StopWithin_).count())};
   Entry.Desk_.RoutingPolicy_ = Top.text("routing_policy", "power-of-two");
   if (makeRoutingPolicy(Entry.Desk_.RoutingPolicy_) == nullptr)
     Top.problem("routing_policy",
@@ -149,8 +147,8 @@
   readSeeds(Top, Result);
   if (Result.Entries_.empty() && Result.Store_.Port_ == 0)
     Top.problem("entries", "one or more addresses of entries");
-  Agent.LongestLease_ = Millis{Top.integer(
-      "longest_lease_ms", {1000, 600000}, Agent.LongestLease_.count())};
+  Agent.LongestLease_ = Millis{Top.integer("longest_lease_ms", {1000, 600000},
+                                           Agent.LongestLease_.count())};
   Top.object("worker", true, [&](CheckedObject &From) {
     Result.Worker_ = readAddress(From);
     if (!Agent.WorkerAnnounces_)
