--- a/core/Interference.cpp
+++ b/core/Interference.cpp
@@ -24,6 +24,10 @@
 constexpr int FitRounds = 40;
 constexpr double MilliCoresPerCore = 1000.0;
 
+auto logOf(Millis Tail) -> double {
+  return std::log(std::max(1.0, static_cast<double>(Tail.count())));
+}
+
 } // namespace
 
 auto PressKnowledge::adopt(const PressTable &Table) -> void {
@@ -56,8 +60,8 @@
   const auto Known = Serving_.find(Serving);
   if (Known == Serving_.end())
     return UnknownSlack;
-  return std::log(std::max<double>(1.0, Target.count())) -
-         Known->second.Alone_ - SafeSpreads * Known->second.Spread_;
+  return logOf(Target) - Known->second.Alone_ -
+         SafeSpreads * Known->second.Spread_;
 }
 
 auto InterferenceModel::column(const std::string &Filling) -> std::size_t {
@@ -88,7 +92,7 @@
     Seen.Products_.resize(Size);
     for (auto &Line : Seen.Products_)
       Line.resize(Size);
-    const auto Tail = std::log(std::max<double>(1.0, Each.Tail_.count()));
+    const auto Tail = logOf(Each.Tail_);
     for (const auto &[Left, Amount] : Row) {
       for (const auto &[Right, Other] : Row)
         Seen.Products_[Left][Right] += Amount * Other;
--- a/core/ShareGuard.cpp
+++ b/core/ShareGuard.cpp
@@ -50,7 +50,8 @@
   for (auto &[Image, Recent] : RecentMilliCores_)
     Recent *= UseMemory;
   for (const auto &[Image, MilliCores] : Use)
-    RecentMilliCores_[Image] += (1.0 - UseMemory) * MilliCores;
+    RecentMilliCores_[Image] +=
+        (1.0 - UseMemory) * static_cast<double>(MilliCores);
   for (auto Each = RecentMilliCores_.begin();
        Each != RecentMilliCores_.end();) {
     if (Each->second < 1.0) {
--- a/runtime/HttpServer.cpp
+++ b/runtime/HttpServer.cpp
@@ -21,7 +21,7 @@
 constexpr Seconds IdleTimeLimit{60};
 constexpr Seconds AnswerTimeLimit{60};
 
-auto withoutPort(std::string Host) -> std::string {
+auto withoutPort(const std::string &Host) -> std::string {
   return Host.substr(0, Host.find(':'));
 }
 
