A filling job without a quiet place starts one task after 2.5 s; doubt sooner

Nothing bounded that wait.

Change: a job of which nothing is placed gets one filling task placed in the least harmful place once it has waited 2.5 s; agents pause it while it harms. Doubt comes after 0.5 s now.

--- a/core/Placement.cpp
+++ b/core/Placement.cpp
@@ -36,8 +36,10 @@
 auto canPlace(const StepDeclaration &Step, const PlaceView &Place) -> bool {
   const auto BelowLimit =
       Step.MaxPerWorker_ == 0 || Place.TasksOfStep_ < Step.MaxPerWorker_;
-  // Work that fills rather waits than disturbs what serves.
-  const auto Disturbs = Step.Fills_ && Place.Overrun_ > 0;
+  // Work that fills rather waits than disturbs what serves, but not for ever:
+  // the agents pause it while it does harm.
+  const auto Disturbs =
+      Step.Fills_ && Place.Overrun_ > 0 && !Place.TakesAnyPlace_;
   return BelowLimit && !Disturbs && Place.Free_.holds(Step.reserved());
 }
 
--- a/core/Placement.h
+++ b/core/Placement.h
@@ -25,6 +25,8 @@
   double Overrun_ = 0;
   /// Growth that the task would add to its neighbours' tails, all together.
   double AddedPress_ = 0;
+  /// Whether the task has waited so long for a quiet place that it takes any.
+  bool TakesAnyPlace_ = false;
   /// Tasks of the same step and occurrence here.
   std::uint32_t TasksOfStep_ = 0;
   /// Whether recent attempts here failed or stalled.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -21,6 +21,9 @@
 /// Bound tasks that may wait in one agent's queue.
 constexpr std::uint32_t QueueLimit = 4;
 constexpr Millis ResendAfter{2000};
+/// How long a filling task waits for a place where it disturbs nobody; a task
+/// that doesn't run for three seconds beside free room counts as forgotten.
+constexpr Millis QuietPlaceWithin{2500};
 constexpr Millis CallerPatience{5000};
 /// First delay before a task that failed again and again is tried once more.
 constexpr Millis FailureBackoff{50};
@@ -566,6 +569,8 @@
     Pending_.insert(Rank);
   else
     Pending_.erase(Rank);
+  if (Task.State_ != TaskState::Pending)
+    NoPlaceSince_.erase(Id);
   if (Task.State_ == TaskState::Bound) {
     hold(Job, Id, Task.Agent_);
     Bound_.try_emplace(Id);
@@ -616,6 +621,7 @@
   HeldAt_.clear();
   Use_.clear();
   Proposed_.clear();
+  NoPlaceSince_.clear();
   Closing_.clear();
   Cancelling_.clear();
   Failing_.clear();
@@ -748,6 +754,7 @@
   if (All.empty())
     return nullptr;
   const auto &Step = Job.stepOf(Task);
+  const auto TakesAny = Step.Fills_ && hasWaitedLong(Now, Task);
   std::vector<PlaceView> Places;
   std::vector<Target *> Candidates;
   const auto First =
@@ -761,6 +768,7 @@
     if (Each->GrantedShards_.count(Shard_) == 0)
       continue;
     Places.push_back(placeView(*Each, Job, Task));
+    Places.back().TakesAnyPlace_ = TakesAny;
     Candidates.push_back(Each);
   }
   const auto Chosen = choosePlace(Step, Places);
@@ -787,6 +795,14 @@
   return Team != nullptr && Team->Quota_.holds(teamUse(Wanted.Team_) + Need);
 }
 
+auto ShardOwner::hasWaitedLong(Moment Now, const TaskId &Task) -> bool {
+  const auto Since = NoPlaceSince_.emplace(Task, Now.Steady_).first->second;
+  // One task at a time keeps its job going without much harm to neighbours.
+  const auto Held = Held_.lower_bound(TaskId{Task.Job_, 0, 0, 0});
+  const auto JobRuns = Held != Held_.end() && Held->first.Job_ == Task.Job_;
+  return !JobRuns && Since + QuietPlaceWithin <= Now.Steady_;
+}
+
 auto ShardOwner::bindOne(Moment Now, const PendingRank &Rank, BindPass &Pass,
                          Random &Generator, EntryOutbox &Out) -> bool {
   const auto &Job = *state().findJob(Rank.Task_.Job_);
@@ -800,12 +816,13 @@
   if (Hopeless)
     return false;
   const auto &Step = Job.stepOf(Rank.Task_);
-  if (Step.Fills_ && Pass.NoQuietPlace_.count(Step.Image_) != 0)
+  const auto TakesAny = Step.Fills_ && hasWaitedLong(Now, Rank.Task_);
+  if (Step.Fills_ && !TakesAny && Pass.NoQuietPlace_.count(Step.Image_) != 0)
     return false;
   auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Out);
   if (Chosen == nullptr) {
     ++Pass.Misses_;
-    if (Step.Fills_)
+    if (Step.Fills_ && !TakesAny)
       Pass.NoQuietPlace_.insert(Step.Image_);
     // A step with limits of its own says nothing of other steps.
     else if (Step.MaxPerWorker_ == 0 && Step.RequiredLabel_.empty())
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -213,6 +213,7 @@
   /// How much the fillers at a worker lengthen a serving image's tail there.
   auto pressThere(const std::string &Serving, const WorkerUse &There) const
       -> double;
+  auto hasWaitedLong(Moment Now, const TaskId &Task) -> bool;
   auto withinQuota(const JobDeclaration &Wanted, const Resources &Need) const
       -> bool;
   auto claimTowards(Moment Now, Target &Agent, EntryOutbox &Out) -> void;
@@ -258,6 +259,8 @@
   std::map<TaskId, BoundTask> Bound_;
   std::set<TaskId> Proposed_;
   std::map<TaskId, TimePoint> NotBefore_;
+  /// Since when filling tasks find no place where they disturb nobody.
+  std::map<TaskId, TimePoint> NoPlaceSince_;
   std::map<TeamName, Resources> Use_;
   std::map<TaskId, HeldTask> Held_;
   std::map<AgentId, WorkerUse> HeldAt_;
--- a/core/ShareGuard.cpp
+++ b/core/ShareGuard.cpp
@@ -17,7 +17,7 @@
 constexpr Millis EvictAfter{1500};
 /// How long a serving task may stay over its target before what is known of
 /// its neighbours is doubted.
-constexpr Millis DoubtKnowledgeAfter{1200};
+constexpr Millis DoubtKnowledgeAfter{500};
 /// An order to pace may be lost, or overtaken by an older one.
 constexpr Millis RepeatPaceAfter{1500};
 /// Share of the recent use that one look keeps.
--- a/test/correctness/PlacementTest.cpp
+++ b/test/correctness/PlacementTest.cpp
@@ -58,6 +58,15 @@
   BOOST_TEST(choosePlace(Step, {Place}) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(FillersDoNotWaitForEver) {
+  auto Step = stepOf(4000);
+  Step.Fills_ = true;
+  auto Place = placeWith(20000);
+  Place.Overrun_ = 0.1;
+  Place.TakesAnyPlace_ = true;
+  BOOST_TEST(choosePlace(Step, {Place}) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ServingImagesAreKeptTogether) {
   auto Step = stepOf(4000);
   Step.TailTarget_ = Millis{18};
