--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -828,10 +828,15 @@
   Desk_.answered(Now, Session, Message, Generator_, Out);
 }
 
-auto EntryCore::handle(Moment /*Now*/, SessionNumber /*Session*/,
+auto EntryCore::handle(Moment Now, SessionNumber Session,
                        const SharingSample &Message, EntryOutbox & /*Out*/)
     -> void {
   Interference_.learn(Message);
+  auto *From = Targets_.find(Session);
+  if (From == nullptr)
+    return;
+  From->Serving_ = Message.Serving_;
+  From->ServingSeenAt_ = Now.Steady_;
 }
 
 auto EntryCore::handle(Moment /*Now*/, SessionNumber /*Session*/,
--- a/core/Interference.cpp
+++ b/core/Interference.cpp
@@ -18,6 +18,8 @@
 constexpr double PriorWeight = 6.0;
 /// Looks before a serving image's own figures count.
 constexpr double LeastLooks = 6;
+/// Least weight of one look in the mean of an image's own level.
+constexpr double LeastOwnWeight = 0.02;
 /// Images learned; beyond it new ones are taken for unknown.
 constexpr std::size_t FillingLimit = 64;
 constexpr std::size_t ServingLimit = 64;
@@ -64,26 +66,35 @@
          SafeSpreads * Known->second.Spread_;
 }
 
-auto InterferenceModel::column(const std::string &Filling) -> std::size_t {
+auto InterferenceModel::column(const std::string &Filling)
+    -> std::optional<std::size_t> {
   const auto Found = Columns_.find(Filling);
   if (Found != Columns_.end())
     return Found->second;
   if (Images_.size() >= FillingLimit)
-    return 0;
-  Images_.push_back(Filling);
+    return std::nullopt;
   Columns_[Filling] = Images_.size();
-  return Images_.size();
+  Images_.push_back(Filling);
+  return Images_.size() - 1;
+}
+
+auto InterferenceModel::noteOwn(Sums &Seen, double Own) -> void {
+  ++Seen.Count_;
+  const auto Weight = std::max(1.0 / Seen.Count_, LeastOwnWeight);
+  const auto Away = Own - Seen.Own_;
+  Seen.Own_ += Weight * Away;
+  Seen.Variance_ += Weight * (Away * Away - Seen.Variance_);
 }
 
 auto InterferenceModel::learn(const SharingSample &Sample) -> void {
-  std::vector<std::pair<std::size_t, double>> Row{{0, 1.0}};
+  std::vector<std::pair<std::size_t, double>> Row;
   for (const auto &Each : Sample.Filling_) {
     const auto Column = column(Each.Image_);
-    if (Column != 0)
-      Row.emplace_back(Column, static_cast<double>(Each.MilliCores_) /
-                                   MilliCoresPerCore);
+    if (Column && Each.Change_ != 0)
+      Row.emplace_back(*Column,
+                       static_cast<double>(Each.Change_) / MilliCoresPerCore);
   }
-  const auto Size = Images_.size() + 1;
+  const auto Size = Images_.size();
   for (const auto &Each : Sample.Serving_) {
     if (Serving_.size() >= ServingLimit && Serving_.count(Each.Image_) == 0)
       continue;
@@ -92,15 +103,15 @@
     Seen.Products_.resize(Size);
     for (auto &Line : Seen.Products_)
       Line.resize(Size);
-    const auto Tail = logOf(Each.Tail_);
+    noteOwn(Seen, Each.Own_);
+    Changed_ = true;
+    if (!Each.Comparable_)
+      continue;
     for (const auto &[Left, Amount] : Row) {
       for (const auto &[Right, Other] : Row)
         Seen.Products_[Left][Right] += Amount * Other;
-      Seen.WithTail_[Left] += Amount * Tail;
+      Seen.WithTail_[Left] += Amount * Each.Change_;
     }
-    Seen.TailSquares_ += Tail * Tail;
-    ++Seen.Count_;
-    Changed_ = true;
   }
 }
 
@@ -117,39 +128,37 @@
                       static_cast<std::int64_t>(MilliCoresPerCore));
 }
 
-auto InterferenceModel::fit(const std::string &Serving, const Sums &Seen) const
-    -> ServingRow {
+auto InterferenceModel::pressesOf(const std::string &Serving,
+                                  const Sums &Seen) const
+    -> std::vector<double> {
   const auto Size = Seen.WithTail_.size();
-  std::vector<double> Prior(Size, 0.0);
-  for (std::size_t Column = 1; Column < Size; ++Column)
-    Prior[Column] = priorOf(Serving, Images_[Column - 1]);
+  std::vector<double> Prior(Size);
+  for (std::size_t Column = 0; Column < Size; ++Column)
+    Prior[Column] = priorOf(Serving, Images_[Column]);
   auto Weights = Prior;
   // One coordinate at a time goes to its best value while the others stand.
   for (int Round = 0; Round < FitRounds; ++Round) {
     for (std::size_t Column = 0; Column < Size; ++Column) {
-      const auto Held = Column == 0 ? 0.0 : PriorWeight;
-      auto Rest = Seen.WithTail_[Column] + Held * Prior[Column];
+      auto Rest = Seen.WithTail_[Column] + PriorWeight * Prior[Column];
       for (std::size_t Other = 0; Other < Size; ++Other)
         if (Other != Column)
           Rest -= Seen.Products_[Column][Other] * Weights[Other];
-      const auto Best = Rest / (Seen.Products_[Column][Column] + Held);
+      const auto Best = Rest / (Seen.Products_[Column][Column] + PriorWeight);
       Weights[Column] = std::max(0.0, Best);
     }
   }
-  auto Squares = Seen.TailSquares_;
-  for (std::size_t Column = 0; Column < Size; ++Column) {
-    Squares -= 2 * Weights[Column] * Seen.WithTail_[Column];
-    for (std::size_t Other = 0; Other < Size; ++Other)
-      Squares +=
-          Weights[Column] * Weights[Other] * Seen.Products_[Column][Other];
-  }
+  return Weights;
+}
+
+auto InterferenceModel::fit(const std::string &Serving, const Sums &Seen) const
+    -> ServingRow {
+  const auto Weights = pressesOf(Serving, Seen);
   ServingRow Row;
   Row.Serving_ = Serving;
-  Row.Alone_ = Weights[0];
-  Row.Spread_ =
-      std::min(UnknownSpread, std::sqrt(std::max(0.0, Squares) / Seen.Count_));
-  for (std::size_t Column = 1; Column < Size; ++Column)
-    Row.Presses_.push_back({Images_[Column - 1], Weights[Column]});
+  Row.Alone_ = Seen.Own_;
+  Row.Spread_ = std::min(UnknownSpread, std::sqrt(Seen.Variance_));
+  for (std::size_t Column = 0; Column < Weights.size(); ++Column)
+    Row.Presses_.push_back({Images_[Column], Weights[Column]});
   return Row;
 }
 
--- a/core/Interference.h
+++ b/core/Interference.h
@@ -6,31 +6,43 @@
 #include "core/Time.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace skylark {
 
 /// One serving task at one look: its image, its target and its tail latency.
+/// Levels are natural logarithms of milliseconds.
 struct ServingFigure {
   std::string Image_;
   Millis Target_{0};
   Millis Tail_{0};
+  /// The level that the tail would have without work that fills.
+  double Own_ = 0;
+  /// Growth, since the look before, of the level that the tail approaches.
+  double Change_ = 0;
+  /// Whether Change_ could be told.
+  bool Comparable_ = false;
 
   static constexpr auto fields() {
     return std::make_tuple(&ServingFigure::Image_, &ServingFigure::Target_,
-                           &ServingFigure::Tail_);
+                           &ServingFigure::Tail_, &ServingFigure::Own_,
+                           &ServingFigure::Change_,
+                           &ServingFigure::Comparable_);
   }
 };
 
-/// What the filling tasks of one image used at one look, in thousandths of a
-/// processor.
+/// What the filling tasks of one image used at one look, and how much more than
+/// at the look before, in thousandths of a processor.
 struct FillingFigure {
   std::string Image_;
   std::int64_t MilliCores_ = 0;
+  std::int64_t Change_ = 0;
 
   static constexpr auto fields() {
-    return std::make_tuple(&FillingFigure::Image_, &FillingFigure::MilliCores_);
+    return std::make_tuple(&FillingFigure::Image_, &FillingFigure::MilliCores_,
+                           &FillingFigure::Change_);
   }
 };
 
@@ -99,9 +111,11 @@
   std::map<std::string, ServingEntry> Serving_;
 };
 
-/// Learns from looks: the logarithm of a tail is taken for a sum of parts that
-/// grow with the processors which each filling image uses, none of them
-/// negative, fitted by least squares.
+/// Learns from looks: the logarithm of a tail is taken for its own level and a
+/// sum of parts that grow with the processors which each filling image uses,
+/// none of them negative. The parts are fitted by least squares to the changes
+/// between looks, since the own level wanders with the task's load, but little
+/// from one look to the next.
 class InterferenceModel {
 public:
   auto learn(const SharingSample &Sample) -> void;
@@ -112,16 +126,20 @@
   auto knowledge() const -> const PressKnowledge & { return Knowledge_; }
 
 private:
-  /// Sums over all looks at one serving image. Column 0 is the constant, column
-  /// N + 1 the filling image N.
+  /// Sums over all looks at one serving image; a column for each filling image.
   struct Sums {
     std::vector<std::vector<double>> Products_;
     std::vector<double> WithTail_;
-    double TailSquares_ = 0;
+    /// Running mean of the own level, and of its squared deviation.
+    double Own_ = 0;
+    double Variance_ = 0;
     double Count_ = 0;
   };
 
-  auto column(const std::string &Filling) -> std::size_t;
+  auto column(const std::string &Filling) -> std::optional<std::size_t>;
+  static auto noteOwn(Sums &Seen, double Own) -> void;
+  auto pressesOf(const std::string &Serving, const Sums &Seen) const
+      -> std::vector<double>;
   auto fit(const std::string &Serving, const Sums &Seen) const -> ServingRow;
   auto priorOf(const std::string &Serving, const std::string &Filling) const
       -> double;
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -50,6 +50,10 @@
   std::uint32_t Priority_ = 0;
   /// The task takes what processors others leave; see StepDeclaration.
   bool Fills_ = false;
+  /// Processors, in thousandths, that a task which fills uses at full speed.
+  std::int64_t FillingMilliCores_ = 0;
+  /// The task starts even where what it presses leaves it little room.
+  bool Insists_ = false;
   bool Checkpoints_ = false;
   std::string Image_;
   Millis TailTarget_{0};
@@ -60,8 +64,9 @@
         &BindTask::Worker_, &BindTask::Task_, &BindTask::Attempt_,
         &BindTask::Kind_, &BindTask::Resources_, &BindTask::RunTime_,
         &BindTask::Deadline_, &BindTask::Checkpoint_, &BindTask::Payload_,
-        &BindTask::Priority_, &BindTask::Fills_, &BindTask::Checkpoints_,
-        &BindTask::Image_, &BindTask::TailTarget_);
+        &BindTask::Priority_, &BindTask::Fills_, &BindTask::FillingMilliCores_,
+        &BindTask::Insists_, &BindTask::Checkpoints_, &BindTask::Image_,
+        &BindTask::TailTarget_);
   }
 };
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -4,6 +4,7 @@
 #include "core/Mutation.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ctime>
 #include <utility>
 
@@ -42,7 +43,11 @@
 constexpr std::size_t KeyDateSize = 8;
 constexpr Seconds Day{24 * 3600};
 /// Growth of a tail's logarithm below which nobody is disturbed.
-constexpr double NoticedPress = 0.06;
+constexpr double NoticedPress = 0.03;
+/// Share of a target up to which a tail may be planned to go.
+constexpr double PlannedShare = 0.75;
+/// How long the last look at a worker's serving tasks counts.
+constexpr Millis FiguresFreshFor{2000};
 
 auto keyDate(const IdempotencyKey &Key) -> std::optional<WallTime> {
   const auto &Text = Key.Value_;
@@ -701,9 +706,25 @@
   return Sum;
 }
 
-auto ShardOwner::viewNeighbours(const StepDeclaration &Step,
-                                const WorkerUse &There, PlaceView &Place) const
-    -> void {
+auto ShardOwner::slackThere(Moment Now, const std::string &Image,
+                            Millis TailTarget, const Target &Candidate) const
+    -> double {
+  const auto *Worst = static_cast<const ServingFigure *>(nullptr);
+  if (Candidate.ServingSeenAt_ + FiguresFreshFor > Now.Steady_)
+    for (const auto &Each : Candidate.Serving_)
+      if (Each.Image_ == Image && (Worst == nullptr || Each.Own_ > Worst->Own_))
+        Worst = &Each;
+  if (Worst == nullptr)
+    return View_.Presses_.slack(Image, TailTarget);
+  if (Worst->Tail_ > Worst->Target_)
+    return 0;
+  return std::log(PlannedShare * static_cast<double>(TailTarget.count())) -
+         Worst->Own_;
+}
+
+auto ShardOwner::viewNeighbours(Moment Now, const StepDeclaration &Step,
+                                const Target &Candidate, const WorkerUse &There,
+                                PlaceView &Place) const -> void {
   const auto &Presses = View_.Presses_;
   Place.ServingImages_ = There.Serving_.size();
   Place.SameImage_ = There.Serving_.count(Step.Image_) != 0;
@@ -717,13 +738,14 @@
         Presses.press(Image, Step.Image_, Step.Resources_.MilliCores_);
     const auto After = pressThere(Image, There) + Added;
     if (Added > NoticedPress)
-      Place.Overrun_ = std::max(Place.Overrun_,
-                                After - Presses.slack(Image, Serving.Target_));
+      Place.Overrun_ =
+          std::max(Place.Overrun_,
+                   After - slackThere(Now, Image, Serving.Target_, Candidate));
     Place.AddedPress_ += Added * Serving.Tasks_;
   }
 }
 
-auto ShardOwner::placeView(const Target &Candidate, const Job &Job,
+auto ShardOwner::placeView(Moment Now, const Target &Candidate, const Job &Job,
                            const TaskId &Task) const -> PlaceView {
   const auto &Status = Job.task(Task);
   PlaceView Place;
@@ -744,7 +766,7 @@
       {Task.Job_, Task.Step_, Task.Occurrence_});
   if (Step != There->second.TasksOfStep_.end())
     Place.TasksOfStep_ = Step->second;
-  viewNeighbours(Job.stepOf(Task), There->second, Place);
+  viewNeighbours(Now, Job.stepOf(Task), Candidate, There->second, Place);
   return Place;
 }
 
@@ -767,7 +789,7 @@
     claimTowards(Now, *Each, Out);
     if (Each->GrantedShards_.count(Shard_) == 0)
       continue;
-    Places.push_back(placeView(*Each, Job, Task));
+    Places.push_back(placeView(Now, *Each, Job, Task));
     Places.back().TakesAnyPlace_ = TakesAny;
     Candidates.push_back(Each);
   }
@@ -795,12 +817,17 @@
   return Team != nullptr && Team->Quota_.holds(teamUse(Wanted.Team_) + Need);
 }
 
+auto ShardOwner::isOnlyOne(const TaskId &Task) const -> bool {
+  auto Held = Held_.lower_bound(TaskId{Task.Job_, 0, 0, 0});
+  if (Held != Held_.end() && Held->first == Task)
+    ++Held;
+  return Held == Held_.end() || Held->first.Job_ != Task.Job_;
+}
+
 auto ShardOwner::hasWaitedLong(Moment Now, const TaskId &Task) -> bool {
   const auto Since = NoPlaceSince_.emplace(Task, Now.Steady_).first->second;
   // One task at a time keeps its job going without much harm to neighbours.
-  const auto Held = Held_.lower_bound(TaskId{Task.Job_, 0, 0, 0});
-  const auto JobRuns = Held != Held_.end() && Held->first.Job_ == Task.Job_;
-  return !JobRuns && Since + QuietPlaceWithin <= Now.Steady_;
+  return isOnlyOne(Task) && Since + QuietPlaceWithin <= Now.Steady_;
 }
 
 auto ShardOwner::bindOne(Moment Now, const PendingRank &Rank, BindPass &Pass,
@@ -892,6 +919,8 @@
   Bind.Payload_ = Job.Declaration_.Payload_;
   Bind.Priority_ = Job.Declaration_.Priority_;
   Bind.Fills_ = Step.Fills_;
+  Bind.FillingMilliCores_ = Step.Fills_ ? Step.Resources_.MilliCores_ : 0;
+  Bind.Insists_ = Step.Fills_ && isOnlyOne(Id);
   Bind.Checkpoints_ = Step.Checkpoints_;
   Bind.Image_ = Step.Image_;
   Bind.TailTarget_ = Step.TailTarget_;
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -205,14 +205,20 @@
                     Random &Generator, EntryOutbox &Out) -> Target *;
   auto mayHost(Moment Now, const Target &Candidate, const Job &Job,
                const StepDeclaration &Step) const -> bool;
-  auto placeView(const Target &Candidate, const Job &Job,
+  auto placeView(Moment Now, const Target &Candidate, const Job &Job,
                  const TaskId &Task) const -> PlaceView;
   /// Adds what is known of the step's image and its neighbours there.
-  auto viewNeighbours(const StepDeclaration &Step, const WorkerUse &There,
+  auto viewNeighbours(Moment Now, const StepDeclaration &Step,
+                      const Target &Candidate, const WorkerUse &There,
                       PlaceView &Place) const -> void;
+  /// Growth of the logarithm of a serving image's tail that is left there.
+  auto slackThere(Moment Now, const std::string &Image, Millis TailTarget,
+                  const Target &Candidate) const -> double;
   /// How much the fillers at a worker lengthen a serving image's tail there.
   auto pressThere(const std::string &Serving, const WorkerUse &There) const
       -> double;
+  /// Whether no other task of its job is bound.
+  auto isOnlyOne(const TaskId &Task) const -> bool;
   auto hasWaitedLong(Moment Now, const TaskId &Task) -> bool;
   auto withinQuota(const JobDeclaration &Wanted, const Resources &Need) const
       -> bool;
--- a/core/ShareGuard.cpp
+++ b/core/ShareGuard.cpp
@@ -1,75 +1,48 @@
 #include "core/ShareGuard.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
+#include <tuple>
 
 namespace skylark {
 namespace {
 
-constexpr std::uint32_t Paused = 0;
-constexpr std::uint32_t FullSpeed = 100;
-/// A paused task works again once all tails are below this share of their
-/// targets.
+/// Share of a target up to which work that fills may bring a tail.
+constexpr double PlannedShare = 0.8;
+/// A paused task works again once the tails that it presses are below this
+/// share of their targets.
 constexpr double ResumeShare = 0.7;
-/// From this share on, what may disturb the task is paused.
-constexpr double PauseShare = 0.95;
-/// A task that has been paused for this long goes elsewhere.
+/// A paused task goes elsewhere after this time, and later where that loses
+/// work.
 constexpr Millis EvictAfter{1500};
+constexpr Millis EvictLosingAfter{5000};
 /// How long a serving task may stay over its target before what is known of
-/// its neighbours is doubted.
+/// its neighbours is doubted, and before that holds even for a falling tail.
 constexpr Millis DoubtKnowledgeAfter{500};
+constexpr Millis DoubtFallingAfter{1500};
 /// An order to pace may be lost, or overtaken by an older one.
 constexpr Millis RepeatPaceAfter{1500};
-/// Share of the recent use that one look keeps.
-constexpr double UseMemory = 0.5;
-/// Growth of a tail's logarithm for one processor that is taken for harmless.
-constexpr double HarmlessPress = 0.04;
-constexpr std::int64_t ReferenceMilliCores = 1000;
+/// Changes of pace, in percent, that are not worth an order.
+constexpr std::uint32_t SmallChange = 10;
+/// Least pace, in percent, at which it is worth to start a task.
+constexpr std::uint32_t LeastStartPace = 30;
+/// Pace, in percent, of a task that starts although there is no room.
+constexpr std::uint32_t InsistentPace = 10;
+/// How long a task that was admitted may take to show in a look.
+constexpr Millis ListedWithin{2000};
 
-auto serves(const SharingTask &Task) -> bool {
-  return !Task.Fills_ && Task.Target_ > Millis{0};
-}
-
-auto shareOf(const SharingTask &Serving) -> double {
-  return static_cast<double>(Serving.Tail_.count()) /
-         static_cast<double>(Serving.Target_.count());
+auto fillingOf(const SharingTask &Task, bool Rests) -> FillingTask {
+  return {Task.Image_, std::max(Task.FullMilliCores_, Task.MilliCores_), Rests};
 }
 
 } // namespace
 
-auto ShareGuard::sampleOf(const std::vector<SharingTask> &Tasks)
-    -> SharingSample {
-  std::map<std::string, std::int64_t> Use;
-  SharingSample Sample;
-  for (const auto &Each : Tasks) {
-    if (Each.Fills_)
-      Use[Each.Image_] += Each.MilliCores_;
-    if (serves(Each))
-      Sample.Serving_.push_back({Each.Image_, Each.Target_, Each.Tail_});
-  }
-  for (auto &[Image, Recent] : RecentMilliCores_)
-    Recent *= UseMemory;
-  for (const auto &[Image, MilliCores] : Use)
-    RecentMilliCores_[Image] +=
-        (1.0 - UseMemory) * static_cast<double>(MilliCores);
-  for (auto Each = RecentMilliCores_.begin();
-       Each != RecentMilliCores_.end();) {
-    if (Each->second < 1.0) {
-      Each = RecentMilliCores_.erase(Each);
-      continue;
-    }
-    Sample.Filling_.push_back(
-        {Each->first, static_cast<std::int64_t>(Each->second)});
-    ++Each;
-  }
-  return Sample;
-}
-
 auto ShareGuard::noteTails(TimePoint Now, const std::vector<SharingTask> &Tasks)
     -> void {
   std::map<TaskId, TimePoint> Over;
   for (const auto &Each : Tasks) {
-    if (!serves(Each) || shareOf(Each) <= 1.0)
+    if (!Each.serves() || Each.tailShare() <= 1.0)
       continue;
     const auto Before = OverSince_.find(Each.Task_);
     Over[Each.Task_] = Before == OverSince_.end() ? Now : Before->second;
@@ -77,59 +50,129 @@
   OverSince_ = std::move(Over);
 }
 
-auto ShareGuard::mayRun(TimePoint Now, const SharingTask &Filling,
-                        const std::vector<SharingTask> &Tasks) const -> bool {
+auto ShareGuard::isDoubtful(TimePoint Now,
+                            const std::vector<SharingTask> &Tasks) const
+    -> bool {
   // What was learned may be wrong. Where a task stays over its target although
-  // all that is known to press it is paused, everything that fills is.
-  const auto LongOver =
-      std::any_of(OverSince_.begin(), OverSince_.end(), [&](const auto &Each) {
-        return Each.second + DoubtKnowledgeAfter <= Now;
-      });
-  if (LongOver)
-    return false;
+  // all that is known to press it rests, everything that fills does.
+  return std::any_of(Tasks.begin(), Tasks.end(), [&](const SharingTask &Each) {
+    const auto Over = OverSince_.find(Each.Task_);
+    const auto *Reading = Watch_.find(Each.Task_);
+    if (Over == OverSince_.end() || Reading == nullptr)
+      return false;
+    const auto Target = std::log(static_cast<double>(Each.Target_.count()));
+    const auto Limit =
+        Reading->Settled_ < Target ? DoubtFallingAfter : DoubtKnowledgeAfter;
+    return Over->second + Limit <= Now;
+  });
+}
+
+auto ShareGuard::roomsOf(const std::vector<SharingTask> &Tasks) const
+    -> std::vector<ServingRoom> {
+  std::vector<ServingRoom> Rooms;
+  for (const auto &Each : Tasks) {
+    const auto *Reading = Watch_.find(Each.Task_);
+    if (Reading == nullptr)
+      continue;
+    const auto Limit =
+        std::log(PlannedShare * static_cast<double>(Each.Target_.count()));
+    Rooms.push_back({Each.Image_, Limit - Reading->Own_, Each.tailShare() > 1.0,
+                     Each.tailShare() >= ResumeShare});
+  }
+  return Rooms;
+}
+
+auto ShareGuard::paceOf(const SharingTask &Filling) const -> std::uint32_t {
   const auto Found = Paced_.find(Filling.Task_);
-  const auto IsPaused =
-      Found != Paced_.end() && Found->second.Percent_ == Paused;
-  const auto Limit = IsPaused ? ResumeShare : PauseShare;
-  return std::none_of(
-      Tasks.begin(), Tasks.end(), [&](const SharingTask &Serving) {
-        return serves(Serving) && shareOf(Serving) >= Limit &&
-               Known_.press(Serving.Image_, Filling.Image_,
-                            ReferenceMilliCores) > HarmlessPress;
-      });
+  const auto Known =
+      Found != Paced_.end() && Found->second.Attempt_ == Filling.Attempt_;
+  return Known ? Found->second.Percent_ : FullPace;
+}
+
+auto ShareGuard::planOrder(const std::vector<SharingTask> &Tasks) const
+    -> std::vector<const SharingTask *> {
+  // What presses least goes first, since it does most work in the same room;
+  // of equals, what is due first.
+  using Place = std::tuple<double, WallTime, TaskId, const SharingTask *>;
+  std::vector<Place> Places;
+  for (const auto &Each : Tasks)
+    if (Each.Fills_)
+      Places.emplace_back(pressPerCore(fillingOf(Each, false), Known_, Rooms_),
+                          Each.Deadline_, Each.Task_, &Each);
+  std::sort(Places.begin(), Places.end());
+  std::vector<const SharingTask *> Order;
+  Order.reserve(Places.size());
+  for (const auto &Place : Places)
+    Order.push_back(std::get<const SharingTask *>(Place));
+  return Order;
+}
+
+auto ShareGuard::settle(TimePoint Now, const SharingTask &Filling,
+                        std::uint32_t Wanted, SharingOrders &Orders) -> void {
+  auto &Known = Paced_[Filling.Task_];
+  const auto First = Known.Attempt_ != Filling.Attempt_;
+  if (First)
+    Known = {Filling.Attempt_, FullPace, {}, {}};
+  const auto Gap =
+      std::max(Wanted, Known.Percent_) - std::min(Wanted, Known.Percent_);
+  const auto ToLimit = Wanted == 0 || Wanted == FullPace;
+  const auto Changed = Gap > SmallChange || (Gap > 0 && ToLimit);
+  if (Changed && Wanted == 0)
+    Known.PausedAt_ = Now;
+  const auto Repeat =
+      Known.Percent_ < FullPace && Known.OrderedAt_ + RepeatPaceAfter <= Now;
+  if (Changed)
+    Known.Percent_ = Wanted;
+  if (Changed || Repeat || (First && Filling.PaceUnknown_)) {
+    Known.OrderedAt_ = Now;
+    Orders.Paces_.push_back({Filling.Task_, Filling.Attempt_, Known.Percent_});
+  }
+  const auto Patience = Filling.Checkpoints_ ? EvictAfter : EvictLosingAfter;
+  if (Known.Percent_ == 0 && Known.PausedAt_ + Patience <= Now)
+    Orders.Evictions_.push_back({Filling.Task_, Filling.Attempt_});
 }
 
 auto ShareGuard::look(TimePoint Now, const std::vector<SharingTask> &Tasks)
     -> SharingOrders {
   SharingOrders Orders;
-  Orders.Sample_ = sampleOf(Tasks);
+  Watch_.look(Now, Tasks, Known_);
+  Orders.Sample_ = Watch_.sample(Tasks);
   noteTails(Now, Tasks);
+  Doubtful_ = isDoubtful(Now, Tasks);
+  Rooms_ = roomsOf(Tasks);
   std::set<TaskId> Present;
-  for (const auto &Each : Tasks) {
-    if (!Each.Fills_)
-      continue;
-    Present.insert(Each.Task_);
-    const auto MayRun = mayRun(Now, Each, Tasks);
-    const auto Wanted = MayRun ? FullSpeed : Paused;
-    auto &Known = Paced_[Each.Task_];
-    if (Known.Attempt_ != Each.Attempt_)
-      Known = {Each.Attempt_, FullSpeed, {}, {}};
-    const auto Changed = Known.Percent_ != Wanted;
-    if (Changed && !MayRun)
-      Known.PausedAt_ = Now;
-    const auto Repeat = !MayRun && Known.OrderedAt_ + RepeatPaceAfter <= Now;
-    if (Changed || Repeat) {
-      Known.Percent_ = Wanted;
-      Known.OrderedAt_ = Now;
-      Orders.Paces_.push_back({Each.Task_, Each.Attempt_, Wanted});
-    }
-    if (!MayRun && Known.PausedAt_ + EvictAfter <= Now)
-      Orders.Evictions_.push_back({Each.Task_, Each.Attempt_});
+  for (const auto *Each : planOrder(Tasks)) {
+    Present.insert(Each->Task_);
+    const auto Filling = fillingOf(*Each, paceOf(*Each) == 0);
+    const auto Wanted = Doubtful_ ? 0 : takeRoom(Filling, Known_, Rooms_);
+    settle(Now, *Each, Wanted, Orders);
+  }
+  for (auto Each = Paced_.begin(); Each != Paced_.end();) {
+    const auto Gone = Present.count(Each->first) == 0 &&
+                      Each->second.OrderedAt_ + ListedWithin <= Now;
+    Each = Gone ? Paced_.erase(Each) : std::next(Each);
   }
-  for (auto Each = Paced_.begin(); Each != Paced_.end();)
-    Each =
-        Present.count(Each->first) == 0 ? Paced_.erase(Each) : std::next(Each);
   return Orders;
 }
 
+auto ShareGuard::admit(TimePoint Now, const SharingTask &Filling, bool Insists)
+    -> std::uint32_t {
+  auto Left = Rooms_;
+  auto Pace = takeRoom(fillingOf(Filling, false), Known_, Left);
+  const auto MayInsist = Insists && OverSince_.empty();
+  if (Doubtful_ || (Pace < LeastStartPace && !MayInsist))
+    return 0;
+  Pace = std::max(Pace, InsistentPace);
+  Rooms_ = std::move(Left);
+  Paced_[Filling.Task_] = {Filling.Attempt_, Pace, Now, {}};
+  return Pace;
+}
+
+auto ShareGuard::startPace(const TaskId &Task, AttemptNumber Attempt) const
+    -> std::uint32_t {
+  const auto Found = Paced_.find(Task);
+  const auto Known = Found != Paced_.end() && Found->second.Attempt_ == Attempt;
+  return Known ? Found->second.Percent_ : FullPace;
+}
+
 } // namespace skylark
--- a/core/ShareGuard.h
+++ b/core/ShareGuard.h
@@ -3,26 +3,13 @@
 #pragma once
 
 #include "core/AgentOutput.h"
-#include "core/Interference.h"
+#include "core/PacePlan.h"
+#include "core/TailWatch.h"
 
 #include <map>
 
 namespace skylark {
 
-/// One running task at one look.
-struct SharingTask {
-  TaskId Task_;
-  AttemptNumber Attempt_ = 0;
-  std::string Image_;
-  bool Fills_ = false;
-  /// Longest tail that a serving task's users accept; 0 for none.
-  Millis Target_{0};
-  /// Tail of a serving task.
-  Millis Tail_{0};
-  /// Processors in use of another task, in thousandths.
-  std::int64_t MilliCores_ = 0;
-};
-
 /// What is to be done after one look.
 struct SharingOrders {
   std::vector<PaceOnWorker> Paces_;
@@ -31,34 +18,53 @@
   SharingSample Sample_;
 };
 
-/// Keeps serving tasks within their targets: pauses what may disturb them at
-/// once, and sends away what is known to.
+/// Keeps serving tasks within their targets: paces what presses them to the
+/// room that they leave, and sends away what gets none.
 class ShareGuard {
 public:
   auto look(TimePoint Now, const std::vector<SharingTask> &Tasks)
       -> SharingOrders;
   auto adopt(const PressTable &Table) -> void { Known_.adopt(Table); }
   auto table() const -> const PressTable & { return Known_.table(); }
+  /// Takes room for a task that fills and is about to start.
+  /// \param Insists whether it starts even where there is little room, as long
+  /// as no serving task is over its target.
+  /// \returns its first pace in percent; 0 if it must not start now.
+  auto admit(TimePoint Now, const SharingTask &Filling, bool Insists)
+      -> std::uint32_t;
+  /// The pace at which an admitted task has to begin, in percent.
+  auto startPace(const TaskId &Task, AttemptNumber Attempt) const
+      -> std::uint32_t;
 
 private:
   struct Paced {
     AttemptNumber Attempt_ = 0;
-    std::uint32_t Percent_ = 100;
+    std::uint32_t Percent_ = FullPace;
     TimePoint OrderedAt_{};
+    /// Since when it rests.
     TimePoint PausedAt_{};
   };
 
-  auto mayRun(TimePoint Now, const SharingTask &Filling,
-              const std::vector<SharingTask> &Tasks) const -> bool;
   auto noteTails(TimePoint Now, const std::vector<SharingTask> &Tasks) -> void;
-  auto sampleOf(const std::vector<SharingTask> &Tasks) -> SharingSample;
+  auto isDoubtful(TimePoint Now, const std::vector<SharingTask> &Tasks) const
+      -> bool;
+  auto roomsOf(const std::vector<SharingTask> &Tasks) const
+      -> std::vector<ServingRoom>;
+  auto paceOf(const SharingTask &Filling) const -> std::uint32_t;
+  auto planOrder(const std::vector<SharingTask> &Tasks) const
+      -> std::vector<const SharingTask *>;
+  auto settle(TimePoint Now, const SharingTask &Filling, std::uint32_t Wanted,
+              SharingOrders &Orders) -> void;
 
   PressKnowledge Known_;
+  TailWatch Watch_;
   std::map<TaskId, Paced> Paced_;
   /// Since when each serving task is over its target.
   std::map<TaskId, TimePoint> OverSince_;
-  /// Processors that each image used of late; tails follow them with a delay.
-  std::map<std::string, double> RecentMilliCores_;
+  /// Whether what is known failed to explain the last look.
+  bool Doubtful_ = false;
+  /// What the serving tasks have left since the last look.
+  std::vector<ServingRoom> Rooms_;
 };
 
 } // namespace skylark
--- a/core/TargetTable.h
+++ b/core/TargetTable.h
@@ -40,6 +40,9 @@
   /// Resources promised to tasks that no heartbeat has shown yet.
   Resources Promised_;
   TimePoint PromisedAt_{};
+  /// The tasks here that serve users of their own, as last looked at.
+  std::vector<ServingFigure> Serving_;
+  TimePoint ServingSeenAt_{};
   /// Task failures in a row, for quarantine.
   std::uint32_t FailureRun_ = 0;
   TimePoint QuarantinedUntil_{};
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -10,6 +10,8 @@
 
 /// Batch tasks that write their checkpoints at the same time while draining.
 constexpr int DrainAtOnce = 4;
+/// How long a task that fills waits here for room beside what serves.
+constexpr Millis HoldBackFor{700};
 
 using AttemptKey = std::pair<TaskId, AttemptNumber>;
 
@@ -54,6 +56,7 @@
   Held.Checkpoint_ = Task.Checkpoint_;
   Held.Reason_ = Task.Reason_;
   Held.NeedsBinding_ = Task.NameOnly_ && !isEnded(Task.Phase_);
+  Held.Adopted_ = true;
   // An owner older than the one that bound the task knows nothing of it, and
   // would let the agent forget its end.
   auto &Owner = Owners_[Held.Bind_.Shard_];
@@ -91,6 +94,21 @@
   return 0;
 }
 
+auto TaskHost::sharingOf(const HeldTask &Held) -> SharingTask {
+  const auto &Bind = Held.Bind_;
+  SharingTask Task;
+  Task.Task_ = Bind.Task_;
+  Task.Attempt_ = Bind.Attempt_;
+  Task.Image_ = Bind.Image_;
+  Task.Fills_ = Bind.Fills_;
+  Task.Target_ = Bind.TailTarget_;
+  Task.FullMilliCores_ = Bind.FillingMilliCores_;
+  Task.Checkpoints_ = Bind.Checkpoints_;
+  Task.Deadline_ = Bind.Deadline_;
+  Task.PaceUnknown_ = Held.Adopted_;
+  return Task;
+}
+
 auto TaskHost::guardServing(TimePoint Now, const WorkerInventory &Inventory,
                             AgentOutbox &Out) -> void {
   std::vector<SharingTask> Tasks;
@@ -100,9 +118,10 @@
         Found->second.Phase_ != TaskPhase::Running ||
         Found->second.Bind_.Attempt_ != Seen.Bind_.Attempt_)
       continue;
-    const auto &Bind = Found->second.Bind_;
-    Tasks.push_back({Bind.Task_, Bind.Attempt_, Bind.Image_, Bind.Fills_,
-                     Bind.TailTarget_, Seen.Tail_, Seen.MilliCores_});
+    auto Task = sharingOf(Found->second);
+    Task.Tail_ = Seen.Tail_;
+    Task.MilliCores_ = Seen.MilliCores_;
+    Tasks.push_back(std::move(Task));
   }
   const auto Orders = Guard_.look(Now, Tasks);
   for (const auto &Pace : Orders.Paces_)
@@ -158,6 +177,9 @@
   auto &Held = Found->second;
   if (Outcome == StartOutcome::Accepted) {
     Held.Phase_ = TaskPhase::Running;
+    const auto Pace = Guard_.startPace(Task, Attempt);
+    if (Held.Bind_.Fills_ && Pace < FullPace)
+      Out.push_back(PaceOnWorker{Task, Attempt, Pace});
     report(Held, Out);
     return;
   }
@@ -389,11 +411,26 @@
     if (!Ledger_.fits(Held->Bind_.Resources_) &&
         !isBroken(Mutation::StartWithoutRoom))
       continue;
+    if (!findsRoom(Now, *Held, Out))
+      continue;
     noteLease(Now, LeaseUntil);
     startTask(*Held, LeaseUntil, Seen, Out);
   }
 }
 
+auto TaskHost::findsRoom(TimePoint Now, HeldTask &Held, AgentOutbox &Out)
+    -> bool {
+  const auto &Bind = Held.Bind_;
+  if (!Bind.Fills_ || Guard_.admit(Now, sharingOf(Held), Bind.Insists_) != 0)
+    return true;
+  if (Held.HeldBackSince_ == TimePoint{})
+    Held.HeldBackSince_ = Now;
+  // The owner may know a place with more room.
+  if (Held.HeldBackSince_ + HoldBackFor <= Now)
+    end(Held, TaskPhase::NotStarted, ErrorKind::Evicted, Out);
+  return false;
+}
+
 auto TaskHost::revisionInForce(Revision Seen) const -> Revision {
   auto InForce = Seen;
   for (const auto &[Task, Held] : Tasks_)
--- a/core/TaskHost.h
+++ b/core/TaskHost.h
@@ -90,6 +90,11 @@
     Revision StartRevision_ = 0;
     /// Found on the worker after a restart; Bind_ names it only.
     bool NeedsBinding_ = false;
+    /// Found on the worker after a restart, at whatever pace.
+    bool Adopted_ = false;
+    /// Since when a task that fills waits for room below its neighbours'
+    /// targets.
+    TimePoint HeldBackSince_{};
   };
   struct Owner {
     Epoch Epoch_ = 0;
@@ -115,6 +120,9 @@
       -> TimePoint;
   auto sessionOf(ShardNumber Shard) const -> SessionNumber;
   auto startOrder() -> std::vector<HeldTask *>;
+  /// Whether the tasks that serve leave room for the task to start.
+  auto findsRoom(TimePoint Now, HeldTask &Held, AgentOutbox &Out) -> bool;
+  static auto sharingOf(const HeldTask &Held) -> SharingTask;
   auto onWorkerClock(TimePoint Until) const -> Micros;
 
   static auto log(std::string_view Event, const HeldTask &Held,
