--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -871,28 +871,37 @@
   return true;
 }
 
+auto ShardOwner::isDue(Moment Now, const TaskId &Task) const -> bool {
+  const auto Delayed = NotBefore_.find(Task);
+  return (Delayed == NotBefore_.end() || Delayed->second <= Now.Steady_) &&
+         state().findJob(Task.Job_)->dueAt(Task) <= Now.Wall_ &&
+         Proposed_.count(Task) == 0 && Cancelling_.count(Task.Job_) == 0 &&
+         Failing_.count(Task.Job_) == 0;
+}
+
 auto ShardOwner::bindPending(Moment Now, Random &Generator, EntryOutbox &Out)
     -> void {
-  int Binds = 0;
-  int Scanned = 0;
   BindPass Pass;
+  // Where not all can end on time, room goes to what still can, so that one
+  // late job doesn't make the others late too.
+  for (const auto Wanted : Promises)
+    bindPromised(Now, Wanted, Pass, Generator, Out);
+}
+
+auto ShardOwner::bindPromised(Moment Now, Promise Wanted, BindPass &Pass,
+                              Random &Generator, EntryOutbox &Out) -> void {
   for (auto Each = Pending_.begin(); Each != Pending_.end();) {
-    if (Binds >= BindLimit || Scanned++ >= ScanLimit ||
+    if (Pass.Binds_ >= BindLimit || Pass.Scanned_++ >= ScanLimit ||
         Pass.Misses_ >= MissLimit)
       break;
     const auto Rank = *Each++;
-    const auto Delayed = NotBefore_.find(Rank.Task_);
-    const auto Due =
-        (Delayed == NotBefore_.end() || Delayed->second <= Now.Steady_) &&
-        state().findJob(Rank.Task_.Job_)->dueAt(Rank.Task_) <= Now.Wall_;
-    if (!Due || Proposed_.count(Rank.Task_) != 0 ||
-        Cancelling_.count(Rank.Task_.Job_) != 0 ||
-        Failing_.count(Rank.Task_.Job_) != 0)
+    const auto &Job = *state().findJob(Rank.Task_.Job_);
+    if (!isDue(Now, Rank.Task_) ||
+        promiseOf(Job, Rank.Task_, Now.Wall_) != Wanted)
       continue;
-    if (Delayed != NotBefore_.end())
-      NotBefore_.erase(Delayed);
+    NotBefore_.erase(Rank.Task_);
     if (bindOne(Now, Rank, Pass, Generator, Out))
-      ++Binds;
+      ++Pass.Binds_;
   }
 }
 
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -5,6 +5,7 @@
 
 #include "core/LedgerWriter.h"
 #include "core/Placement.h"
+#include "core/Promise.h"
 #include "core/RequestDesk.h"
 
 #include <set>
@@ -160,6 +161,8 @@
   };
   /// What one pass over the pending tasks has learned.
   struct BindPass {
+    int Binds_ = 0;
+    int Scanned_ = 0;
     int Misses_ = 0;
     std::vector<Resources> NoRoom_;
     /// Filling images that disturb what serves wherever there is room.
@@ -199,6 +202,10 @@
   auto unhold(const Job &Job, const TaskId &Task) -> void;
   auto rankOf(const Job &Job, const TaskId &Task) const -> PendingRank;
   auto bindPending(Moment Now, Random &Generator, EntryOutbox &Out) -> void;
+  /// Binds those pending tasks whose jobs can still be worth that much.
+  auto bindPromised(Moment Now, Promise Wanted, BindPass &Pass,
+                    Random &Generator, EntryOutbox &Out) -> void;
+  auto isDue(Moment Now, const TaskId &Task) const -> bool;
   auto bindOne(Moment Now, const PendingRank &Rank, BindPass &Pass,
                Random &Generator, EntryOutbox &Out) -> bool;
   auto chooseWorker(Moment Now, const Job &Job, const TaskId &Task,
--- a/core/ShareGuard.cpp
+++ b/core/ShareGuard.cpp
@@ -14,7 +14,7 @@
 /// share of their targets.
 constexpr double ResumeShare = 0.7;
 /// A paused task goes elsewhere after this time, and later where that loses
-/// work.
+/// work or leaves its job with nothing at work.
 constexpr Millis EvictAfter{1500};
 constexpr Millis EvictLosingAfter{5000};
 /// How long a serving task may stay over its target before what is known of
@@ -127,7 +127,8 @@
     Known.OrderedAt_ = Now;
     Orders.Paces_.push_back({Filling.Task_, Filling.Attempt_, Known.Percent_});
   }
-  const auto Patience = Filling.Checkpoints_ ? EvictAfter : EvictLosingAfter;
+  const auto Movable = Filling.Checkpoints_ && !Filling.OnlyOne_;
+  const auto Patience = Movable ? EvictAfter : EvictLosingAfter;
   if (Known.Percent_ == 0 && Known.PausedAt_ + Patience <= Now)
     Orders.Evictions_.push_back({Filling.Task_, Filling.Attempt_});
 }
@@ -155,11 +156,11 @@
   return Orders;
 }
 
-auto ShareGuard::admit(TimePoint Now, const SharingTask &Filling, bool Insists)
+auto ShareGuard::admit(TimePoint Now, const SharingTask &Filling)
     -> std::uint32_t {
   auto Left = Rooms_;
   auto Pace = takeRoom(fillingOf(Filling, false), Known_, Left);
-  const auto MayInsist = Insists && OverSince_.empty();
+  const auto MayInsist = Filling.OnlyOne_ && OverSince_.empty();
   if (Doubtful_ || (Pace < LeastStartPace && !MayInsist))
     return 0;
   Pace = std::max(Pace, InsistentPace);
--- a/core/ShareGuard.h
+++ b/core/ShareGuard.h
@@ -26,12 +26,10 @@
       -> SharingOrders;
   auto adopt(const PressTable &Table) -> void { Known_.adopt(Table); }
   auto table() const -> const PressTable & { return Known_.table(); }
-  /// Takes room for a task that fills and is about to start.
-  /// \param Insists whether it starts even where there is little room, as long
-  /// as no serving task is over its target.
+  /// Takes room for a task that fills and is about to start. The only task of
+  /// its job starts even with little room, if all tails are within targets.
   /// \returns its first pace in percent; 0 if it must not start now.
-  auto admit(TimePoint Now, const SharingTask &Filling, bool Insists)
-      -> std::uint32_t;
+  auto admit(TimePoint Now, const SharingTask &Filling) -> std::uint32_t;
   /// The pace at which an admitted task has to begin, in percent.
   auto startPace(const TaskId &Task, AttemptNumber Attempt) const
       -> std::uint32_t;
--- a/core/SharingTask.h
+++ b/core/SharingTask.h
@@ -27,6 +27,8 @@
   bool Checkpoints_ = false;
   /// When the task's job is due.
   WallTime Deadline_{};
+  /// Whether its job has no other task at work.
+  bool OnlyOne_ = false;
   /// Whether another process of the agent may have paced the task.
   bool PaceUnknown_ = false;
 
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -105,6 +105,7 @@
   Task.FullMilliCores_ = Bind.FillingMilliCores_;
   Task.Checkpoints_ = Bind.Checkpoints_;
   Task.Deadline_ = Bind.Deadline_;
+  Task.OnlyOne_ = Bind.Insists_;
   Task.PaceUnknown_ = Held.Adopted_;
   return Task;
 }
@@ -421,7 +422,7 @@
 auto TaskHost::findsRoom(TimePoint Now, HeldTask &Held, AgentOutbox &Out)
     -> bool {
   const auto &Bind = Held.Bind_;
-  if (!Bind.Fills_ || Guard_.admit(Now, sharingOf(Held), Bind.Insists_) != 0)
+  if (!Bind.Fills_ || Guard_.admit(Now, sharingOf(Held)) != 0)
     return true;
   if (Held.HeldBackSince_ == TimePoint{})
     Held.HeldBackSince_ = Now;
