A look is always open at the worker, so that no end waits half a second

After a look that told of ends the agent looked again at once, got the same unacknowledged ends at once, and then paused until the next period. Ruled out: binding (a step follows the one before within 16 ms) and the commit of ends (21 ms).

Change: an agent looks again at once after a look that the worker kept open, and after the last end was acknowledged; while ends wait for the owner it looks every 50 ms. Tests (AgentTest: three fail on the code before): the look that was kept open, the last acknowledgement, ends that hide others, and a worker that answers at once isn't looked at more often.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -8,6 +8,10 @@
 
 constexpr Millis HeartbeatEvery{500};
 constexpr Millis PollEvery{500};
+/// Pause between looks while ends wait for the owner's acknowledgement.
+constexpr Millis LookGap{50};
+/// A look that took this long was kept open by the worker.
+constexpr Millis HeldOpenFor{100};
 constexpr Millis RepeatEvery{1000};
 /// Looks that a worker may leave unanswered before it counts as lost.
 constexpr int SilentLooks = 3;
@@ -176,9 +180,12 @@
   Tasks_.stop(Stop, Out);
 }
 
-auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
+auto AgentCore::handle(Moment Now, SessionNumber /*Number*/,
                        const TaskReportAck &Ack, AgentOutbox &Out) -> void {
+  const auto HeldEnds = Tasks_.holdsEnds();
   Tasks_.acknowledge(Ack, Out);
+  if (HeldEnds && !Tasks_.holdsEnds())
+    pollWorker(Now, Out);
 }
 
 auto AgentCore::handle(Moment Now, SessionNumber Number,
@@ -219,11 +226,9 @@
     Out.push_back(StartAnew{});
     return;
   }
-  // An end has often more behind it, and its acknowledgement is to follow.
-  if (Tasks_.update(Now.Steady_, Inventory, Out)) {
+  if (Tasks_.update(Now.Steady_, Inventory, Out))
     startQueued(Now, Out);
-    pollWorker(Now, Out);
-  }
+  lookAgain(Now, Out);
   if (Now.Steady_ >= NextGuard_) {
     NextGuard_ = Now.Steady_ + GuardEvery;
     Tasks_.guardServing(Now.Steady_, Inventory, Out);
@@ -273,8 +278,19 @@
   Tasks_.startAnswered(Now.Steady_, Task, Attempt, Outcome, Permits_, Out);
 }
 
+auto AgentCore::lookAgain(Moment Now, AgentOutbox &Out) -> void {
+  // A worker that keeps a look open until something ends always has one, so
+  // that no end waits. It doesn't while it lists ends that the owner has yet to
+  // take note of: then another look follows soon, or their acknowledgement.
+  if (Tasks_.holdsEnds())
+    NextPoll_ = std::min(NextPoll_, Now.Steady_ + LookGap);
+  else if (Now.Steady_ - LookedAt_ >= HeldOpenFor)
+    pollWorker(Now, Out);
+}
+
 auto AgentCore::pollWorker(Moment Now, AgentOutbox &Out) -> void {
   NextPoll_ = Now.Steady_ + PollEvery;
+  LookedAt_ = Now.Steady_;
   ++OpenLooks_;
   Tasks_.poll(Now.Steady_, !WorkerSilent_, Out);
 }
--- a/core/AgentCore.h
+++ b/core/AgentCore.h
@@ -75,6 +75,8 @@
   /// Starts what waits, or hands it back where nothing may start here.
   auto startQueued(Moment Now, AgentOutbox &Out) -> void;
   auto pollWorker(Moment Now, AgentOutbox &Out) -> void;
+  /// Plans the next look, after one was answered.
+  auto lookAgain(Moment Now, AgentOutbox &Out) -> void;
   auto refuseReason() const -> ErrorKind;
   auto load() const -> AgentLoad;
 
@@ -121,6 +123,7 @@
   bool ExitSent_ = false;
   TimePoint NextHeartbeat_{};
   TimePoint NextPoll_{};
+  TimePoint LookedAt_{};
   TimePoint NextRepeat_{};
   TimePoint NextGuard_{};
 };
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -519,6 +519,12 @@
       Owner.Session_ = 0;
 }
 
+auto TaskHost::holdsEnds() const -> bool {
+  return std::any_of(Tasks_.begin(), Tasks_.end(), [](const auto &Each) {
+    return isEnded(Each.second.Phase_);
+  });
+}
+
 auto TaskHost::queued() const -> std::uint32_t {
   return std::count_if(Tasks_.begin(), Tasks_.end(), [](const auto &Each) {
     return Each.second.Phase_ == TaskPhase::Queued;
--- a/core/TaskHost.h
+++ b/core/TaskHost.h
@@ -73,6 +73,9 @@
 
   auto free() const -> Resources { return Ledger_.free(); }
   auto empty() const -> bool { return Tasks_.empty(); }
+  /// Whether tasks have ended here whose ends the owner has yet to take note
+  /// of.
+  auto holdsEnds() const -> bool;
   auto queued() const -> std::uint32_t;
   auto worker() const -> Incarnation { return Worker_; }
 
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -51,6 +51,41 @@
     }
   }
 
+  /// What the worker lists now.
+  auto list(const std::vector<std::string> &Running) const -> WorkerInventory {
+    WorkerInventory Inventory;
+    Inventory.Worker_ = 7;
+    Inventory.Clock_ =
+        std::chrono::duration_cast<Micros>(Now_.Steady_.time_since_epoch());
+    for (const auto &Job : Running) {
+      WorkerTask Task;
+      Task.NameOnly_ = true;
+      Task.Bind_.Task_ = {{Job}, 0};
+      Task.Bind_.Attempt_ = 1;
+      Inventory.Tasks_.push_back(Task);
+    }
+    return Inventory;
+  }
+
+  /// Lets the worker answer a look after it has kept it open for `Length`.
+  auto answerAfter(Millis Length, const WorkerInventory &Answer) -> void {
+    Now_.Steady_ += Length;
+    Core_.workerListed(Now_, Answer, Out_);
+  }
+
+  /// What the worker lists now, and one more task that has ended.
+  auto listWithEnd(const std::string &Job) const -> WorkerInventory {
+    auto Inventory = list({});
+    Inventory.Clock_ += Seconds{10};
+    WorkerTask Task;
+    Task.NameOnly_ = true;
+    Task.Bind_.Task_ = {{Job}, 0};
+    Task.Bind_.Attempt_ = 1;
+    Task.Phase_ = TaskPhase::Finished;
+    Inventory.Tasks_.push_back(Task);
+    return Inventory;
+  }
+
   /// Answers the newest heartbeat with every grant.
   auto grant() -> void {
     HeartbeatAck Ack;
@@ -107,20 +142,6 @@
     Result.Document_.Policy_.MoveWhenOut_ = false;
     return Result;
   }
-  auto list(const std::vector<std::string> &Running) const -> WorkerInventory {
-    WorkerInventory Inventory;
-    Inventory.Worker_ = 7;
-    Inventory.Clock_ =
-        std::chrono::duration_cast<Micros>(Now_.Steady_.time_since_epoch());
-    for (const auto &Job : Running) {
-      WorkerTask Task;
-      Task.NameOnly_ = true;
-      Task.Bind_.Task_ = {{Job}, 0};
-      Task.Bind_.Attempt_ = 1;
-      Inventory.Tasks_.push_back(Task);
-    }
-    return Inventory;
-  }
 
   std::uint64_t Sequence_ = 0;
 };
@@ -136,6 +157,42 @@
   BOOST_TEST(Bench.count<StartOnWorker>() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(ALookThatWasKeptOpenIsFollowedByTheNext) {
+  AgentBench Bench;
+  Bench.pass(Millis{600});
+  Bench.clear();
+  Bench.answerAfter(Millis{400}, Bench.list({}));
+  BOOST_TEST(Bench.count<PollWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatAnswersAtOnceIsLookedAtNowAndThen) {
+  AgentBench Bench;
+  const std::vector<std::string> None;
+  Bench.clear();
+  Bench.pass(Millis{2000}, &None);
+  BOOST_TEST(Bench.count<PollWorker>() <= 5U);
+}
+
+BOOST_AUTO_TEST_CASE(TheLastEndTakenNoteOfOpensALook) {
+  AgentBench Bench;
+  Bench.bind("a", 1000);
+  Bench.pass(Millis{600});
+  Bench.answerAfter(Millis{100}, Bench.listWithEnd("a"));
+  Bench.clear();
+  Bench.receive(TaskReportAck{{{"a"}, 0}, 1});
+  BOOST_TEST(Bench.count<PollWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EndsThatWaitForTheOwnerDontHideOthers) {
+  AgentBench Bench;
+  Bench.bind("a", 1000);
+  Bench.pass(Millis{600});
+  Bench.answerAfter(Millis{100}, Bench.listWithEnd("a"));
+  Bench.clear();
+  Bench.pass(Millis{100});
+  BOOST_TEST(Bench.count<PollWorker>() >= 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnUnansweredOrderIsRepeated) {
   AgentBench Bench;
   Bench.bind("a", 1000);
--- /dev/null
+++ b/test/correctness/PromiseTest.cpp
@@ -0,0 +1,73 @@
+/// \file
+/// Tests what a job can still be worth, by the time that is left.
+
+#include "core/Promise.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace skylark;
+
+namespace {
+
+/// Two steps of two seconds, handed in at 100 s and due at 110 s.
+auto job() -> Job {
+  Job Result;
+  Result.Id_ = {"job"};
+  Result.SubmittedAt_ = WallTime{Seconds{100}};
+  auto &Wanted = Result.Declaration_;
+  Wanted.Steps_.resize(2);
+  Wanted.Steps_[1].After_ = {0};
+  for (auto &Step : Wanted.Steps_) {
+    Step.RunTime_ = Millis{2000};
+    Step.Fills_ = true;
+  }
+  Wanted.Deadline_ = WallTime{Seconds{110}};
+  Result.Tasks_.resize(2);
+  return Result;
+}
+
+auto taskOf(std::uint32_t Step) -> TaskId { return {{"job"}, 0, Step, 0}; }
+
+auto at(std::int64_t Second) -> WallTime { return WallTime{Seconds{Second}}; }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Promised)
+
+BOOST_AUTO_TEST_CASE(WhatCanEndByItsDeadlineIsOnTime) {
+  BOOST_TEST((promiseOf(job(), taskOf(0), at(106)) == Promise::OnTime));
+  BOOST_TEST((promiseOf(job(), taskOf(0), at(107)) == Promise::Late));
+}
+
+BOOST_AUTO_TEST_CASE(ALaterStepHasLessToDo) {
+  BOOST_TEST((promiseOf(job(), taskOf(1), at(107)) == Promise::OnTime));
+}
+
+BOOST_AUTO_TEST_CASE(AfterThreeTimesItsTimeAJobIsHopeless) {
+  BOOST_TEST((promiseOf(job(), taskOf(0), at(126)) == Promise::Late));
+  BOOST_TEST((promiseOf(job(), taskOf(0), at(127)) == Promise::Hopeless));
+}
+
+BOOST_AUTO_TEST_CASE(WorkThatDoesNotFillIsNeverPutOff) {
+  auto Job = job();
+  Job.Declaration_.Steps_[0].Fills_ = false;
+  BOOST_TEST((promiseOf(Job, taskOf(0), at(500)) == Promise::OnTime));
+}
+
+BOOST_AUTO_TEST_CASE(WithoutADeadlineNothingIsLate) {
+  auto Job = job();
+  Job.Declaration_.Deadline_ = {};
+  BOOST_TEST((promiseOf(Job, taskOf(0), at(500)) == Promise::OnTime));
+}
+
+BOOST_AUTO_TEST_CASE(EachOccurrenceHasItsOwnDeadline) {
+  auto Job = job();
+  Job.Declaration_.Occurrences_ = 3;
+  Job.Declaration_.FirstAt_ = at(100);
+  Job.Declaration_.Interval_ = Millis{20000};
+  const TaskId Second{{"job"}, 0, 0, 1};
+  BOOST_TEST((promiseOf(Job, Second, at(125)) == Promise::OnTime));
+  BOOST_TEST((promiseOf(Job, Second, at(128)) == Promise::Late));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
