--- a/core/Promise.cpp
+++ b/core/Promise.cpp
@@ -1,11 +1,18 @@
 #include "core/Promise.h"
 
+#include <algorithm>
+
 namespace skylark {
 namespace {
 
 /// A job that ends after this many times the time that it was given is of no
 /// use any more.
 constexpr int UsefulFor = 3;
+/// Part of a mean job's worth that every job has, and the part that grows with
+/// its work.
+constexpr double FixedWorth = 0.3;
+constexpr double WorthOfWork = 0.7;
+constexpr double MilliCoresPerCore = 1000.0;
 
 } // namespace
 
@@ -23,4 +30,29 @@
                                                 : Promise::Hopeless;
 }
 
+auto workOf(const StepDeclaration &Step) -> double {
+  return std::chrono::duration<double>(Step.RunTime_).count() *
+         static_cast<double>(Step.Resources_.MilliCores_) / MilliCoresPerCore;
+}
+
+auto totalWork(const Job &Job) -> double {
+  double Work = 0;
+  for (const auto &Step : Job.Declaration_.Steps_)
+    Work += workOf(Step) * Step.TaskCount_;
+  return Work * std::max(Job.Declaration_.Occurrences_, 1U);
+}
+
+auto remainingWork(const Job &Job) -> double {
+  double Work = 0;
+  for (std::size_t Position = 0; Position < Job.Tasks_.size(); ++Position)
+    if (Job.Tasks_[Position].State_ != TaskState::Finished)
+      Work += workOf(Job.stepOf(Job.taskAt(Position)));
+  return Work;
+}
+
+auto workPerWorth(const Job &Job, double MeanWork) -> double {
+  const auto Worth = FixedWorth * MeanWork + WorthOfWork * totalWork(Job);
+  return Worth > 0 ? remainingWork(Job) / Worth : 0;
+}
+
 } // namespace skylark
--- a/core/Promise.h
+++ b/core/Promise.h
@@ -4,21 +4,27 @@
 
 #include "core/Job.h"
 
-#include <array>
-
 namespace skylark {
 
 /// Whether a task that starts now lets its job end on time, late but still of
 /// use, or too late.
 enum class Promise : std::uint8_t { OnTime, Late, Hopeless };
 
-/// Every promise, the best first.
-constexpr std::array<Promise, 3> Promises{Promise::OnTime, Promise::Late,
-                                          Promise::Hopeless};
-
 /// What `Job` can still be worth if `Task` starts at `Now`. Only work that
 /// fills is judged, since nothing else waits for room that others could use
 /// better; the rest counts as on time.
 auto promiseOf(const Job &Job, const TaskId &Task, WallTime Now) -> Promise;
 
+/// Declared work of one task, in core-seconds.
+auto workOf(const StepDeclaration &Step) -> double;
+/// Declared work of the whole job, and of what has not finished yet, in
+/// core-seconds.
+auto totalWork(const Job &Job) -> double;
+auto remainingWork(const Job &Job) -> double;
+
+/// Work that is left for each unit of what the job is worth to its users, who
+/// pay for a part of it whatever its size.
+/// \param MeanWork mean work of the jobs of its queue, in core-seconds.
+auto workPerWorth(const Job &Job, double MeanWork) -> double;
+
 } // namespace skylark
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -14,7 +14,7 @@
 /// Tasks bound in one pass, so that one shard can't hold up the others.
 constexpr int BindLimit = 64;
 /// Pending tasks looked at in one pass.
-constexpr int ScanLimit = 4000;
+constexpr std::size_t ScanLimit = 4000;
 /// Sizes of task that find no room before a pass ends.
 constexpr int MissLimit = 48;
 /// Workers looked at for one task in a large fleet.
@@ -879,29 +879,54 @@
          Failing_.count(Task.Job_) == 0;
 }
 
-auto ShardOwner::bindPending(Moment Now, Random &Generator, EntryOutbox &Out)
-    -> void {
-  BindPass Pass;
-  // Where not all can end on time, room goes to what still can, so that one
-  // late job doesn't make the others late too.
-  for (const auto Wanted : Promises)
-    bindPromised(Now, Wanted, Pass, Generator, Out);
+auto ShardOwner::meanWork(const QueueName &Queue) const -> double {
+  double Sum = 0;
+  double Count = 0;
+  for (const auto &[Id, Job] : state().jobs()) {
+    if (Job.Declaration_.Queue_ != Queue)
+      continue;
+    Sum += totalWork(Job);
+    ++Count;
+  }
+  return Count > 0 ? Sum / Count : 0;
 }
 
-auto ShardOwner::bindPromised(Moment Now, Promise Wanted, BindPass &Pass,
-                              Random &Generator, EntryOutbox &Out) -> void {
-  for (auto Each = Pending_.begin(); Each != Pending_.end();) {
-    if (Pass.Binds_ >= BindLimit || Pass.Scanned_++ >= ScanLimit ||
-        Pass.Misses_ >= MissLimit)
+auto ShardOwner::bindOrder(Moment Now) const -> std::vector<BindTurn> {
+  std::vector<BindTurn> Order;
+  std::map<JobId, double> Costs;
+  std::map<QueueName, double> Means;
+  for (const auto &Rank : Pending_) {
+    if (Order.size() >= ScanLimit)
       break;
-    const auto Rank = *Each++;
-    const auto &Job = *state().findJob(Rank.Task_.Job_);
-    if (!isDue(Now, Rank.Task_) ||
-        promiseOf(Job, Rank.Task_, Now.Wall_) != Wanted)
+    if (!isDue(Now, Rank.Task_))
       continue;
-    NotBefore_.erase(Rank.Task_);
-    if (bindOne(Now, Rank, Pass, Generator, Out))
-      ++Pass.Binds_;
+    const auto &Job = *state().findJob(Rank.Task_.Job_);
+    BindTurn Turn{Rank.Class_, promiseOf(Job, Rank.Task_, Now.Wall_), 0, Rank};
+    if (Job.stepOf(Rank.Task_).Fills_) {
+      const auto &Queue = Job.Declaration_.Queue_;
+      if (Means.count(Queue) == 0)
+        Means[Queue] = meanWork(Queue);
+      const auto [Cost, First] = Costs.try_emplace(Job.Id_, 0.0);
+      if (First)
+        Cost->second = workPerWorth(Job, Means[Queue]);
+      Turn.Cost_ = Cost->second;
+    }
+    Order.push_back(std::move(Turn));
+  }
+  std::sort(Order.begin(), Order.end());
+  return Order;
+}
+
+auto ShardOwner::bindPending(Moment Now, Random &Generator, EntryOutbox &Out)
+    -> void {
+  int Binds = 0;
+  BindPass Pass;
+  for (const auto &Turn : bindOrder(Now)) {
+    if (Binds >= BindLimit || Pass.Misses_ >= MissLimit)
+      break;
+    NotBefore_.erase(Turn.Rank_.Task_);
+    if (bindOne(Now, Turn.Rank_, Pass, Generator, Out))
+      ++Binds;
   }
 }
 
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -159,10 +159,23 @@
     std::map<std::string, std::int64_t> Filling_;
     std::map<StepKey, std::uint32_t> TasksOfStep_;
   };
+  /// When a pending task gets its turn. Where not all jobs can end on time,
+  /// room goes to what still can, and of that to what is worth most for its
+  /// work: one job after the other ends, instead of all of them a little late.
+  struct BindTurn {
+    int Class_ = 0;
+    Promise Promise_ = Promise::OnTime;
+    /// Work that is left for its job's worth; 0 for work that doesn't fill.
+    double Cost_ = 0;
+    PendingRank Rank_;
+
+    friend auto operator<(const BindTurn &Left, const BindTurn &Right) -> bool {
+      return std::tie(Left.Class_, Left.Promise_, Left.Cost_, Left.Rank_) <
+             std::tie(Right.Class_, Right.Promise_, Right.Cost_, Right.Rank_);
+    }
+  };
   /// What one pass over the pending tasks has learned.
   struct BindPass {
-    int Binds_ = 0;
-    int Scanned_ = 0;
     int Misses_ = 0;
     std::vector<Resources> NoRoom_;
     /// Filling images that disturb what serves wherever there is room.
@@ -202,9 +215,10 @@
   auto unhold(const Job &Job, const TaskId &Task) -> void;
   auto rankOf(const Job &Job, const TaskId &Task) const -> PendingRank;
   auto bindPending(Moment Now, Random &Generator, EntryOutbox &Out) -> void;
-  /// Binds those pending tasks whose jobs can still be worth that much.
-  auto bindPromised(Moment Now, Promise Wanted, BindPass &Pass,
-                    Random &Generator, EntryOutbox &Out) -> void;
+  /// Due tasks in the order in which they get room.
+  auto bindOrder(Moment Now) const -> std::vector<BindTurn>;
+  /// Mean declared work of a queue's jobs, in core-seconds.
+  auto meanWork(const QueueName &Queue) const -> double;
   auto isDue(Moment Now, const TaskId &Task) const -> bool;
   auto bindOne(Moment Now, const PendingRank &Rank, BindPass &Pass,
                Random &Generator, EntryOutbox &Out) -> bool;
