A worker that answers again gets work again; one look at a time

The log shows worker-lost and worker-regained 0.2 s apart, and no task bound to that worker ever after. (1) Since a look is always open, up to eight short looks a second were unanswered together, and more than three open looks count as a silent worker; it then sent away all that ran there. Ruled out: lack of room (other workers got 40 to 88 tasks meanwhile), quarantine, a full agent queue.

Change: while a look is open the next one waits the usual pause; 'leaving' follows the newest heartbeat by number; what runs on a silent worker is left to its leases. Work that an agent held back doesn't block its queue, and the owner asks no more of its kind there for a second.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -184,7 +184,7 @@
                        const TaskReportAck &Ack, AgentOutbox &Out) -> void {
   const auto HeldEnds = Tasks_.holdsEnds();
   Tasks_.acknowledge(Ack, Out);
-  if (HeldEnds && !Tasks_.holdsEnds())
+  if (HeldEnds && !Tasks_.holdsEnds() && OpenLooks_ == 0)
     pollWorker(Now, Out);
 }
 
@@ -319,7 +319,11 @@
 
 auto AgentCore::tick(Moment Now, AgentOutbox &Out) -> void {
   Tasks_.refreshLeases(Now.Steady_, Permits_, Out);
-  if (Now.Steady_ >= NextPoll_)
+  // While a look is open, another one follows only after the usual pause: many
+  // at once would soon look like a worker that doesn't answer.
+  const auto LookDue =
+      OpenLooks_ == 0 ? NextPoll_ : std::max(NextPoll_, LookedAt_ + PollEvery);
+  if (Now.Steady_ >= LookDue)
     pollWorker(Now, Out);
   watchWorker(Now, Out);
   if (!Ready_)
@@ -340,8 +344,11 @@
 
 auto AgentCore::startQueued(Moment Now, AgentOutbox &Out) -> void {
   const auto Reason = refuseReason();
-  const auto Stays = Reason == ErrorKind::DataCentreOut &&
-                     !Current_.Document_.Policy_.MoveWhenOut_;
+  const auto StaysOut = Reason == ErrorKind::DataCentreOut &&
+                        !Current_.Document_.Policy_.MoveWhenOut_;
+  // What runs on a worker that doesn't answer may be well; its leases decide.
+  const auto Unheard = WorkerSilent_ && !Leaving_ && !WorkerLeaving_;
+  const auto Stays = StaysOut || Unheard;
   if (Reason != ErrorKind::None && !Stays)
     Tasks_.drain(Reason, Out);
   else if (Stays)
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -48,6 +48,8 @@
 constexpr double PlannedShare = 0.75;
 /// How long the last look at a worker's serving tasks counts.
 constexpr Millis FiguresFreshFor{2000};
+/// Pause after an agent had no room for work that fills.
+constexpr Millis NoFillersFor{1000};
 
 auto keyDate(const IdempotencyKey &Key) -> std::optional<WallTime> {
   const auto &Text = Key.Value_;
@@ -695,6 +697,7 @@
   return Serves && Labelled &&
          mayGetWork(Candidate, View_.Configuration_, Now.Steady_) &&
          Candidate.QuarantinedUntil_ <= Now.Steady_ &&
+         !(Step.Fills_ && Now.Steady_ < Candidate.NoFillersUntil_) &&
          Candidate.Load_.TasksQueued_ < QueueLimit;
 }
 
@@ -1073,6 +1076,9 @@
   if (Report.Phase_ == TaskPhase::Stopped &&
       Report.Reason_ != ErrorKind::Cancelled)
     ++View_.Counters_.Evictions_;
+  if (Report.Phase_ == TaskPhase::NotStarted &&
+      Report.Reason_ == ErrorKind::Evicted)
+    From.NoFillersUntil_ = Now.Steady_ + NoFillersFor;
   // Nobody can say how far the task came before its worker fell silent.
   if (Report.Phase_ == TaskPhase::Stopped &&
       Report.Reason_ == ErrorKind::WorkerGone) {
--- a/core/TargetTable.cpp
+++ b/core/TargetTable.cpp
@@ -68,7 +68,12 @@
     return;
   Known->HeardAt_ = Now.Steady_;
   Known->Load_ = Beat.Load_;
-  Known->Leaving_ = Known->Leaving_ || Beat.Leaving_;
+  // A worker that was only silent for a while stays after all, but an older
+  // heartbeat that arrives late must not take a goodbye back.
+  if (Beat.Sequence_ > Known->BeatSequence_) {
+    Known->BeatSequence_ = Beat.Sequence_;
+    Known->Leaving_ = Beat.Leaving_;
+  }
   Known->Revision_ = std::max(Known->Revision_, Beat.Revision_);
   Known->InForceRevision_ =
       std::max(Known->InForceRevision_, Beat.InForceRevision_);
--- a/core/TargetTable.h
+++ b/core/TargetTable.h
@@ -23,6 +23,8 @@
 
   TimePoint StartGrantUntil_{};
   TimePoint ConfigurationSentAt_{};
+  /// The newest heartbeat taken in.
+  std::uint64_t BeatSequence_ = 0;
   bool Leaving_ = false;
   bool OtherEntryFresh_ = false;
   /// Requests of this entry that the target has not answered.
@@ -43,6 +45,8 @@
   /// The tasks here that serve users of their own, as last looked at.
   std::vector<ServingFigure> Serving_;
   TimePoint ServingSeenAt_{};
+  /// Until when the agent is not asked again to start work that fills.
+  TimePoint NoFillersUntil_{};
   /// Task failures in a row, for quarantine.
   std::uint32_t FailureRun_ = 0;
   TimePoint QuarantinedUntil_{};
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -527,7 +527,8 @@
 
 auto TaskHost::queued() const -> std::uint32_t {
   return std::count_if(Tasks_.begin(), Tasks_.end(), [](const auto &Each) {
-    return Each.second.Phase_ == TaskPhase::Queued;
+    return Each.second.Phase_ == TaskPhase::Queued &&
+           Each.second.HeldBackSince_ == TimePoint{};
   });
 }
 
--- a/core/TaskHost.h
+++ b/core/TaskHost.h
@@ -76,6 +76,7 @@
   /// Whether tasks have ended here whose ends the owner has yet to take note
   /// of.
   auto holdsEnds() const -> bool;
+  /// Tasks that wait for resources; not those that fill and are held back.
   auto queued() const -> std::uint32_t;
   auto worker() const -> Incarnation { return Worker_; }
 
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -193,6 +193,29 @@
   BOOST_TEST(Bench.count<PollWorker>() >= 1U);
 }
 
+BOOST_AUTO_TEST_CASE(ShortLooksDontMakeAWorkerSilent) {
+  AgentBench Bench;
+  Bench.bind("a", 1000);
+  Bench.pass(Millis{600});
+  Bench.answerAfter(Millis{100}, Bench.listWithEnd("a"));
+  Bench.clear();
+  // An end waits for the owner, and the worker keeps the look open as it may.
+  Bench.pass(Millis{450});
+  BOOST_TEST(Bench.count<PollWorker>() == 1U);
+  BOOST_TEST(!Bench.Core_.leaving());
+}
+
+BOOST_AUTO_TEST_CASE(WhatRunsOnASilentWorkerIsLeftToItsLeases) {
+  AgentBench Bench;
+  const std::vector<std::string> Running{"a"};
+  Bench.bind("a", 1000);
+  Bench.pass(Millis{600}, &Running);
+  Bench.clear();
+  Bench.pass(Millis{3000});
+  BOOST_TEST(Bench.Core_.leaving());
+  BOOST_TEST(Bench.count<StopOnWorker>() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(AnUnansweredOrderIsRepeated) {
   AgentBench Bench;
   Bench.bind("a", 1000);
