Failed try: fillers placed by the room that the agent has left

Cause looked for: resting fillers counted at full speed against a worker's room, so light images were kept away from workers with room. Change tried: agents told what their plan had left, the owner placed by it, first at half speed or more, then at nearly full speed only; one task at a time insisted.

Conclusion: room that is left for a moment is gone when the own load swings back, and what was placed in it rests or moves; counting declared speeds keeps that reserve.

--- a/core/Interference.h
+++ b/core/Interference.h
@@ -24,14 +24,12 @@
   double Change_ = 0;
   /// Whether Change_ could be told.
   bool Comparable_ = false;
-  /// Growth of the tail's logarithm that is left to more work which fills.
-  double Left_ = 0;
 
   static constexpr auto fields() {
     return std::make_tuple(&ServingFigure::Image_, &ServingFigure::Target_,
                            &ServingFigure::Tail_, &ServingFigure::Own_,
-                           &ServingFigure::Change_, &ServingFigure::Comparable_,
-                           &ServingFigure::Left_);
+                           &ServingFigure::Change_,
+                           &ServingFigure::Comparable_);
   }
 };
 
--- a/core/PacePlan.h
+++ b/core/PacePlan.h
@@ -15,7 +15,6 @@
 
 /// What one serving task leaves to the work beside it.
 struct ServingRoom {
-  TaskId Task_;
   std::string Image_;
   /// Growth of the tail's natural logarithm that is left below the target.
   double Left_ = 0;
--- a/core/Placement.cpp
+++ b/core/Placement.cpp
@@ -5,9 +5,6 @@
 namespace skylark {
 namespace {
 
-/// Least share of its full speed at which work that fills is placed.
-constexpr double LeastPace = 0.5;
-
 /// Share of a worker's processors that stay unused once the task runs there.
 auto freeShare(const StepDeclaration &Step, const PlaceView &Place) -> double {
   const auto Left = Place.Free_.MilliCores_ - Place.FillingMilliCores_ -
@@ -30,9 +27,8 @@
 auto rankOf(const StepDeclaration &Step, const PlaceView &Place) {
   const auto NearData = Step.DataRack_.empty() || Step.DataRack_ == Place.Rack_;
   return std::make_tuple(!Place.Suspect_, !Place.FailedHere_, NearData,
-                         Place.Overrun_ <= 0, Place.Pace_,
-                         -mixedImages(Step, Place), -Place.AddedPress_,
-                         freeShare(Step, Place));
+                         Place.Overrun_ <= 0, -mixedImages(Step, Place),
+                         -Place.AddedPress_, freeShare(Step, Place));
 }
 
 } // namespace
@@ -43,7 +39,7 @@
   // Work that fills rather waits than disturbs what serves, but not for ever:
   // the agents pause it while it does harm.
   const auto Disturbs =
-      Step.Fills_ && Place.Pace_ < LeastPace && !Place.TakesAnyPlace_;
+      Step.Fills_ && Place.Overrun_ > 0 && !Place.TakesAnyPlace_;
   return BelowLimit && !Disturbs && Place.Free_.holds(Step.reserved());
 }
 
--- a/core/Placement.h
+++ b/core/Placement.h
@@ -23,8 +23,6 @@
   /// By how much the logarithm of some neighbour's, or the task's own, tail
   /// would pass what its target leaves; at most 0 where none would.
   double Overrun_ = 0;
-  /// Share of its full speed at which a task that fills could work here.
-  double Pace_ = 1;
   /// Growth that the task would add to its neighbours' tails, all together.
   double AddedPress_ = 0;
   /// Whether the task has waited so long for a quiet place that it takes any.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -44,8 +44,8 @@
 constexpr Seconds Day{24 * 3600};
 /// Growth of a tail's logarithm below which nobody is disturbed.
 constexpr double NoticedPress = 0.03;
-/// Growth of a tail's logarithm that is kept free when work is placed.
-constexpr double PlacingReserve = 0.1;
+/// Share of a target up to which a tail may be planned to go.
+constexpr double PlannedShare = 0.75;
 /// How long the last look at a worker's serving tasks counts.
 constexpr Millis FiguresFreshFor{2000};
 /// Pause after an agent had no room for work that fills.
@@ -558,7 +558,6 @@
   Held_.erase(Found);
   Use_[Job.Declaration_.Team_] -= Held.Amount_;
   auto &There = HeldAt_[Held.Agent_];
-  There.PlacedAt_.erase(Task);
   There.Amount_ -= Held.Amount_;
   There.FillingMilliCores_ -= Held.FillingMilliCores_;
   if (Held.Target_ > Millis{0} && --There.Serving_[Held.Image_].Tasks_ == 0)
@@ -710,26 +709,20 @@
   return Sum;
 }
 
-auto ShardOwner::roomThere(Moment Now, const std::string &Image,
-                           Millis TailTarget, const Target &Candidate,
-                           const WorkerUse &There) const -> double {
-  const auto *Tightest = static_cast<const ServingFigure *>(nullptr);
+auto ShardOwner::slackThere(Moment Now, const std::string &Image,
+                            Millis TailTarget, const Target &Candidate) const
+    -> double {
+  const auto *Worst = static_cast<const ServingFigure *>(nullptr);
   if (Candidate.ServingSeenAt_ + FiguresFreshFor > Now.Steady_)
     for (const auto &Each : Candidate.Serving_)
-      if (Each.Image_ == Image &&
-          (Tightest == nullptr || Each.Left_ < Tightest->Left_))
-        Tightest = &Each;
-  if (Tightest == nullptr)
-    return View_.Presses_.slack(Image, TailTarget) - pressThere(Image, There);
-  // The agent has counted what it had when it looked.
-  auto Left = Tightest->Left_ - PlacingReserve;
-  for (const auto &[Task, PlacedAt] : There.PlacedAt_) {
-    if (PlacedAt <= Candidate.ServingSeenAt_)
-      continue;
-    const auto &Held = Held_.at(Task);
-    Left -= View_.Presses_.press(Image, Held.Image_, Held.FillingMilliCores_);
-  }
-  return Left;
+      if (Each.Image_ == Image && (Worst == nullptr || Each.Own_ > Worst->Own_))
+        Worst = &Each;
+  if (Worst == nullptr)
+    return View_.Presses_.slack(Image, TailTarget);
+  if (Worst->Tail_ > Worst->Target_)
+    return 0;
+  return std::log(PlannedShare * static_cast<double>(TailTarget.count())) -
+         Worst->Own_;
 }
 
 auto ShardOwner::viewNeighbours(Moment Now, const StepDeclaration &Step,
@@ -746,12 +739,11 @@
   for (const auto &[Image, Serving] : There.Serving_) {
     const auto Added =
         Presses.press(Image, Step.Image_, Step.Resources_.MilliCores_);
-    if (Added > NoticedPress) {
-      const auto Room =
-          roomThere(Now, Image, Serving.Target_, Candidate, There);
-      Place.Overrun_ = std::max(Place.Overrun_, Added - Room);
-      Place.Pace_ = std::min(Place.Pace_, std::max(0.0, Room) / Added);
-    }
+    const auto After = pressThere(Image, There) + Added;
+    if (Added > NoticedPress)
+      Place.Overrun_ =
+          std::max(Place.Overrun_,
+                   After - slackThere(Now, Image, Serving.Target_, Candidate));
     Place.AddedPress_ += Added * Serving.Tasks_;
   }
 }
@@ -878,8 +870,6 @@
   // The quota and the worker's room count the task from here on, not from the
   // commit on.
   hold(Job, Rank.Task_, Chosen->agent());
-  if (Step.Fills_)
-    HeldAt_[Chosen->agent()].PlacedAt_[Rank.Task_] = Now.Steady_;
   propose(Rank.Task_, std::move(Change));
   return true;
 }
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -157,8 +157,6 @@
     /// By image: what serves, and the processors that fillers ask for.
     std::map<std::string, ServingUse> Serving_;
     std::map<std::string, std::int64_t> Filling_;
-    /// Tasks that fill, and when they were placed here.
-    std::map<TaskId, TimePoint> PlacedAt_;
     std::map<StepKey, std::uint32_t> TasksOfStep_;
   };
   /// When a pending task gets its turn. Where not all jobs can end on time,
@@ -234,11 +232,9 @@
   auto viewNeighbours(Moment Now, const StepDeclaration &Step,
                       const Target &Candidate, const WorkerUse &There,
                       PlaceView &Place) const -> void;
-  /// Growth of the logarithm of a serving image's tail that is left there to
-  /// one more task that fills.
-  auto roomThere(Moment Now, const std::string &Image, Millis TailTarget,
-                 const Target &Candidate, const WorkerUse &There) const
-      -> double;
+  /// Growth of the logarithm of a serving image's tail that is left there.
+  auto slackThere(Moment Now, const std::string &Image, Millis TailTarget,
+                  const Target &Candidate) const -> double;
   /// How much the fillers at a worker lengthen a serving image's tail there.
   auto pressThere(const std::string &Serving, const WorkerUse &There) const
       -> double;
--- a/core/ShareGuard.cpp
+++ b/core/ShareGuard.cpp
@@ -13,10 +13,9 @@
 /// A paused task works again once the tails that it presses are below this
 /// share of their targets.
 constexpr double ResumeShare = 0.7;
-/// A paused task goes elsewhere after this time, and later where that leaves
-/// its job with nothing at work, or loses work.
+/// A paused task goes elsewhere after this time, and later where that loses
+/// work or leaves its job with nothing at work.
 constexpr Millis EvictAfter{1500};
-constexpr Millis EvictOnlyAfter{3000};
 constexpr Millis EvictLosingAfter{5000};
 /// How long a serving task may stay over its target before what is known of
 /// its neighbours is doubted, and before that holds even for a falling tail.
@@ -77,8 +76,8 @@
       continue;
     const auto Limit =
         std::log(PlannedShare * static_cast<double>(Each.Target_.count()));
-    Rooms.push_back({Each.Task_, Each.Image_, Limit - Reading->Own_,
-                     Each.tailShare() > 1.0, Each.tailShare() >= ResumeShare});
+    Rooms.push_back({Each.Image_, Limit - Reading->Own_, Each.tailShare() > 1.0,
+                     Each.tailShare() >= ResumeShare});
   }
   return Rooms;
 }
@@ -128,8 +127,8 @@
     Known.OrderedAt_ = Now;
     Orders.Paces_.push_back({Filling.Task_, Filling.Attempt_, Known.Percent_});
   }
-  const auto Stays = Filling.OnlyOne_ ? EvictOnlyAfter : EvictAfter;
-  const auto Patience = Filling.Checkpoints_ ? Stays : EvictLosingAfter;
+  const auto Movable = Filling.Checkpoints_ && !Filling.OnlyOne_;
+  const auto Patience = Movable ? EvictAfter : EvictLosingAfter;
   if (Known.Percent_ == 0 && Known.PausedAt_ + Patience <= Now)
     Orders.Evictions_.push_back({Filling.Task_, Filling.Attempt_});
 }
@@ -138,6 +137,7 @@
     -> SharingOrders {
   SharingOrders Orders;
   Watch_.look(Now, Tasks, Known_);
+  Orders.Sample_ = Watch_.sample(Tasks);
   noteTails(Now, Tasks);
   Doubtful_ = isDoubtful(Now, Tasks);
   Rooms_ = roomsOf(Tasks);
@@ -148,8 +148,6 @@
     const auto Wanted = Doubtful_ ? 0 : takeRoom(Filling, Known_, Rooms_);
     settle(Now, *Each, Wanted, Orders);
   }
-  InsistedSinceLook_ = false;
-  Orders.Sample_ = Watch_.sample(Tasks, Rooms_);
   for (auto Each = Paced_.begin(); Each != Paced_.end();) {
     const auto Gone = Present.count(Each->first) == 0 &&
                       Each->second.OrderedAt_ + ListedWithin <= Now;
@@ -162,16 +160,9 @@
     -> std::uint32_t {
   auto Left = Rooms_;
   auto Pace = takeRoom(fillingOf(Filling, false), Known_, Left);
-  // A task works at full speed until its first pace has arrived, so one at a
-  // time, and only where no tail is near its target.
-  const auto MayInsist =
-      Filling.OnlyOne_ && !InsistedSinceLook_ &&
-      std::none_of(Rooms_.begin(), Rooms_.end(),
-                   [](const ServingRoom &Room) { return Room.Near_; });
-  const auto Fits = Pace >= LeastStartPace;
-  if (Doubtful_ || (!Fits && !MayInsist))
+  const auto MayInsist = Filling.OnlyOne_ && OverSince_.empty();
+  if (Doubtful_ || (Pace < LeastStartPace && !MayInsist))
     return 0;
-  InsistedSinceLook_ = InsistedSinceLook_ || !Fits;
   Pace = std::max(Pace, InsistentPace);
   Rooms_ = std::move(Left);
   Paced_[Filling.Task_] = {Filling.Attempt_, Pace, Now, {}};
--- a/core/ShareGuard.h
+++ b/core/ShareGuard.h
@@ -61,8 +61,6 @@
   std::map<TaskId, TimePoint> OverSince_;
   /// Whether what is known failed to explain the last look.
   bool Doubtful_ = false;
-  /// Whether a task has started without room since the last look.
-  bool InsistedSinceLook_ = false;
   /// What the serving tasks have left since the last look.
   std::vector<ServingRoom> Rooms_;
 };
--- a/core/TailWatch.cpp
+++ b/core/TailWatch.cpp
@@ -75,20 +75,15 @@
   return Found == Readings_.end() ? nullptr : &Found->second;
 }
 
-auto TailWatch::sample(const std::vector<SharingTask> &Tasks,
-                       const std::vector<ServingRoom> &Rooms) const
+auto TailWatch::sample(const std::vector<SharingTask> &Tasks) const
     -> SharingSample {
   SharingSample Sample;
-  std::map<TaskId, double> Left;
-  for (const auto &Room : Rooms)
-    Left[Room.Task_] = Room.Over_ ? 0.0 : Room.Left_;
   for (const auto &Each : Tasks) {
     const auto *Reading = find(Each.Task_);
-    if (Reading == nullptr)
-      continue;
-    Sample.Serving_.push_back({Each.Image_, Each.Target_, Each.Tail_,
-                               Reading->Own_, Reading->Change_,
-                               Reading->Comparable_, Left[Each.Task_]});
+    if (Reading != nullptr)
+      Sample.Serving_.push_back({Each.Image_, Each.Target_, Each.Tail_,
+                                 Reading->Own_, Reading->Change_,
+                                 Reading->Comparable_});
   }
   for (const auto &[Image, Change] : UseChange_) {
     const auto InUse = Use_.find(Image);
--- a/core/TailWatch.h
+++ b/core/TailWatch.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include "core/Interference.h"
-#include "core/PacePlan.h"
 #include "core/SharingTask.h"
 
 #include <map>
@@ -34,9 +33,7 @@
   /// The reading of a serving task at the last look; null if it wasn't there.
   auto find(const TaskId &Task) const -> const TailReading *;
   /// What is worth telling of the last look.
-  /// \param Rooms what the serving tasks leave to more work that fills.
-  auto sample(const std::vector<SharingTask> &Tasks,
-              const std::vector<ServingRoom> &Rooms) const -> SharingSample;
+  auto sample(const std::vector<SharingTask> &Tasks) const -> SharingSample;
 
 private:
   auto read(const SharingTask &Serving, Duration Since, double Press) const
--- a/test/correctness/PacingTest.cpp
+++ b/test/correctness/PacingTest.cpp
@@ -23,9 +23,7 @@
   return Known;
 }
 
-auto room(double Left) -> ServingRoom {
-  return {{}, "web", Left, false, false};
-}
+auto room(double Left) -> ServingRoom { return {"web", Left, false, false}; }
 
 auto loud(std::int64_t MilliCores) -> FillingTask {
   return {"loud", MilliCores, false};
@@ -101,17 +99,17 @@
 }
 
 BOOST_AUTO_TEST_CASE(WhatHarmsNobodyNeedsNoRoom) {
-  std::vector<ServingRoom> Rooms{{{}, "web", -1.0, true, true}};
+  std::vector<ServingRoom> Rooms{{"web", -1.0, true, true}};
   BOOST_TEST(takeRoom({"quiet", 9000, true}, knowledge(), Rooms) == 100U);
 }
 
 BOOST_AUTO_TEST_CASE(BesideATailOverItsTargetWhatPressesRests) {
-  std::vector<ServingRoom> Rooms{{{}, "web", 0.9, true, true}};
+  std::vector<ServingRoom> Rooms{{"web", 0.9, true, true}};
   BOOST_TEST(takeRoom(loud(1000), knowledge(), Rooms) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(WhatRestsGoesOnRestingNearTheTarget) {
-  std::vector<ServingRoom> Rooms{{{}, "web", 0.9, false, true}};
+  std::vector<ServingRoom> Rooms{{"web", 0.9, false, true}};
   BOOST_TEST(takeRoom({"loud", 1000, true}, knowledge(), Rooms) == 0U);
   BOOST_TEST(takeRoom({"loud", 1000, false}, knowledge(), Rooms) == 100U);
 }
@@ -169,38 +167,14 @@
 BOOST_AUTO_TEST_CASE(TheOnlyTaskOfAJobStartsWithLittleRoom) {
   auto Guard = guard();
   TimePoint Now(Seconds{1});
-  watch(Guard, Now, LookEvery, {serving(Millis{13})});
+  watch(Guard, Now, LookEvery, {serving(Millis{19})});
   auto Task = filling("new", 0);
-  Task.FullMilliCores_ = 20000;
   BOOST_TEST(Guard.admit(Now, Task) == 0U);
   Task.OnlyOne_ = true;
   BOOST_TEST(Guard.admit(Now, Task) > 0U);
   BOOST_TEST(Guard.startPace(Task.Task_, Task.Attempt_) < 100U);
 }
 
-BOOST_AUTO_TEST_CASE(OneStartsWithoutRoomAtATime) {
-  auto Guard = guard();
-  TimePoint Now(Seconds{1});
-  watch(Guard, Now, LookEvery, {serving(Millis{13})});
-  std::uint32_t Admitted = 0;
-  for (const auto *Job : {"a", "b", "c"}) {
-    auto Task = filling(Job, 0);
-    Task.FullMilliCores_ = 20000;
-    Task.OnlyOne_ = true;
-    Admitted += Guard.admit(Now, Task) == 0 ? 0 : 1;
-  }
-  BOOST_TEST(Admitted == 1U);
-}
-
-BOOST_AUTO_TEST_CASE(NearItsTargetATailIsSparedTheFirstMoment) {
-  auto Guard = guard();
-  TimePoint Now(Seconds{1});
-  watch(Guard, Now, LookEvery, {serving(Millis{19})});
-  auto Task = filling("new", 0);
-  Task.OnlyOne_ = true;
-  BOOST_TEST(Guard.admit(Now, Task) == 0U);
-}
-
 BOOST_AUTO_TEST_CASE(StartsBetweenTwoLooksShareTheRoom) {
   auto Guard = guard();
   TimePoint Now(Seconds{1});
--- a/test/correctness/PlacementTest.cpp
+++ b/test/correctness/PlacementTest.cpp
@@ -55,7 +55,6 @@
   Step.Fills_ = true;
   auto Place = placeWith(20000);
   Place.Overrun_ = 0.1;
-  Place.Pace_ = 0.4;
   BOOST_TEST(choosePlace(Step, {Place}) == 1U);
 }
 
@@ -64,7 +63,6 @@
   Step.Fills_ = true;
   auto Place = placeWith(20000);
   Place.Overrun_ = 0.1;
-  Place.Pace_ = 0.4;
   Place.TakesAnyPlace_ = true;
   BOOST_TEST(choosePlace(Step, {Place}) == 0U);
 }
