Serving tails planned to 0.85 of their targets; each order to pace says why

Cause: on-call engineers could not see why a task was slowed or sent away; and the batch classes are served worst.

Change: 0.85 and 0.9. Agents log task-paced and task-sent-away with the serving task that decided, its tail, target and own level. Test: OrdersNameTheTaskThatDecided.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -45,7 +45,7 @@
 /// Growth of a tail's logarithm below which nobody is disturbed.
 constexpr double NoticedPress = 0.03;
 /// Share of a target up to which a tail may be planned to go.
-constexpr double PlannedShare = 0.75;
+constexpr double PlannedShare = 0.9;
 /// How long the last look at a worker's serving tasks counts.
 constexpr Millis FiguresFreshFor{2000};
 /// Pause after an agent had no room for work that fills.
--- a/core/ShareGuard.cpp
+++ b/core/ShareGuard.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Share of a target up to which work that fills may bring a tail.
-constexpr double PlannedShare = 0.8;
+constexpr double PlannedShare = 0.85;
 /// A paused task works again once the tails that it presses are below this
 /// share of their targets.
 constexpr double ResumeShare = 0.7;
@@ -107,6 +107,23 @@
   return Order;
 }
 
+auto ShareGuard::explain(const std::vector<SharingTask> &Tasks) const
+    -> std::string {
+  const SharingTask *Tightest = nullptr;
+  for (const auto &Each : Tasks)
+    if (Watch_.find(Each.Task_) != nullptr &&
+        (Tightest == nullptr || Each.tailShare() > Tightest->tailShare()))
+      Tightest = &Each;
+  if (Tightest == nullptr)
+    return "nothing serves";
+  const auto Own = std::lround(std::exp(Watch_.find(Tightest->Task_)->Own_));
+  return Tightest->Task_.text() + " at " +
+         std::to_string(Tightest->Tail_.count()) + " of " +
+         std::to_string(Tightest->Target_.count()) + " ms, " +
+         std::to_string(Own) + " ms of it its own" +
+         (Doubtful_ ? ", what is known of it is doubted" : "");
+}
+
 auto ShareGuard::settle(TimePoint Now, const SharingTask &Filling,
                         std::uint32_t Wanted, SharingOrders &Orders) -> void {
   auto &Known = Paced_[Filling.Task_];
@@ -148,6 +165,8 @@
     const auto Wanted = Doubtful_ ? 0 : takeRoom(Filling, Known_, Rooms_);
     settle(Now, *Each, Wanted, Orders);
   }
+  if (!Orders.Paces_.empty() || !Orders.Evictions_.empty())
+    Orders.Because_ = explain(Tasks);
   for (auto Each = Paced_.begin(); Each != Paced_.end();) {
     const auto Gone = Present.count(Each->first) == 0 &&
                       Each->second.OrderedAt_ + ListedWithin <= Now;
--- a/core/ShareGuard.h
+++ b/core/ShareGuard.h
@@ -13,6 +13,8 @@
 /// What is to be done after one look.
 struct SharingOrders {
   std::vector<PaceOnWorker> Paces_;
+  /// The serving task that decided, in words for the log.
+  std::string Because_;
   /// Tasks that must go on elsewhere.
   std::vector<std::pair<TaskId, AttemptNumber>> Evictions_;
   SharingSample Sample_;
@@ -49,6 +51,7 @@
   auto roomsOf(const std::vector<SharingTask> &Tasks) const
       -> std::vector<ServingRoom>;
   auto paceOf(const SharingTask &Filling) const -> std::uint32_t;
+  auto explain(const std::vector<SharingTask> &Tasks) const -> std::string;
   auto planOrder(const std::vector<SharingTask> &Tasks) const
       -> std::vector<const SharingTask *>;
   auto settle(TimePoint Now, const SharingTask &Filling, std::uint32_t Wanted,
--- a/core/TaskHost.cpp
+++ b/core/TaskHost.cpp
@@ -125,10 +125,19 @@
     Tasks.push_back(std::move(Task));
   }
   const auto Orders = Guard_.look(Now, Tasks);
-  for (const auto &Pace : Orders.Paces_)
+  for (const auto &Pace : Orders.Paces_) {
     Out.push_back(Pace);
-  for (const auto &[Task, Attempt] : Orders.Evictions_)
+    Out.push_back(LogDecision{
+        "task-paced", Pace.Task_.text(), 0, ErrorKind::None,
+        "attempt " + std::to_string(Pace.Attempt_) + " to " +
+            std::to_string(Pace.Percent_) + " %: " + Orders.Because_});
+  }
+  for (const auto &[Task, Attempt] : Orders.Evictions_) {
+    Out.push_back(LogDecision{
+        "task-sent-away", Task.text(), 0, ErrorKind::Evicted,
+        "attempt " + std::to_string(Attempt) + ": " + Orders.Because_});
     stopHeld(Tasks_.at(Task), ErrorKind::Evicted, Out);
+  }
   const auto Session = anyOwner();
   if (!Orders.Sample_.Serving_.empty() && Session != 0)
     Out.push_back(SendToEntry{Session, Orders.Sample_});
--- a/test/correctness/PacingTest.cpp
+++ b/test/correctness/PacingTest.cpp
@@ -199,6 +199,14 @@
   BOOST_TEST(!Early.Evictions_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(OrdersNameTheTaskThatDecided) {
+  auto Guard = guard();
+  const auto Orders = Guard.look(TimePoint(Seconds{1}),
+                                 {serving(Millis{40}), filling("f", 3000)});
+  BOOST_TEST(!Orders.Paces_.empty());
+  BOOST_TEST(Orders.Because_.find("serves/0 at 40 of 20 ms") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(AnAdoptedTaskIsToldItsPace) {
   auto Guard = guard();
   TimePoint Now(Seconds{1});
