Lasting tasks leave the last room to short work for a while

Ruled out: filling work, which reserves no processors, and take-over (shard taken 2 s after the return).

--- a/core/Placement.cpp
+++ b/core/Placement.cpp
@@ -1,5 +1,6 @@
 #include "core/Placement.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace skylark {
@@ -40,7 +41,13 @@
   // the agents pause it while it does harm.
   const auto Disturbs =
       Step.Fills_ && Place.Overrun_ > 0 && !Place.TakesAnyPlace_;
-  return BelowLimit && !Disturbs && Place.Free_.holds(Step.reserved());
+  auto Free = Place.Free_;
+  // A lasting task must not stay away from a place that has room for it twice
+  // over, so a small one keeps less free.
+  if (Step.LongRunning_ && !Place.TakesAnyPlace_)
+    Free.MilliCores_ -=
+        std::min(Place.KeptMilliCores_, Step.Resources_.MilliCores_ / 2);
+  return BelowLimit && !Disturbs && Free.holds(Step.reserved());
 }
 
 auto choosePlace(const StepDeclaration &Step,
--- a/core/Placement.h
+++ b/core/Placement.h
@@ -13,6 +13,9 @@
   Resources Capacity_;
   /// What is left of the capacity.
   Resources Free_;
+  /// Processors, in thousandths, that short work needs here again and again;
+  /// tasks that last leave them free.
+  std::int64_t KeptMilliCores_ = 0;
   std::string Rack_;
   /// Processors, in thousandths, that tasks which fill already ask for here.
   std::int64_t FillingMilliCores_ = 0;
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -25,6 +25,8 @@
 /// How long a filling task waits for a place where it disturbs nobody; a task
 /// that doesn't run for three seconds beside free room counts as forgotten.
 constexpr Millis QuietPlaceWithin{2500};
+/// How long a lasting task leaves the last room to short work.
+constexpr Millis AnyRoomWithin{4000};
 constexpr Millis CallerPatience{5000};
 /// First delay before a task that failed again and again is tried once more.
 constexpr Millis FailureBackoff{50};
@@ -89,6 +91,11 @@
   return JobReply{Each};
 }
 
+/// Whether a task ends by itself and counts against its worker's processors.
+auto isShort(const StepDeclaration &Step) -> bool {
+  return !Step.Fills_ && !Step.LongRunning_;
+}
+
 auto changeOf(const TaskStatus &Task, TaskState State, ErrorKind Reason,
               Moment Now) -> TaskChanged {
   TaskChanged Change;
@@ -536,6 +543,9 @@
   Held.FillingMilliCores_ = Step.Fills_ ? Step.Resources_.MilliCores_ : 0;
   Held.Target_ = Step.TailTarget_;
   Held.Image_ = Step.Image_;
+  Held.Short_ = isShort(Step);
+  if (Held.Short_)
+    HeldShortMilliCores_ += Held.Amount_.MilliCores_;
   Use_[Job.Declaration_.Team_] += Held.Amount_;
   auto &There = HeldAt_[Agent];
   There.Amount_ += Held.Amount_;
@@ -556,6 +566,8 @@
     return;
   const auto Held = Found->second;
   Held_.erase(Found);
+  if (Held.Short_)
+    HeldShortMilliCores_ -= Held.Amount_.MilliCores_;
   Use_[Job.Declaration_.Team_] -= Held.Amount_;
   auto &There = HeldAt_[Held.Agent_];
   There.Amount_ -= Held.Amount_;
@@ -626,6 +638,7 @@
   Bound_.clear();
   Held_.clear();
   HeldAt_.clear();
+  HeldShortMilliCores_ = 0;
   Use_.clear();
   Proposed_.clear();
   NoPlaceSince_.clear();
@@ -753,6 +766,8 @@
   const auto &Status = Job.task(Task);
   PlaceView Place;
   Place.Capacity_ = Candidate.Hello_.Capacity_;
+  Place.KeptMilliCores_ =
+      ShortDemand_.keptAt(Place.Capacity_.MilliCores_, View_.Targets_.size());
   Place.Rack_ = Candidate.Hello_.Rack_;
   // Other shards' tasks show only in what the agent says of itself; the only
   // shard's owner knows all that it has given, without delay.
@@ -779,7 +794,7 @@
   if (All.empty())
     return nullptr;
   const auto &Step = Job.stepOf(Task);
-  const auto TakesAny = Step.Fills_ && hasWaitedLong(Now, Task);
+  const auto TakesAny = hasWaitedLong(Now, Step, Task);
   std::vector<PlaceView> Places;
   std::vector<Target *> Candidates;
   const auto First =
@@ -827,10 +842,14 @@
   return Held == Held_.end() || Held->first.Job_ != Task.Job_;
 }
 
-auto ShardOwner::hasWaitedLong(Moment Now, const TaskId &Task) -> bool {
+auto ShardOwner::hasWaitedLong(Moment Now, const StepDeclaration &Step,
+                               const TaskId &Task) -> bool {
   const auto Since = NoPlaceSince_.emplace(Task, Now.Steady_).first->second;
+  if (Step.LongRunning_)
+    return Since + AnyRoomWithin <= Now.Steady_;
   // One task at a time keeps its job going without much harm to neighbours.
-  return isOnlyOne(Task) && Since + QuietPlaceWithin <= Now.Steady_;
+  return Step.Fills_ && isOnlyOne(Task) &&
+         Since + QuietPlaceWithin <= Now.Steady_;
 }
 
 auto ShardOwner::bindOne(Moment Now, const PendingRank &Rank, BindPass &Pass,
@@ -846,7 +865,7 @@
   if (Hopeless)
     return false;
   const auto &Step = Job.stepOf(Rank.Task_);
-  const auto TakesAny = Step.Fills_ && hasWaitedLong(Now, Rank.Task_);
+  const auto TakesAny = hasWaitedLong(Now, Step, Rank.Task_);
   if (Step.Fills_ && !TakesAny && Pass.NoQuietPlace_.count(Step.Image_) != 0)
     return false;
   auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Out);
@@ -920,11 +939,25 @@
   return Order;
 }
 
+auto ShardOwner::noteShortDemand(Moment Now,
+                                 const std::vector<BindTurn> &Waiting) -> void {
+  auto MilliCores = HeldShortMilliCores_;
+  for (const auto &Turn : Waiting) {
+    const auto &Task = Turn.Rank_.Task_;
+    const auto &Step = state().findJob(Task.Job_)->stepOf(Task);
+    if (isShort(Step))
+      MilliCores += Step.Resources_.MilliCores_;
+  }
+  ShortDemand_.note(Now.Steady_, MilliCores);
+}
+
 auto ShardOwner::bindPending(Moment Now, Random &Generator, EntryOutbox &Out)
     -> void {
   int Binds = 0;
   BindPass Pass;
-  for (const auto &Turn : bindOrder(Now)) {
+  const auto Order = bindOrder(Now);
+  noteShortDemand(Now, Order);
+  for (const auto &Turn : Order) {
     if (Binds >= BindLimit || Pass.Misses_ >= MissLimit)
       break;
     NotBefore_.erase(Turn.Rank_.Task_);
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -7,6 +7,7 @@
 #include "core/Placement.h"
 #include "core/Promise.h"
 #include "core/RequestDesk.h"
+#include "core/ShortDemand.h"
 
 #include <set>
 
@@ -143,6 +144,8 @@
     std::int64_t FillingMilliCores_ = 0;
     Millis Target_{0};
     std::string Image_;
+    /// The task ends by itself, and counts against the capacity.
+    bool Short_ = false;
   };
   /// One step of one occurrence of a job.
   using StepKey = std::tuple<JobId, std::uint32_t, std::uint32_t>;
@@ -217,6 +220,9 @@
   auto bindPending(Moment Now, Random &Generator, EntryOutbox &Out) -> void;
   /// Due tasks in the order in which they get room.
   auto bindOrder(Moment Now) const -> std::vector<BindTurn>;
+  /// Notes what short work holds and waits for.
+  auto noteShortDemand(Moment Now, const std::vector<BindTurn> &Waiting)
+      -> void;
   /// Mean declared work of a queue's jobs, in core-seconds.
   auto meanWork(const QueueName &Queue) const -> double;
   auto isDue(Moment Now, const TaskId &Task) const -> bool;
@@ -240,7 +246,10 @@
       -> double;
   /// Whether no other task of its job is bound.
   auto isOnlyOne(const TaskId &Task) const -> bool;
-  auto hasWaitedLong(Moment Now, const TaskId &Task) -> bool;
+  /// Notes that the task waits. \returns whether it has waited so long that it
+  /// takes any place.
+  auto hasWaitedLong(Moment Now, const StepDeclaration &Step,
+                     const TaskId &Task) -> bool;
   auto withinQuota(const JobDeclaration &Wanted, const Resources &Need) const
       -> bool;
   auto claimTowards(Moment Now, Target &Agent, EntryOutbox &Out) -> void;
@@ -286,11 +295,14 @@
   std::map<TaskId, BoundTask> Bound_;
   std::set<TaskId> Proposed_;
   std::map<TaskId, TimePoint> NotBefore_;
-  /// Since when filling tasks find no place where they disturb nobody.
+  /// Since when tasks that fill or last find no place that suits all.
   std::map<TaskId, TimePoint> NoPlaceSince_;
   std::map<TeamName, Resources> Use_;
   std::map<TaskId, HeldTask> Held_;
   std::map<AgentId, WorkerUse> HeldAt_;
+  ShortDemand ShortDemand_;
+  /// Processors, in thousandths, that short tasks hold.
+  std::int64_t HeldShortMilliCores_ = 0;
   std::map<IdempotencyKey, PendingClaim> PendingClaims_;
   /// Keys whose caller was told "not run" while their claim was on its way.
   std::set<IdempotencyKey> AbandonedKeys_;
