--- a/core/Promise.cpp
+++ b/core/Promise.cpp
@@ -50,6 +50,17 @@
   return Work;
 }
 
+auto MeanWork::note(const Job &Job) -> void {
+  auto &Sum = Sums_[Job.Declaration_.Queue_];
+  Sum.Work_ += totalWork(Job);
+  ++Sum.Jobs_;
+}
+
+auto MeanWork::of(const QueueName &Queue) const -> double {
+  const auto Found = Sums_.find(Queue);
+  return Found == Sums_.end() ? 0 : Found->second.Work_ / Found->second.Jobs_;
+}
+
 auto workPerWorth(const Job &Job, double MeanWork) -> double {
   const auto Worth = FixedWorth * MeanWork + WorthOfWork * totalWork(Job);
   return Worth > 0 ? remainingWork(Job) / Worth : 0;
--- a/core/Promise.h
+++ b/core/Promise.h
@@ -4,6 +4,8 @@
 
 #include "core/Job.h"
 
+#include <map>
+
 namespace skylark {
 
 /// Whether a task that starts now lets its job end on time, late but still of
@@ -22,6 +24,21 @@
 auto totalWork(const Job &Job) -> double;
 auto remainingWork(const Job &Job) -> double;
 
+/// The mean declared work of each queue's jobs, in core-seconds.
+class MeanWork {
+public:
+  auto note(const Job &Job) -> void;
+  /// 0 for a queue that had no job yet.
+  auto of(const QueueName &Queue) const -> double;
+
+private:
+  struct Sum {
+    double Work_ = 0;
+    double Jobs_ = 0;
+  };
+  std::map<QueueName, Sum> Sums_;
+};
+
 /// Work that is left for each unit of what the job is worth to its users, who
 /// pay for a part of it whatever its size.
 /// \param MeanWork mean work of the jobs of its queue, in core-seconds.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -91,11 +91,6 @@
   return JobReply{Each};
 }
 
-/// Whether a task ends by itself and counts against its worker's processors.
-auto isShort(const StepDeclaration &Step) -> bool {
-  return !Step.Fills_ && !Step.LongRunning_;
-}
-
 auto changeOf(const TaskStatus &Task, TaskState State, ErrorKind Reason,
               Moment Now) -> TaskChanged {
   TaskChanged Change;
@@ -112,18 +107,6 @@
   return Change;
 }
 
-/// Takes an amount from a sum, and drops a sum of nought.
-template <typename Key, typename Amount>
-auto takeAway(std::map<Key, Amount> &Sums, const Key &Which, Amount Part)
-    -> void {
-  const auto Found = Sums.find(Which);
-  SKYLARK_ASSERT(Found != Sums.end() && Found->second >= Part,
-                 "sum below nought");
-  Found->second -= Part;
-  if (Found->second == 0)
-    Sums.erase(Found);
-}
-
 } // namespace
 
 auto RunGrants::extend(const WorkerKey &Worker, TimePoint Until) -> void {
@@ -448,6 +431,7 @@
 auto ShardOwner::committed(Moment /*Now*/, const JobAdded &Record,
                            EntryOutbox &Out) -> void {
   const auto *Added = state().findJob(Record.Job_.Id_);
+  MeanWork_.note(*Added);
   index(*Added);
   log("job-accepted", Added->Id_.Value_, ErrorKind::None,
       "queue " + Added->Declaration_.Queue_.Value_ + ", " +
@@ -532,54 +516,6 @@
   return {Class, Deadline - Wanted.chainFrom(Task.Step_), Task};
 }
 
-auto ShardOwner::hold(const Job &Job, const TaskId &Task, const AgentId &Agent)
-    -> void {
-  const auto &Step = Job.stepOf(Task);
-  auto &Held = Held_[Task];
-  if (!Held.Agent_.empty())
-    return;
-  Held.Agent_ = Agent;
-  Held.Amount_ = Step.reserved();
-  Held.FillingMilliCores_ = Step.Fills_ ? Step.Resources_.MilliCores_ : 0;
-  Held.Target_ = Step.TailTarget_;
-  Held.Image_ = Step.Image_;
-  Held.Short_ = isShort(Step);
-  if (Held.Short_)
-    HeldShortMilliCores_ += Held.Amount_.MilliCores_;
-  Use_[Job.Declaration_.Team_] += Held.Amount_;
-  auto &There = HeldAt_[Agent];
-  There.Amount_ += Held.Amount_;
-  There.FillingMilliCores_ += Held.FillingMilliCores_;
-  if (Held.Target_ > Millis{0}) {
-    auto &Serving = There.Serving_[Held.Image_];
-    ++Serving.Tasks_;
-    Serving.Target_ = Held.Target_;
-  }
-  if (Held.FillingMilliCores_ > 0)
-    There.Filling_[Held.Image_] += Held.FillingMilliCores_;
-  ++There.TasksOfStep_[{Task.Job_, Task.Step_, Task.Occurrence_}];
-}
-
-auto ShardOwner::unhold(const Job &Job, const TaskId &Task) -> void {
-  const auto Found = Held_.find(Task);
-  if (Found == Held_.end())
-    return;
-  const auto Held = Found->second;
-  Held_.erase(Found);
-  if (Held.Short_)
-    HeldShortMilliCores_ -= Held.Amount_.MilliCores_;
-  Use_[Job.Declaration_.Team_] -= Held.Amount_;
-  auto &There = HeldAt_[Held.Agent_];
-  There.Amount_ -= Held.Amount_;
-  There.FillingMilliCores_ -= Held.FillingMilliCores_;
-  if (Held.Target_ > Millis{0} && --There.Serving_[Held.Image_].Tasks_ == 0)
-    There.Serving_.erase(Held.Image_);
-  if (Held.FillingMilliCores_ > 0)
-    takeAway(There.Filling_, Held.Image_, Held.FillingMilliCores_);
-  takeAway(There.TasksOfStep_, StepKey{Task.Job_, Task.Step_, Task.Occurrence_},
-           1U);
-}
-
 auto ShardOwner::indexTask(const Job &Job, const TaskId &Id, bool Ready)
     -> void {
   const auto &Task = Job.task(Id);
@@ -591,10 +527,10 @@
   if (Task.State_ != TaskState::Pending)
     NoPlaceSince_.erase(Id);
   if (Task.State_ == TaskState::Bound) {
-    hold(Job, Id, Task.Agent_);
+    Use_.hold(Job, Id, Task.Agent_);
     Bound_.try_emplace(Id);
   } else {
-    unhold(Job, Id);
+    Use_.release(Job, Id);
     Bound_.erase(Id);
   }
 }
@@ -636,9 +572,6 @@
   Indexed_ = true;
   Pending_.clear();
   Bound_.clear();
-  Held_.clear();
-  HeldAt_.clear();
-  HeldShortMilliCores_ = 0;
   Use_.clear();
   Proposed_.clear();
   NoPlaceSince_.clear();
@@ -646,13 +579,11 @@
   Cancelling_.clear();
   Failing_.clear();
   AbandonedKeys_.clear();
-  for (const auto &Each : state().jobs())
+  MeanWork_ = {};
+  for (const auto &Each : state().jobs()) {
+    MeanWork_.note(Each.second);
     index(Each.second);
-}
-
-auto ShardOwner::teamUse(const TeamName &Team) const -> Resources {
-  const auto Found = Use_.find(Team);
-  return Found == Use_.end() ? Resources{} : Found->second;
+  }
 }
 
 auto ShardOwner::propose(const TaskId &Task, TaskChanged Change) -> void {
@@ -774,17 +705,17 @@
   Place.Free_ = View_.OnlyShard_ ? Place.Capacity_ : Candidate.free();
   Place.FailedHere_ =
       Status.Failures_ > 0 && Status.Agent_ == Candidate.agent();
-  const auto There = HeldAt_.find(Candidate.agent());
-  if (There == HeldAt_.end())
+  const auto *There = Use_.at(Candidate.agent());
+  if (There == nullptr)
     return Place;
   if (View_.OnlyShard_)
-    Place.Free_ -= There->second.Amount_;
-  Place.FillingMilliCores_ = There->second.FillingMilliCores_;
-  const auto Step = There->second.TasksOfStep_.find(
-      {Task.Job_, Task.Step_, Task.Occurrence_});
-  if (Step != There->second.TasksOfStep_.end())
+    Place.Free_ -= There->Amount_;
+  Place.FillingMilliCores_ = There->FillingMilliCores_;
+  const auto Step =
+      There->TasksOfStep_.find({Task.Job_, Task.Step_, Task.Occurrence_});
+  if (Step != There->TasksOfStep_.end())
     Place.TasksOfStep_ = Step->second;
-  viewNeighbours(Now, Job.stepOf(Task), Candidate, There->second, Place);
+  viewNeighbours(Now, Job.stepOf(Task), Candidate, *There, Place);
   return Place;
 }
 
@@ -832,14 +763,8 @@
   if (!Wanted.Queue_.empty())
     return true;
   const auto *Team = View_.Configuration_.Document_.findTeam(Wanted.Team_);
-  return Team != nullptr && Team->Quota_.holds(teamUse(Wanted.Team_) + Need);
-}
-
-auto ShardOwner::isOnlyOne(const TaskId &Task) const -> bool {
-  auto Held = Held_.lower_bound(TaskId{Task.Job_, 0, 0, 0});
-  if (Held != Held_.end() && Held->first == Task)
-    ++Held;
-  return Held == Held_.end() || Held->first.Job_ != Task.Job_;
+  return Team != nullptr &&
+         Team->Quota_.holds(Use_.ofTeam(Wanted.Team_) + Need);
 }
 
 auto ShardOwner::hasWaitedLong(Moment Now, const StepDeclaration &Step,
@@ -848,7 +773,7 @@
   if (Step.LongRunning_)
     return Since + AnyRoomWithin <= Now.Steady_;
   // One task at a time keeps its job going without much harm to neighbours.
-  return Step.Fills_ && isOnlyOne(Task) &&
+  return Step.Fills_ && Use_.isOnlyOne(Task) &&
          Since + QuietPlaceWithin <= Now.Steady_;
 }
 
@@ -888,7 +813,7 @@
   Change.Worker_ = Chosen->Hello_.Worker_;
   // The quota and the worker's room count the task from here on, not from the
   // commit on.
-  hold(Job, Rank.Task_, Chosen->agent());
+  Use_.hold(Job, Rank.Task_, Chosen->agent());
   propose(Rank.Task_, std::move(Change));
   return true;
 }
@@ -901,22 +826,9 @@
          Failing_.count(Task.Job_) == 0;
 }
 
-auto ShardOwner::meanWork(const QueueName &Queue) const -> double {
-  double Sum = 0;
-  double Count = 0;
-  for (const auto &[Id, Job] : state().jobs()) {
-    if (Job.Declaration_.Queue_ != Queue)
-      continue;
-    Sum += totalWork(Job);
-    ++Count;
-  }
-  return Count > 0 ? Sum / Count : 0;
-}
-
 auto ShardOwner::bindOrder(Moment Now) const -> std::vector<BindTurn> {
   std::vector<BindTurn> Order;
   std::map<JobId, double> Costs;
-  std::map<QueueName, double> Means;
   for (const auto &Rank : Pending_) {
     if (Order.size() >= ScanLimit)
       break;
@@ -925,12 +837,9 @@
     const auto &Job = *state().findJob(Rank.Task_.Job_);
     BindTurn Turn{Rank.Class_, promiseOf(Job, Rank.Task_, Now.Wall_), 0, Rank};
     if (Job.stepOf(Rank.Task_).Fills_) {
-      const auto &Queue = Job.Declaration_.Queue_;
-      if (Means.count(Queue) == 0)
-        Means[Queue] = meanWork(Queue);
       const auto [Cost, First] = Costs.try_emplace(Job.Id_, 0.0);
       if (First)
-        Cost->second = workPerWorth(Job, Means[Queue]);
+        Cost->second = workPerWorth(Job, MeanWork_.of(Job.Declaration_.Queue_));
       Turn.Cost_ = Cost->second;
     }
     Order.push_back(std::move(Turn));
@@ -941,7 +850,7 @@
 
 auto ShardOwner::noteShortDemand(Moment Now,
                                  const std::vector<BindTurn> &Waiting) -> void {
-  auto MilliCores = HeldShortMilliCores_;
+  auto MilliCores = Use_.shortMilliCores();
   for (const auto &Turn : Waiting) {
     const auto &Task = Turn.Rank_.Task_;
     const auto &Step = state().findJob(Task.Job_)->stepOf(Task);
@@ -990,7 +899,7 @@
   Bind.Priority_ = Job.Declaration_.Priority_;
   Bind.Fills_ = Step.Fills_;
   Bind.FillingMilliCores_ = Step.Fills_ ? Step.Resources_.MilliCores_ : 0;
-  Bind.Insists_ = Step.Fills_ && isOnlyOne(Id);
+  Bind.Insists_ = Step.Fills_ && Use_.isOnlyOne(Id);
   Bind.Checkpoints_ = Step.Checkpoints_;
   Bind.Image_ = Step.Image_;
   Bind.TailTarget_ = Step.TailTarget_;
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -7,6 +7,7 @@
 #include "core/Placement.h"
 #include "core/Promise.h"
 #include "core/RequestDesk.h"
+#include "core/ShardUse.h"
 #include "core/ShortDemand.h"
 
 #include <set>
@@ -137,31 +138,6 @@
     QuickRequest Quick_;
     TimePoint GiveUpAt_{};
   };
-  /// What a bound or proposed task takes of its worker.
-  struct HeldTask {
-    AgentId Agent_;
-    Resources Amount_;
-    std::int64_t FillingMilliCores_ = 0;
-    Millis Target_{0};
-    std::string Image_;
-    /// The task ends by itself, and counts against the capacity.
-    bool Short_ = false;
-  };
-  /// One step of one occurrence of a job.
-  using StepKey = std::tuple<JobId, std::uint32_t, std::uint32_t>;
-  /// What the shard's tasks take of one worker.
-  struct WorkerUse {
-    Resources Amount_;
-    std::int64_t FillingMilliCores_ = 0;
-    struct ServingUse {
-      std::uint32_t Tasks_ = 0;
-      Millis Target_{0};
-    };
-    /// By image: what serves, and the processors that fillers ask for.
-    std::map<std::string, ServingUse> Serving_;
-    std::map<std::string, std::int64_t> Filling_;
-    std::map<StepKey, std::uint32_t> TasksOfStep_;
-  };
   /// When a pending task gets its turn. Where not all jobs can end on time,
   /// room goes to what still can, and of that to what is worth most for its
   /// work: one job after the other ends, instead of all of them a little late.
@@ -214,8 +190,6 @@
   auto indexTask(const Job &Job, const TaskId &Id, bool Ready) -> void;
   /// Brings the index up to date after one task has changed.
   auto indexAfter(const Job &Job, const TaskId &Changed) -> void;
-  auto hold(const Job &Job, const TaskId &Task, const AgentId &Agent) -> void;
-  auto unhold(const Job &Job, const TaskId &Task) -> void;
   auto rankOf(const Job &Job, const TaskId &Task) const -> PendingRank;
   auto bindPending(Moment Now, Random &Generator, EntryOutbox &Out) -> void;
   /// Due tasks in the order in which they get room.
@@ -223,8 +197,6 @@
   /// Notes what short work holds and waits for.
   auto noteShortDemand(Moment Now, const std::vector<BindTurn> &Waiting)
       -> void;
-  /// Mean declared work of a queue's jobs, in core-seconds.
-  auto meanWork(const QueueName &Queue) const -> double;
   auto isDue(Moment Now, const TaskId &Task) const -> bool;
   auto bindOne(Moment Now, const PendingRank &Rank, BindPass &Pass,
                Random &Generator, EntryOutbox &Out) -> bool;
@@ -244,8 +216,6 @@
   /// How much the fillers at a worker lengthen a serving image's tail there.
   auto pressThere(const std::string &Serving, const WorkerUse &There) const
       -> double;
-  /// Whether no other task of its job is bound.
-  auto isOnlyOne(const TaskId &Task) const -> bool;
   /// Notes that the task waits. \returns whether it has waited so long that it
   /// takes any place.
   auto hasWaitedLong(Moment Now, const StepDeclaration &Step,
@@ -264,7 +234,6 @@
   auto noteOutcome(Moment Now, Target &From, bool Failed) -> void;
   auto giveUpWaiting(Moment Now, EntryOutbox &Out) -> void;
   auto forgetOld(Moment Now) -> void;
-  auto teamUse(const TeamName &Team) const -> Resources;
   auto lost(EntryOutbox &Out) -> void;
   auto log(std::string_view Event, std::string Subject, ErrorKind Reason,
            std::string Detail, EntryOutbox &Out) const -> void;
@@ -297,12 +266,9 @@
   std::map<TaskId, TimePoint> NotBefore_;
   /// Since when tasks that fill or last find no place that suits all.
   std::map<TaskId, TimePoint> NoPlaceSince_;
-  std::map<TeamName, Resources> Use_;
-  std::map<TaskId, HeldTask> Held_;
-  std::map<AgentId, WorkerUse> HeldAt_;
+  ShardUse Use_;
+  MeanWork MeanWork_;
   ShortDemand ShortDemand_;
-  /// Processors, in thousandths, that short tasks hold.
-  std::int64_t HeldShortMilliCores_ = 0;
   std::map<IdempotencyKey, PendingClaim> PendingClaims_;
   /// Keys whose caller was told "not run" while their claim was on its way.
   std::set<IdempotencyKey> AbandonedKeys_;
--- /dev/null
+++ b/core/ShardUse.cpp
@@ -0,0 +1,93 @@
+#include "core/ShardUse.h"
+
+#include "core/Assert.h"
+
+namespace skylark {
+namespace {
+
+/// Takes an amount from a sum, and drops a sum of nought.
+template <typename Key, typename Amount>
+auto takeAway(std::map<Key, Amount> &Sums, const Key &Which, Amount Part)
+    -> void {
+  const auto Found = Sums.find(Which);
+  SKYLARK_ASSERT(Found != Sums.end() && Found->second >= Part,
+                 "sum below nought");
+  Found->second -= Part;
+  if (Found->second == 0)
+    Sums.erase(Found);
+}
+
+} // namespace
+
+auto isShort(const StepDeclaration &Step) -> bool {
+  return !Step.Fills_ && !Step.LongRunning_;
+}
+
+auto ShardUse::hold(const Job &Job, const TaskId &Task, const AgentId &Agent)
+    -> void {
+  const auto &Step = Job.stepOf(Task);
+  auto &Held = Held_[Task];
+  if (!Held.Agent_.empty())
+    return;
+  Held.Agent_ = Agent;
+  Held.Amount_ = Step.reserved();
+  Held.FillingMilliCores_ = Step.Fills_ ? Step.Resources_.MilliCores_ : 0;
+  Held.Target_ = Step.TailTarget_;
+  Held.Image_ = Step.Image_;
+  Held.Short_ = isShort(Step);
+  if (Held.Short_)
+    ShortMilliCores_ += Held.Amount_.MilliCores_;
+  OfTeam_[Job.Declaration_.Team_] += Held.Amount_;
+  auto &There = At_[Agent];
+  There.Amount_ += Held.Amount_;
+  There.FillingMilliCores_ += Held.FillingMilliCores_;
+  if (Held.Target_ > Millis{0}) {
+    auto &Serving = There.Serving_[Held.Image_];
+    ++Serving.Tasks_;
+    Serving.Target_ = Held.Target_;
+  }
+  if (Held.FillingMilliCores_ > 0)
+    There.Filling_[Held.Image_] += Held.FillingMilliCores_;
+  ++There.TasksOfStep_[{Task.Job_, Task.Step_, Task.Occurrence_}];
+}
+
+auto ShardUse::release(const Job &Job, const TaskId &Task) -> void {
+  const auto Found = Held_.find(Task);
+  if (Found == Held_.end())
+    return;
+  const auto Held = Found->second;
+  Held_.erase(Found);
+  if (Held.Short_)
+    ShortMilliCores_ -= Held.Amount_.MilliCores_;
+  OfTeam_[Job.Declaration_.Team_] -= Held.Amount_;
+  auto &There = At_[Held.Agent_];
+  There.Amount_ -= Held.Amount_;
+  There.FillingMilliCores_ -= Held.FillingMilliCores_;
+  if (Held.Target_ > Millis{0} && --There.Serving_[Held.Image_].Tasks_ == 0)
+    There.Serving_.erase(Held.Image_);
+  if (Held.FillingMilliCores_ > 0)
+    takeAway(There.Filling_, Held.Image_, Held.FillingMilliCores_);
+  takeAway(There.TasksOfStep_, StepKey{Task.Job_, Task.Step_, Task.Occurrence_},
+           1U);
+}
+
+auto ShardUse::clear() -> void { *this = {}; }
+
+auto ShardUse::at(const AgentId &Agent) const -> const WorkerUse * {
+  const auto Found = At_.find(Agent);
+  return Found == At_.end() ? nullptr : &Found->second;
+}
+
+auto ShardUse::ofTeam(const TeamName &Team) const -> Resources {
+  const auto Found = OfTeam_.find(Team);
+  return Found == OfTeam_.end() ? Resources{} : Found->second;
+}
+
+auto ShardUse::isOnlyOne(const TaskId &Task) const -> bool {
+  auto Held = Held_.lower_bound(TaskId{Task.Job_, 0, 0, 0});
+  if (Held != Held_.end() && Held->first == Task)
+    ++Held;
+  return Held == Held_.end() || Held->first.Job_ != Task.Job_;
+}
+
+} // namespace skylark
--- a/test/correctness/PromiseTest.cpp
+++ b/test/correctness/PromiseTest.cpp
@@ -70,4 +70,35 @@
   BOOST_TEST((promiseOf(Job, Second, at(128)) == Promise::Late));
 }
 
+BOOST_AUTO_TEST_CASE(WhatIsNearlyDoneIsWorthMostForItsWork) {
+  auto Fresh = job();
+  for (auto &Step : Fresh.Declaration_.Steps_)
+    Step.Resources_ = {3000, 100, 0};
+  auto Begun = Fresh;
+  Begun.Tasks_[0].State_ = TaskState::Finished;
+  BOOST_TEST(totalWork(Fresh) == 12.0);
+  BOOST_TEST(remainingWork(Begun) == 6.0);
+  BOOST_TEST(workPerWorth(Begun, 12.0) < workPerWorth(Fresh, 12.0));
+}
+
+BOOST_AUTO_TEST_CASE(ASmallJobIsWorthMoreForItsWork) {
+  auto Large = job();
+  auto Small = job();
+  Large.Declaration_.Steps_[0].Resources_ = {30000, 100, 0};
+  Small.Declaration_.Steps_[0].Resources_ = {1000, 100, 0};
+  BOOST_TEST(workPerWorth(Small, 12.0) < workPerWorth(Large, 12.0));
+}
+
+BOOST_AUTO_TEST_CASE(EachQueueHasItsOwnMean) {
+  auto Each = job();
+  Each.Declaration_.Queue_ = {"queue"};
+  Each.Declaration_.Steps_[0].Resources_ = {1000, 100, 0};
+  MeanWork Mean;
+  Mean.note(Each);
+  Each.Declaration_.Steps_[0].Resources_ = {3000, 100, 0};
+  Mean.note(Each);
+  BOOST_TEST(Mean.of({"queue"}) == 4.0);
+  BOOST_TEST(Mean.of({"other"}) == 0.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
