--- a/test/correctness/PacingTest.cpp
+++ b/test/correctness/PacingTest.cpp
@@ -4,6 +4,7 @@
 
 #include "core/PacePlan.h"
 #include "core/ShareGuard.h"
+#include "test/correctness/SharingTasks.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -30,25 +31,11 @@
 }
 
 auto serving(Millis Tail) -> SharingTask {
-  SharingTask Task;
-  Task.Task_ = {{"serves"}, 0};
-  Task.Attempt_ = 1;
-  Task.Image_ = "web";
-  Task.Target_ = Target;
-  Task.Tail_ = Tail;
-  return Task;
+  return Test::servingTask(Target, Tail);
 }
 
 auto filling(const std::string &Job, std::int64_t InUse) -> SharingTask {
-  SharingTask Task;
-  Task.Task_ = {{Job}, 0};
-  Task.Attempt_ = 1;
-  Task.Image_ = "loud";
-  Task.Fills_ = true;
-  Task.MilliCores_ = InUse;
-  Task.FullMilliCores_ = 5000;
-  Task.Checkpoints_ = true;
-  return Task;
+  return Test::fillingTask(Job, "loud", InUse, 5000);
 }
 
 auto guard() -> ShareGuard {
--- a/test/correctness/SharingTest.cpp
+++ b/test/correctness/SharingTest.cpp
@@ -4,6 +4,7 @@
 
 #include "core/Interference.h"
 #include "core/ShareGuard.h"
+#include "test/correctness/SharingTasks.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -64,25 +65,11 @@
 }
 
 auto serving(Millis Tail) -> SharingTask {
-  SharingTask Task;
-  Task.Task_ = {{"serves"}, 0};
-  Task.Attempt_ = 1;
-  Task.Image_ = "web";
-  Task.Target_ = Target;
-  Task.Tail_ = Tail;
-  return Task;
+  return Test::servingTask(Target, Tail);
 }
 
 auto filling(const std::string &Image) -> SharingTask {
-  SharingTask Task;
-  Task.Task_ = {{Image}, 0};
-  Task.Attempt_ = 1;
-  Task.Image_ = Image;
-  Task.Fills_ = true;
-  Task.MilliCores_ = 3000;
-  Task.FullMilliCores_ = 3000;
-  Task.Checkpoints_ = true;
-  return Task;
+  return Test::fillingTask(Image, Image, 3000, 3000);
 }
 
 auto paceOf(const SharingOrders &Orders, const std::string &Image) -> int {
