A commit writes what is new: a small head and the batch, in one transaction

Change: the head keeps the range of commit numbers; each commit's records lie under a key of their own, written in the same transaction as the head. A take-over reads them by ranges instead of segment after segment. A shard that was given up is not written again.

--- a/core/Ids.h
+++ b/core/Ids.h
@@ -50,6 +50,8 @@
 using Epoch = std::uint64_t;
 using Revision = std::uint64_t;
 using AttemptNumber = std::uint32_t;
+/// Counts the commits of one shard's ledger, over all its owners.
+using CommitNumber = std::uint64_t;
 using Incarnation = std::uint64_t;
 
 /// One task of a job: the Index_-th of a step, in one occurrence of the job.
--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -9,14 +9,14 @@
 namespace skylark {
 namespace {
 
-/// Size in bytes at which the active part of a head is sealed.
-constexpr std::size_t SealSize = std::size_t{12} * 1024;
 /// Size in bytes of one segment of a snapshot.
 constexpr std::size_t SnapshotSegmentSize = std::size_t{256} * 1024;
 /// Most records that one write takes.
 constexpr std::size_t BatchLimit = 512;
-/// Sealed segments at which the ledger is rewritten as a snapshot.
-constexpr std::size_t CompactAt = 64;
+/// The ledger is rewritten as a snapshot once the commits after the last one
+/// have this size in bytes, and its size, or this number.
+constexpr std::size_t LeastCompactSize = std::size_t{1024} * 1024;
+constexpr CommitNumber CompactAfter = 3000;
 
 auto splitSnapshot(std::vector<LedgerRecord> Records)
     -> std::deque<ShardSegment> {
@@ -96,13 +96,18 @@
 auto LedgerWriter::swapHead(const ShardHead &Next) -> void {
   Swapping_ = Next;
   CallOpen_ = true;
-  Store_.call(
-      CompareAndSwap{shardHeadKey(Identity_.Environment_, Identity_.Shard_),
-                     Next, HeadIndex_},
-      [this](Moment Now, const StoreResult &Result, EntryOutbox &) {
-        CallOpen_ = false;
-        headSwapped(Now, Result);
-      });
+  CompareAndSwap Swap{shardHeadKey(Identity_.Environment_, Identity_.Shard_),
+                      Next, HeadIndex_};
+  // Only what is new travels: a commit is a small head and the batch.
+  if (!Batch_.empty())
+    Swap.Along_ = WriteValue{commitKey(Identity_.Environment_, Identity_.Shard_,
+                                       Head_.NextCommit_),
+                             ShardSegment{Head_.NextCommit_, Batch_}};
+  Store_.call(std::move(Swap),
+              [this](Moment Now, const StoreResult &Result, EntryOutbox &) {
+                CallOpen_ = false;
+                headSwapped(Now, Result);
+              });
 }
 
 auto LedgerWriter::headSwapped(Moment Now, const StoreResult &Result) -> void {
@@ -139,7 +144,9 @@
     swapHead(ShardHead(*Swapping_));
     return;
   }
-  if (Index != HeadIndex_) {
+  // What was given up needs no second try: the next owner's swap decides
+  // whether the first one counts.
+  if (Index != HeadIndex_ || Phase_ == Phase::Idle) {
     swapSettled(Now, false, Index);
     return;
   }
@@ -158,7 +165,7 @@
   }
   SKYLARK_ASSERT(Written.Epoch_ >= Head_.Epoch_,
                  "epoch went down:", Head_.Epoch_, "to", Written.Epoch_);
-  Head_ = Written;
+  const auto Before = std::exchange(Head_, Written);
   HeadIndex_ = Index;
   if (Phase_ == Phase::Taking) {
     OldGrantsUntil_ = Now.Steady_ + OldGrantsFor_;
@@ -166,57 +173,93 @@
       OldGrantsUntil_ = {};
     State_ = {};
     SegmentsLoaded_ = 0;
+    SnapshotSize_ = 0;
+    CommitsSize_ = 0;
     Phase_ = Phase::Loading;
-    loadNextSegment();
+    loadSnapshot();
     return;
   }
   if (Head_.Owner_.empty()) {
     lose();
     return;
   }
+  batchCommitted();
+  finishSnapshot(Before);
+}
+
+auto LedgerWriter::batchCommitted() -> void {
   ++Commits_;
-  ActiveSize_ = sizeOf(Head_.Active_);
+  CommitsSize_ += sizeOf(Batch_);
   for (auto &Record : Batch_) {
     State_.apply(Record);
     Committed_.push_back(std::move(Record));
   }
   Batch_.clear();
-  for (const auto &Segment : std::exchange(SegmentsToDelete_, {}))
-    Store_.call(
-        DeleteValue{
-            segmentKey(Identity_.Environment_, Identity_.Shard_, Segment), 0},
-        [](Moment, const StoreResult &, EntryOutbox &) {});
 }
 
-auto LedgerWriter::loadNextSegment() -> void {
-  if (SegmentsLoaded_ < Head_.Segments_.size()) {
-    CallOpen_ = true;
-    Store_.call(ReadValue{segmentKey(Identity_.Environment_, Identity_.Shard_,
-                                     Head_.Segments_[SegmentsLoaded_])},
-                [this](Moment, const StoreResult &Result, EntryOutbox &) {
-                  CallOpen_ = false;
-                  segmentLoaded(Result);
-                });
+auto LedgerWriter::loadSnapshot() -> void {
+  if (SegmentsLoaded_ >= Head_.Segments_.size()) {
+    loadCommits();
     return;
   }
-  for (const auto &Record : Head_.Active_)
-    State_.apply(Record);
-  ActiveSize_ = sizeOf(Head_.Active_);
-  Phase_ = Phase::Owning;
+  CallOpen_ = true;
+  Store_.call(ReadValue{segmentKey(Identity_.Environment_, Identity_.Shard_,
+                                   Head_.Segments_[SegmentsLoaded_])},
+              [this](Moment, const StoreResult &Result, EntryOutbox &) {
+                CallOpen_ = false;
+                if (Result.Status_ == StoreStatus::NotFound) {
+                  // A later owner has replaced the snapshot.
+                  lose();
+                  return;
+                }
+                if (Result.Status_ == StoreStatus::Ok) {
+                  const auto &Part = std::get<ShardSegment>(Result.Value_);
+                  for (const auto &Record : Part.Records_)
+                    State_.apply(Record);
+                  SnapshotSize_ += sizeOf(Part.Records_);
+                  ++SegmentsLoaded_;
+                }
+                loadSnapshot();
+              });
 }
 
-auto LedgerWriter::segmentLoaded(const StoreResult &Result) -> void {
-  if (Result.Status_ == StoreStatus::NotFound) {
-    // The segment was compacted away by a later owner.
-    lose();
+auto LedgerWriter::loadCommits() -> void {
+  if (Head_.FirstCommit_ == Head_.NextCommit_) {
+    Phase_ = Phase::Owning;
     return;
   }
-  if (Result.Status_ == StoreStatus::Ok) {
-    for (const auto &Record : std::get<ShardSegment>(Result.Value_).Records_)
+  CallOpen_ = true;
+  Store_.call(
+      ReadSegments{commitFolder(Identity_.Environment_, Identity_.Shard_),
+                   commitKey(Identity_.Environment_, Identity_.Shard_,
+                             Head_.FirstCommit_ - 1)},
+      [this](Moment, const StoreResult &Result, EntryOutbox &) {
+        CallOpen_ = false;
+        commitsLoaded(Result);
+      });
+}
+
+auto LedgerWriter::commitsLoaded(const StoreResult &Result) -> void {
+  if (Result.Status_ == StoreStatus::Unavailable) {
+    loadCommits();
+    return;
+  }
+  auto Expected = Head_.FirstCommit_;
+  for (const auto &Each : Result.Segments_) {
+    // A later owner's commits may follow; its compare-and-swap has ended this
+    // ownership.
+    if (Each.Commit_ != Expected || Expected == Head_.NextCommit_)
+      break;
+    for (const auto &Record : Each.Records_)
       State_.apply(Record);
-    ++SegmentsLoaded_;
+    CommitsSize_ += sizeOf(Each.Records_);
+    ++Expected;
+  }
+  if (Expected != Head_.NextCommit_) {
+    lose();
+    return;
   }
-  loadNextSegment();
+  Phase_ = Phase::Owning;
 }
 
 auto LedgerWriter::append(LedgerRecord Record) -> void {
@@ -244,16 +287,15 @@
 }
 
 auto LedgerWriter::advance() -> void {
-  if (CallOpen_ || Swapping_ || !owning())
+  if (!owning())
+    return;
+  writeSnapshot();
+  if (CallOpen_ || Swapping_)
     return;
   if (VerifyWanted_) {
     readToVerify();
     return;
   }
-  if (!Batch_.empty()) {
-    writeNextSegment();
-    return;
-  }
   if (!Pending_.empty()) {
     startBatch();
     return;
@@ -285,57 +327,82 @@
     Batch_.push_back(std::move(Pending_.front()));
     Pending_.pop_front();
   }
-  prepareSegments();
-  writeNextSegment();
+  swapHead(nextHead());
 }
 
-auto LedgerWriter::prepareSegments() -> void {
-  SealNext_ = ActiveSize_ >= SealSize;
-  if (!SealNext_)
-    return;
-  if (Head_.Segments_.size() >= CompactAt) {
-    SegmentsToDelete_ = Head_.Segments_;
-    NextSegments_.clear();
-    SegmentsToWrite_ = splitSnapshot(State_.snapshot());
-    return;
+auto LedgerWriter::nextHead() -> ShardHead {
+  auto Next = Head_;
+  Next.Write_ = newWriteId();
+  ++Next.NextCommit_;
+  const auto Whole = Snapshot_ && Snapshot_->ToWrite_.empty();
+  if (Whole) {
+    Next.Segments_ = Snapshot_->Written_;
+    Next.FirstCommit_ = Snapshot_->Next_;
   }
-  NextSegments_ = Head_.Segments_;
-  SegmentsToWrite_.push_back(ShardSegment{Head_.Active_});
+  return Next;
 }
 
-auto LedgerWriter::writeNextSegment() -> void {
-  if (SegmentsToWrite_.empty()) {
-    swapHead(nextHead());
+// Snapshots.
+
+auto LedgerWriter::startSnapshot() -> void {
+  const auto Commits = Head_.NextCommit_ - Head_.FirstCommit_;
+  const auto Due =
+      CommitsSize_ >= std::max(LeastCompactSize, SnapshotSize_) ||
+      Commits >= CompactAfter;
+  if (Snapshot_ || !Due)
+    return;
+  auto Records = State_.snapshot();
+  Snapshot_.emplace();
+  Snapshot_->Next_ = Head_.NextCommit_;
+  Snapshot_->Size_ = sizeOf(Records);
+  Snapshot_->ToWrite_ = splitSnapshot(std::move(Records));
+  CommitsSize_ = 0;
+}
+
+auto LedgerWriter::writeSnapshot() -> void {
+  startSnapshot();
+  if (!Snapshot_ || Snapshot_->ToWrite_.empty() || !Snapshot_->Writing_.empty())
     return;
-  }
   const auto Segment = newWriteId();
-  CallOpen_ = true;
+  Snapshot_->Writing_ = Segment;
   Store_.call(
       WriteValue{segmentKey(Identity_.Environment_, Identity_.Shard_, Segment),
-                 SegmentsToWrite_.front()},
+                 Snapshot_->ToWrite_.front()},
       [this, Segment](Moment, const StoreResult &Result, EntryOutbox &) {
-        CallOpen_ = false;
-        // The shard may have been abandoned meanwhile.
-        if (!owning())
+        // The shard may have been given up, and taken anew, meanwhile.
+        if (!Snapshot_ || Snapshot_->Writing_ != Segment)
           return;
+        Snapshot_->Writing_ = {};
         if (Result.Status_ == StoreStatus::Ok) {
-          NextSegments_.push_back(Segment);
-          SegmentsToWrite_.pop_front();
+          Snapshot_->Written_.push_back(Segment);
+          Snapshot_->ToWrite_.pop_front();
         }
         advance();
       });
 }
 
-auto LedgerWriter::nextHead() -> ShardHead {
-  auto Next = Head_;
-  Next.Write_ = newWriteId();
-  if (SealNext_) {
-    Next.Segments_ = NextSegments_;
-    Next.Active_.clear();
-    SealNext_ = false;
+auto LedgerWriter::finishSnapshot(const ShardHead &Before) -> void {
+  if (!Snapshot_ || Head_.FirstCommit_ != Snapshot_->Next_)
+    return;
+  SnapshotSize_ = Snapshot_->Size_;
+  Snapshot_.reset();
+  for (const auto &Segment : Before.Segments_)
+    Store_.call(
+        DeleteValue{
+            segmentKey(Identity_.Environment_, Identity_.Shard_, Segment), 0},
+        [](Moment, const StoreResult &, EntryOutbox &) {});
+  removeCommits(Before.FirstCommit_, Head_.FirstCommit_);
+}
+
+auto LedgerWriter::removeCommits(CommitNumber From, CommitNumber To) -> void {
+  while (From < To) {
+    DeleteValues Removal;
+    for (; From < To && Removal.Keys_.size() < MostKeysAtOnce; ++From)
+      Removal.Keys_.push_back(
+          commitKey(Identity_.Environment_, Identity_.Shard_, From));
+    Store_.call(std::move(Removal),
+                [](Moment, const StoreResult &, EntryOutbox &) {});
   }
-  Next.Active_.insert(Next.Active_.end(), Batch_.begin(), Batch_.end());
-  return Next;
 }
 
 auto LedgerWriter::lose() -> void {
@@ -343,9 +410,7 @@
   VerifyWanted_ = false;
   Pending_.clear();
   Batch_.clear();
-  SegmentsToWrite_.clear();
-  SegmentsToDelete_.clear();
-  SealNext_ = false;
+  Snapshot_.reset();
   Committed_.clear();
 }
 
--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -1,6 +1,6 @@
 /// \file
 /// Defines the writing of one shard's ledger: ownership by epoch, group commit
-/// by compare-and-swap, sealed segments, and recovery of lost answers.
+/// by compare-and-swap, snapshots, and recovery of lost answers.
 #pragma once
 
 #include "core/StorePort.h"
@@ -63,6 +63,16 @@
   auto commits() const -> std::uint64_t { return Commits_; }
 
 private:
+  /// A snapshot on its way to the store, beside which commits go on.
+  struct Snapshot {
+    /// The first commit that it doesn't hold.
+    CommitNumber Next_ = 0;
+    std::size_t Size_ = 0;
+    std::deque<ShardSegment> ToWrite_;
+    /// Names the segment whose write is open; empty where none is.
+    WriteId Writing_;
+    std::vector<WriteId> Written_;
+  };
   enum class Phase : std::uint8_t {
     Idle,
     Reading,
@@ -74,20 +84,25 @@
 
   auto readHead() -> void;
   auto headRead(Moment Now, const StoreResult &Result) -> void;
+  /// Writes the head and, where a batch is open, the batch along with it.
   auto swapHead(const ShardHead &Next) -> void;
   auto headSwapped(Moment Now, const StoreResult &Result) -> void;
   auto swapSettled(Moment Now, bool TookEffect, std::uint64_t Index) -> void;
   auto settleByReading() -> void;
   auto settled(Moment Now, const StoreResult &Result) -> void;
-  auto loadNextSegment() -> void;
-  auto segmentLoaded(const StoreResult &Result) -> void;
+  auto loadSnapshot() -> void;
+  auto loadCommits() -> void;
+  auto commitsLoaded(const StoreResult &Result) -> void;
   auto startBatch() -> void;
-  auto prepareSegments() -> void;
-  auto writeNextSegment() -> void;
+  auto batchCommitted() -> void;
   auto readToVerify() -> void;
   auto lose() -> void;
   auto newWriteId() -> WriteId;
   auto nextHead() -> ShardHead;
+  auto startSnapshot() -> void;
+  auto writeSnapshot() -> void;
+  auto finishSnapshot(const ShardHead &Before) -> void;
+  auto removeCommits(CommitNumber From, CommitNumber To) -> void;
 
   LedgerIdentity Identity_;
   StorePort &Store_;
@@ -101,17 +116,16 @@
   bool VerifyWanted_ = false;
   ShardState State_;
   std::size_t SegmentsLoaded_ = 0;
+  /// Sizes in bytes of the newest snapshot and of the commits after it.
+  std::size_t SnapshotSize_ = 0;
+  std::size_t CommitsSize_ = 0;
   Duration OldGrantsFor_{};
   TimePoint OldGrantsUntil_{};
   std::uint64_t NextWrite_ = 0;
   std::uint64_t Commits_ = 0;
   std::deque<LedgerRecord> Pending_;
   std::vector<LedgerRecord> Batch_;
-  std::size_t ActiveSize_ = 0;
-  std::deque<ShardSegment> SegmentsToWrite_;
-  std::vector<WriteId> NextSegments_;
-  std::vector<WriteId> SegmentsToDelete_;
-  bool SealNext_ = false;
+  std::optional<Snapshot> Snapshot_;
   std::vector<LedgerRecord> Committed_;
 };
 
--- a/core/StoreCalls.cpp
+++ b/core/StoreCalls.cpp
@@ -1,5 +1,7 @@
 #include "core/StoreCalls.h"
 
+#include <cstdio>
+
 namespace skylark {
 namespace {
 
@@ -42,4 +44,17 @@
   return {shardPath(Environment, Shard) + "/segments/" + Segment.Value_};
 }
 
+auto commitKey(const EnvironmentName &Environment, ShardNumber Shard,
+               CommitNumber Commit) -> StoreKey {
+  char Digits[24];
+  std::snprintf(Digits, sizeof Digits, "%012llu",
+                static_cast<unsigned long long>(Commit));
+  return {commitFolder(Environment, Shard).Path_ + Digits};
+}
+
+auto commitFolder(const EnvironmentName &Environment, ShardNumber Shard)
+    -> StoreKey {
+  return {shardPath(Environment, Shard) + "/commits/"};
+}
+
 } // namespace skylark
--- a/core/StoreCalls.h
+++ b/core/StoreCalls.h
@@ -5,6 +5,7 @@
 #include "core/Document.h"
 #include "core/ShardState.h"
 
+#include <optional>
 #include <variant>
 
 namespace skylark {
@@ -31,6 +32,12 @@
     -> StoreKey;
 auto segmentKey(const EnvironmentName &Environment, ShardNumber Shard,
                 const WriteId &Segment) -> StoreKey;
+/// Keys of commits stand in the order of their numbers.
+auto commitKey(const EnvironmentName &Environment, ShardNumber Shard,
+               CommitNumber Commit) -> StoreKey;
+/// The folder of a shard's commits; ends with a slash.
+auto commitFolder(const EnvironmentName &Environment, ShardNumber Shard)
+    -> StoreKey;
 
 /// How an entry can be reached by other entries.
 struct EntryRegistration {
@@ -45,12 +52,14 @@
   }
 };
 
-/// A sealed part of a shard's ledger; written once.
+/// Part of a shard's ledger, written once: one commit, or a piece of a snapshot.
 struct ShardSegment {
+  /// Number of the commit; 0 in a snapshot.
+  CommitNumber Commit_ = 0;
   std::vector<LedgerRecord> Records_;
 
   static constexpr auto fields() {
-    return std::make_tuple(&ShardSegment::Records_);
+    return std::make_tuple(&ShardSegment::Commit_, &ShardSegment::Records_);
   }
 };
 
@@ -65,14 +74,18 @@
   Millis OldGrantsFor_{0};
   /// Names the write, so that its writer can recognise it after a lost answer.
   WriteId Write_;
+  /// The newest snapshot.
   std::vector<WriteId> Segments_;
-  std::vector<LedgerRecord> Active_;
+  /// Commits that follow the snapshot: from FirstCommit_ to below NextCommit_.
+  CommitNumber FirstCommit_ = 1;
+  CommitNumber NextCommit_ = 1;
 
   static constexpr auto fields() {
     return std::make_tuple(&ShardHead::Epoch_, &ShardHead::Owner_,
                            &ShardHead::OwnerIncarnation_,
                            &ShardHead::OldGrantsFor_, &ShardHead::Write_,
-                           &ShardHead::Segments_, &ShardHead::Active_);
+                           &ShardHead::Segments_, &ShardHead::FirstCommit_,
+                           &ShardHead::NextCommit_);
   }
 };
 
@@ -93,12 +106,10 @@
   StoreKey Key_;
 };
 
-/// Writes only if the key's index is still `ExpectedIndex_`; nought means that
-/// the key must not exist.
-struct CompareAndSwap {
-  StoreKey Key_;
-  StoreValue Value_;
-  std::uint64_t ExpectedIndex_ = 0;
+/// Reads the segments in a folder whose keys come after `After_`.
+struct ReadSegments {
+  StoreKey Folder_;
+  StoreKey After_;
 };
 
 /// Writes without a condition.
@@ -107,12 +118,30 @@
   StoreValue Value_;
 };
 
+/// Writes only if the key's index is still `ExpectedIndex_`; nought means that
+/// the key must not exist.
+struct CompareAndSwap {
+  StoreKey Key_;
+  StoreValue Value_;
+  std::uint64_t ExpectedIndex_ = 0;
+  /// Written if, and only if, the swap takes effect.
+  std::optional<WriteValue> Along_{};
+};
+
 /// Deletes a key; with an expected index other than nought, only at that index.
 struct DeleteValue {
   StoreKey Key_;
   std::uint64_t ExpectedIndex_ = 0;
 };
 
+/// Deletes keys all at once; at most MostKeysAtOnce.
+struct DeleteValues {
+  std::vector<StoreKey> Keys_;
+};
+
+/// Keys that one call may change.
+constexpr std::size_t MostKeysAtOnce = 32;
+
 struct OpenLease {
   Millis TimeToLive_{0};
 };
@@ -134,7 +163,8 @@
 
 using StoreOperation =
     std::variant<ReadLive, ReadValue, CompareAndSwap, WriteValue, DeleteValue,
-                 OpenLease, RenewLease, EndLease, WriteUnderLease, ReadEntries>;
+                 OpenLease, RenewLease, EndLease, WriteUnderLease, ReadEntries,
+                 ReadSegments, DeleteValues>;
 
 /// Unavailable also covers a call whose answer was lost: it may have taken
 /// effect.
@@ -163,6 +193,8 @@
   StoreValue Value_;
   LeaseId Lease_;
   LiveView Live_;
+  /// In the order of their keys.
+  std::vector<ShardSegment> Segments_;
 };
 
 } // namespace skylark
--- a/runtime/ConsulStore.cpp
+++ b/runtime/ConsulStore.cpp
@@ -119,6 +119,20 @@
   return Result;
 }
 
+auto interpret(const ReadSegments &Operation, const HttpResult &Answer)
+    -> StoreResult {
+  auto Result = baseResult(Answer);
+  // A folder without any key is a good, empty answer.
+  if (Result.Status_ == StoreStatus::NotFound)
+    Result.Status_ = StoreStatus::Ok;
+  else if (Result.Status_ == StoreStatus::Ok)
+    for (auto &Key : readKeys(Answer.Body_))
+      if (Key.Path_ > Operation.After_.Path_)
+        Result.Segments_.push_back(
+            std::get<ShardSegment>(std::move(Key.Value_)));
+  return Result;
+}
+
 auto interpret(const WriteUnderLease & /*Operation*/, const HttpResult &Answer)
     -> StoreResult {
   auto Result = baseResult(Answer);
@@ -173,17 +187,42 @@
 }
 
 auto ConsulStore::prepare(const CompareAndSwap &Operation) const -> HttpCall {
-  // A transaction of one step, since its answer tells the key's new index,
-  // which saves a read after each write.
-  const Json Step{
-      {"Verb", "cas"},
-      {"Key", Operation.Key_.Path_},
-      {"Value", websocketpp::base64_encode(encode(Operation.Value_))},
-      {"Index", Operation.ExpectedIndex_}};
+  // A transaction also where it has one step: its answer tells the key's new
+  // index, which saves a read after each write.
+  auto Steps = Json::array();
+  Steps.push_back(
+      {{"KV",
+        {{"Verb", "cas"},
+         {"Key", Operation.Key_.Path_},
+         {"Value", websocketpp::base64_encode(encode(Operation.Value_))},
+         {"Index", Operation.ExpectedIndex_}}}});
+  if (Operation.Along_)
+    Steps.push_back({{"KV",
+                      {{"Verb", "set"},
+                       {"Key", Operation.Along_->Key_.Path_},
+                       {"Value", websocketpp::base64_encode(
+                                     encode(Operation.Along_->Value_))}}}});
+  return transaction(Steps.dump());
+}
+
+auto ConsulStore::prepare(const DeleteValues &Operation) const -> HttpCall {
+  auto Steps = Json::array();
+  for (const auto &Key : Operation.Keys_)
+    Steps.push_back({{"KV", {{"Verb", "delete"}, {"Key", Key.Path_}}}});
+  return transaction(Steps.dump());
+}
+
+auto ConsulStore::prepare(const ReadSegments &Operation) const -> HttpCall {
+  HttpCall Call;
+  Call.Url_ = keyUrl(Operation.Folder_) + "?recurse=1&consistent=1";
+  return Call;
+}
+
+auto ConsulStore::transaction(std::string Steps) const -> HttpCall {
   HttpCall Call;
   Call.Method_ = "PUT";
   Call.Url_ = Base_ + "/txn";
-  Call.Body_ = Json::array({Json{{"KV", Step}}}).dump();
+  Call.Body_ = std::move(Steps);
   return Call;
 }
 
--- a/runtime/ConsulStore.h
+++ b/runtime/ConsulStore.h
@@ -23,11 +23,14 @@
   auto prepare(const ReadValue &Operation) const -> HttpCall;
   auto prepare(const CompareAndSwap &Operation) const -> HttpCall;
   auto prepare(const WriteValue &Operation) const -> HttpCall;
+  auto prepare(const ReadSegments &Operation) const -> HttpCall;
+  auto prepare(const DeleteValues &Operation) const -> HttpCall;
   auto prepare(const DeleteValue &Operation) const -> HttpCall;
   auto prepare(const OpenLease &Operation) const -> HttpCall;
   auto prepare(const RenewLease &Operation) const -> HttpCall;
   auto prepare(const EndLease &Operation) const -> HttpCall;
   auto prepare(const WriteUnderLease &Operation) const -> HttpCall;
+  auto transaction(std::string Steps) const -> HttpCall;
   auto keyUrl(const StoreKey &Key) const -> std::string;
 
   HttpClient &Http_;
--- a/test/fuzz/FakeStore.cpp
+++ b/test/fuzz/FakeStore.cpp
@@ -63,9 +63,30 @@
   if (Present != Operation.ExpectedIndex_)
     return resultOf(StoreStatus::Conflict);
   Keys_[Operation.Key_] = {Operation.Value_, ++Index_, {}};
+  if (Operation.Along_)
+    Keys_[Operation.Along_->Key_] = {Operation.Along_->Value_, Index_, {}};
   return resultOf(StoreStatus::Ok, Index_);
 }
 
+auto FakeStore::run(Micros /*Now*/, const ReadSegments &Operation)
+    -> StoreResult {
+  auto Result = resultOf(StoreStatus::Ok);
+  for (auto Each = Keys_.upper_bound(Operation.After_); Each != Keys_.end();
+       ++Each) {
+    if (Each->first.Path_.rfind(Operation.Folder_.Path_, 0) != 0)
+      break;
+    Result.Segments_.push_back(std::get<ShardSegment>(Each->second.Value_));
+  }
+  return Result;
+}
+
+auto FakeStore::run(Micros /*Now*/, const DeleteValues &Operation)
+    -> StoreResult {
+  for (const auto &Key : Operation.Keys_)
+    Keys_.erase(Key);
+  return resultOf(StoreStatus::Ok);
+}
+
 auto FakeStore::run(Micros /*Now*/, const WriteValue &Operation)
     -> StoreResult {
   Keys_[Operation.Key_] = {Operation.Value_, ++Index_, {}};
--- a/test/fuzz/FakeStore.h
+++ b/test/fuzz/FakeStore.h
@@ -30,6 +30,8 @@
   auto run(Micros Now, const ReadValue &Operation) -> StoreResult;
   auto run(Micros Now, const CompareAndSwap &Operation) -> StoreResult;
   auto run(Micros Now, const WriteValue &Operation) -> StoreResult;
+  auto run(Micros Now, const ReadSegments &Operation) -> StoreResult;
+  auto run(Micros Now, const DeleteValues &Operation) -> StoreResult;
   auto run(Micros Now, const DeleteValue &Operation) -> StoreResult;
   auto run(Micros Now, const OpenLease &Operation) -> StoreResult;
   auto run(Micros Now, const RenewLease &Operation) -> StoreResult;
--- a/test/performance/Capacity.cpp
+++ b/test/performance/Capacity.cpp
@@ -160,16 +160,17 @@
     State.apply(LedgerRecord{Change});
   });
   const auto Bytes = (heapBytes() - Before) / static_cast<std::size_t>(Tasks);
-  ShardHead Head;
+  ShardSegment Commit;
   for (int Index = 0; Index < std::min(Tasks, 400); ++Index) {
     Change.Task_.Index_ = static_cast<std::uint32_t>(Index);
-    Head.Active_.emplace_back(Change);
+    Commit.Records_.emplace_back(Change);
   }
-  const auto Record = encode(StoreValue{Head}).size() / Head.Active_.size();
-  const auto Write = microsEach(100, [&](int) { encode(StoreValue{Head}); });
+  const auto Count = Commit.Records_.size();
+  const auto Record = encode(StoreValue{Commit}).size() / Count;
+  const auto Write = microsEach(100, [&](int) { encode(StoreValue{Commit}); });
   std::printf("tasks %7d: %4zu B each in memory, %3zu B a record in the store, "
-              "apply %5.2f us, encode a head of %zu records %7.1f us\n",
-              Tasks, Bytes, Record, Apply, Head.Active_.size(), Write);
+              "apply %5.2f us, encode a commit of %zu records %7.1f us\n",
+              Tasks, Bytes, Record, Apply, Count, Write);
 }
 
 auto measureAgent(int Tasks) -> void {
--- a/test/standin/StandInStore.cpp
+++ b/test/standin/StandInStore.cpp
@@ -156,23 +156,33 @@
   }
 
   auto swap(const Request &From, std::uint16_t &Status) -> std::string {
-    const auto Step = Json::parse(From->body()).at(0).at("KV");
-    const auto Key = Step.at("Key").get<std::string>();
-    const auto Expected = Step.at("Index").get<std::uint64_t>();
-    const auto Found = Keys_.find(Key);
-    const auto Present = Found == Keys_.end() ? 0 : Found->second.Index_;
-    if (Present != Expected) {
-      Status = 409;
-      return R"({"Results":null,"Errors":[{"OpIndex":0,"What":"stale"}]})";
+    const auto Steps = Json::parse(From->body());
+    for (const auto &Each : Steps) {
+      const auto &Step = Each.at("KV");
+      const auto Found = Keys_.find(Step.at("Key").get<std::string>());
+      const auto Present = Found == Keys_.end() ? 0 : Found->second.Index_;
+      if (Step.at("Verb") == "cas" &&
+          Present != Step.at("Index").get<std::uint64_t>()) {
+        Status = 409;
+        return R"({"Results":null,"Errors":[{"OpIndex":0,"What":"stale"}]})";
+      }
     }
-    Keys_[Key] = {
-        websocketpp::base64_decode(Step.at("Value").get<std::string>()),
-        ++Index_, ""};
-    return Json{
-        {"Results",
-         Json::array({{{"KV", {{"Key", Key}, {"ModifyIndex", Index_}}}}})},
-        {"Errors", nullptr}}
-        .dump();
+    ++Index_;
+    auto Results = Json::array();
+    for (const auto &Each : Steps)
+      Results.push_back(carryOut(Each.at("KV")));
+    return Json{{"Results", std::move(Results)}, {"Errors", nullptr}}.dump();
+  }
+
+  auto carryOut(const Json &Step) -> Json {
+    const auto Key = Step.at("Key").get<std::string>();
+    if (Step.at("Verb") == "delete")
+      Keys_.erase(Key);
+    else
+      Keys_[Key] = {
+          websocketpp::base64_decode(Step.at("Value").get<std::string>()),
+          Index_, ""};
+    return {{"KV", {{"Key", Key}, {"ModifyIndex", Index_}}}};
   }
 
   auto createSession(const Request &From) -> std::string {
