Strong entries own shards; an owner cut off gives up sooner; stops answer everyone

An owner that alone couldn't read the store noticed after 1.5 s, and gave up needlessly when an outage of all ended for another entry first. Change: entries register their strength (processor or link, from the settings); much weaker ones own nothing beside a strong one, and hand over once it is steady. The end of a stopping entry answers whoever still waits. Alone is who fails before and after a peer's success, over 0.6 s; registrations that lapsed in an outage have 2 s to come back. A new registration is read at once. Siblings of a task without a place are skipped in the pass; passes run when something frees room, else every 150 ms. Tables of presses are sent when they differ.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -2,18 +2,22 @@
 
 #include "core/Assert.h"
 #include "core/Mutation.h"
+#include "core/OwnerChoice.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace skylark {
 namespace {
 
 constexpr Millis PeerBeatEvery{300};
 constexpr Millis BalanceEvery{500};
-/// A peer's reading of the store that is this much newer than an entry's own
-/// last one shows that the store is not down for all. Readings in the same
-/// outage differ by less: by one period and the time-out of a call.
-constexpr Millis AloneAfter{1500};
+/// How long an entry's own readings of the store must have failed before it
+/// counts as alone: longer than a few refusals of a busy store last.
+constexpr Millis AloneAfter{600};
+/// How long an entry must have been heard of before a weaker one hands its
+/// shards over to it.
+constexpr Millis SteadyAfter{4000};
 constexpr Millis PressesEvery{500};
 constexpr Millis ForwardPatience{7000};
 /// How long a request to a queue may take inside the system.
@@ -75,7 +79,8 @@
     : Identity_(std::move(Identity)), Generator_(Identity_.Seed_),
       Store_(Identity_.StoreCallsPerSecond_, Counters_),
       View_(Identity_.Environment_,
-            {Identity_.Entry_, Identity_.Incarnation_, Identity_.PeerAddress_},
+            {Identity_.Entry_, Identity_.Incarnation_, Identity_.PeerAddress_,
+             Identity_.Strength_},
             Identity_.Policy_, Store_),
       Desk_(Identity_.Entry_, Identity_.DataCentre_, Identity_.Desk_,
             {Targets_, View_.configuration(), Counters_}),
@@ -337,20 +342,23 @@
          !Known->second.Leaving_;
 }
 
+auto EntryCore::strengthOf(const EntryId &Entry) const -> std::uint32_t {
+  if (Entry == Identity_.Entry_)
+    return Identity_.Strength_;
+  for (const auto &Each : View_.peers())
+    if (Each.Entry_ == Entry)
+      return Each.Strength_;
+  return 0;
+}
+
 auto EntryCore::preferredOwner(Moment Now, ShardNumber Shard) const -> EntryId {
-  // Rendezvous hashing over the entries that could own: a change of the set
-  // moves only the shards of the entry that came or went. Where entries differ
-  // on the set, the store's record lets one of them win.
-  const auto Self = View_.registered() && !Leaving_;
-  auto Best = Self ? Identity_.Entry_ : EntryId{};
-  const auto Score = [&](const EntryId &Entry) {
-    return digest64(Entry.Value_ + "#" + std::to_string(Shard));
-  };
+  std::vector<EntryCandidate> Candidates;
+  if (View_.registered() && !Leaving_)
+    Candidates.push_back({Identity_.Entry_, Identity_.Strength_});
   for (const auto &Each : View_.peers())
-    if (mayOwn(Now, Each.Entry_) &&
-        (Best.empty() || Score(Each.Entry_) > Score(Best)))
-      Best = Each.Entry_;
-  return Best;
+    if (mayOwn(Now, Each.Entry_))
+      Candidates.push_back({Each.Entry_, Each.Strength_});
+  return chooseOwner(Candidates, Shard);
 }
 
 auto EntryCore::knownOwner(Moment Now, ShardNumber Shard) const -> EntryId {
@@ -361,8 +369,9 @@
     if (Owned == Each.Owned_.end() || Owned->second <= Newest ||
         !canAsk(Now, Entry))
       continue;
-    // An owner whose registration has lapsed can't commit anything.
-    if (View_.contact(Now) == StoreContact::Fresh && !View_.isRegistered(Entry))
+    // An owner whose registration has lapsed is about to lose its shards.
+    if (View_.contact(Now) == StoreContact::Fresh &&
+        !View_.isRegistered(Entry) && !View_.lapsesDoubtful(Now))
       continue;
     Newest = Owned->second;
     Owner = Entry;
@@ -480,12 +489,14 @@
 auto EntryCore::peerOpened(Moment Now, const EntryId &Peer, EntryOutbox &Out)
     -> void {
   Peers_[Peer].Open_ = true;
+  Peers_[Peer].HeardSince_ = Now.Steady_;
   complete(Now, Out);
 }
 
 auto EntryCore::peerGone(Moment Now, const EntryId &Peer, EntryOutbox &Out)
     -> void {
   Peers_[Peer].Open_ = false;
+  Peers_[Peer].HeardSince_ = TimePoint::max() - SteadyAfter;
   Peers_[Peer].Owned_.clear();
   NextBalance_ = Now.Steady_;
   expireForwards(Now, Out);
@@ -507,6 +518,7 @@
     Known.Incarnation_ = Message.Incarnation_;
     Known.SeenRevision_ = 0;
     Known.ConfirmedRevision_ = 0;
+    Known.HeardSince_ = Now.Steady_;
   }
   Known.HeardAt_ = Now.Steady_;
   Known.SeenRevision_ = std::max(Known.SeenRevision_, Message.SeenRevision_);
@@ -754,6 +766,8 @@
   for (const auto &Shard : Shards_)
     Shard->agentJoined(Now, *Joined, Out);
   Out.push_back(SendToAgent{Session, knownEntries()});
+  if (ownedShards() != 0 && !AnnouncedPresses_.Rows_.empty())
+    Out.push_back(SendToAgent{Session, AnnouncedPresses_});
   Out.push_back(LogDecision{"agent-joined", Message.Agent_.Value_,
                             View_.revision(), ErrorKind::None,
                             Message.DataCentre_.Value_});
@@ -867,9 +881,13 @@
       !Interference_.refresh())
     return;
   NextPresses_ = Now.Steady_ + PressesEvery;
+  // A table goes to every agent, so one that says the same isn't sent.
+  const auto &Table = Interference_.knowledge().table();
+  if (isAlike(Table, AnnouncedPresses_))
+    return;
+  AnnouncedPresses_ = Table;
   for (const auto *Each : Targets_.all())
-    Out.push_back(
-        SendToAgent{Each->Session_, Interference_.knowledge().table()});
+    Out.push_back(SendToAgent{Each->Session_, Table});
 }
 
 auto EntryCore::agentGone(Moment Now, SessionNumber Session, EntryOutbox &Out)
@@ -899,14 +917,21 @@
 
 // Shards.
 
-auto EntryCore::mayMove(ShardNumber Shard, const EntryId &Preferred) const
-    -> bool {
+auto EntryCore::mayMove(Moment Now, ShardNumber Shard,
+                        const EntryId &Preferred) const -> bool {
+  if (Preferred.empty() || Preferred == Identity_.Entry_ ||
+      !Shards_[Shard]->owning())
+    return false;
   // Moving a shard interrupts its work, so an owner keeps what isn't more than
-  // its share.
+  // its share, unless a much stronger entry has proved steady.
   const auto Entries = View_.peers().size() + 1;
   const auto Share = (Identity_.ShardCount_ + Entries - 1) / Entries;
-  return !Preferred.empty() && Preferred != Identity_.Entry_ &&
-         ownedShards() > Share && Shards_[Shard]->owning();
+  const auto Known = Peers_.find(Preferred);
+  const auto Steady = Known != Peers_.end() &&
+                      Known->second.HeardSince_ + SteadyAfter <= Now.Steady_;
+  const auto TooWeak =
+      isTooWeak(Identity_.Strength_, strengthOf(Preferred)) && Steady;
+  return ownedShards() > Share || TooWeak;
 }
 
 auto EntryCore::hasRenounced(const ShardHead &Head) const -> bool {
@@ -919,14 +944,22 @@
       [&](const auto &Each) { return Each.second == Head.Epoch_; });
 }
 
+auto EntryCore::isAlone(Moment Now) const -> bool {
+  const auto Failing = View_.failing();
+  if (!Failing || Failing->LastAt_ < Failing->FirstAt_ + AloneAfter)
+    return false;
+  // A peer that has read the store between two failed tries shows that the
+  // store isn't down for all. A newer reading alone doesn't: it may tell that
+  // an outage of all has just ended.
+  return std::any_of(Peers_.begin(), Peers_.end(), [&](const auto &Each) {
+    const auto ReadAt = Each.second.StoreReadAt_;
+    return ReadAt > Failing->FirstAt_ && ReadAt < Failing->LastAt_ &&
+           canAsk(Now, Each.first);
+  });
+}
+
 auto EntryCore::renounceShards(Moment Now, EntryOutbox &Out) -> void {
-  const auto Alone =
-      View_.contact(Now) == StoreContact::Outage &&
-      std::any_of(Peers_.begin(), Peers_.end(), [&](const auto &Each) {
-        return Each.second.StoreReadAt_ > View_.freshAt() + AloneAfter &&
-               canAsk(Now, Each.first);
-      });
-  if (!Alone)
+  if (!isAlone(Now))
     return;
   for (const auto &Shard : Shards_) {
     if (!Shard->owning())
@@ -966,10 +999,11 @@
     const auto Preferred = preferredOwner(Now, Each->number());
     const auto Mine = Preferred == Identity_.Entry_ && View_.registered() &&
                       View_.contact(Now) == StoreContact::Fresh &&
+                      !View_.lapsesDoubtful(Now) &&
                       knownOwner(Now, Each->number()).empty();
     if (Mine && Each->idle() && !Leaving_)
       Each->take([this](const ShardHead &Head) { return takeRule(Head); });
-    if (Each->owning() && (Leaving_ || mayMove(Each->number(), Preferred)))
+    if (Each->owning() && (Leaving_ || mayMove(Now, Each->number(), Preferred)))
       Each->release();
   }
 }
@@ -1020,9 +1054,11 @@
 auto EntryCore::tick(Moment Now, EntryOutbox &Out) -> void {
   View_.tick(Now);
   Desk_.tick(Now, Generator_, Out);
+  renounceShards(Now, Out);
+  if (View_.registrations() != CheckedRegistrations_)
+    NextBalance_ = Now.Steady_;
   if (Now.Steady_ >= NextBalance_) {
     NextBalance_ = Now.Steady_ + BalanceEvery;
-    renounceShards(Now, Out);
     balanceShards(Now);
     Grants_.prune(Now.Steady_ - KeepGrantsFor);
   }
@@ -1067,10 +1103,28 @@
     View_.leave();
   if ((View_.left() || TimeUp) && !ExitSent_) {
     ExitSent_ = true;
+    answerRest(Out);
     Out.push_back(ExitProcess{});
   }
 }
 
+auto EntryCore::answerRest(EntryOutbox &Out) -> void {
+  // Whoever still waits gets an answer before the process ends.
+  for (const auto &Each : std::exchange(Parked_, {}))
+    refuseRequest(Each.Token_, Each.Request_, ErrorKind::EntryStopping,
+                  Identity_.Entry_.Value_, Out);
+  const auto Unknown = [&](CallerToken Token, const CallerRequest &Request) {
+    refuse(Token,
+           changesWork(Request) ? ErrorKind::OutcomeUnknown
+                                : ErrorKind::EntryStopping,
+           Identity_.Entry_.Value_, Out);
+  };
+  for (const auto &[Number, Each] : std::exchange(Forwards_, {}))
+    Unknown(Each.Token_, Each.Request_);
+  for (const auto &[Token, Each] : std::exchange(WithOwner_, {}))
+    Unknown(Token, Each.Request_);
+}
+
 auto EntryCore::ownedShards() const -> std::size_t {
   return std::count_if(Shards_.begin(), Shards_.end(),
                        [](const auto &Shard) { return Shard->owning(); });
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -16,6 +16,8 @@
   EnvironmentName Environment_;
   DataCentreName DataCentre_;
   std::string PeerAddress_;
+  /// What the entry can carry, in thousandths of a processor.
+  std::uint32_t Strength_ = 1000;
   ShardNumber ShardCount_ = 8;
   double StoreCallsPerSecond_ = 100;
   /// How long after it was told to stop the process may be ended by force.
@@ -81,6 +83,8 @@
     /// When it last read the store, as far as this entry knows.
     TimePoint StoreReadAt_{};
     bool Leaving_ = false;
+    /// Since when this life of the entry has been heard of without a gap.
+    TimePoint HeardSince_{};
   };
   struct ForwardedCall {
     CallerToken Token_ = 0;
@@ -176,6 +180,8 @@
   /// can't wait.
   auto park(Moment Now, CallerToken Token, ShardNumber Shard,
             const CallerRequest &Request, TimePoint GiveUpAt) -> bool;
+  /// Whether this entry can't read the store although others can.
+  auto isAlone(Moment Now) const -> bool;
   /// Gives up all shards while this entry is alone in not reaching the store.
   auto renounceShards(Moment Now, EntryOutbox &Out) -> void;
   auto hasRenounced(const ShardHead &Head) const -> bool;
@@ -196,7 +202,10 @@
   /// Whether this entry may take a shard with that head, and how long earlier
   /// owners may go on granting.
   auto takeRule(const ShardHead &Head) const -> std::optional<Duration>;
-  auto mayMove(ShardNumber Shard, const EntryId &Preferred) const -> bool;
+  /// Whether a shard that this entry owns goes to the preferred owner.
+  auto mayMove(Moment Now, ShardNumber Shard, const EntryId &Preferred) const
+      -> bool;
+  auto strengthOf(const EntryId &Entry) const -> std::uint32_t;
   auto canAsk(Moment Now, const EntryId &Peer) const -> bool;
   auto expireForwards(Moment Now, EntryOutbox &Out) -> void;
   auto preferredOwner(Moment Now, ShardNumber Shard) const -> EntryId;
@@ -217,6 +226,8 @@
   auto complete(Moment Now, EntryOutbox &Out) -> void;
   auto answerPeers(EntryOutbox &Out) -> void;
   auto finishLeaving(Moment Now, EntryOutbox &Out) -> void;
+  /// Answers every caller who still waits.
+  auto answerRest(EntryOutbox &Out) -> void;
   auto ownerOf(ShardNumber Shard) -> ShardOwner & { return *Shards_[Shard]; }
 
   EntryIdentity Identity_;
@@ -228,6 +239,7 @@
   RunGrants Grants_;
   InterferenceModel Interference_;
   TimePoint NextPresses_{};
+  PressTable AnnouncedPresses_;
   std::vector<std::string> AnnouncedEntries_;
   RequestDesk Desk_;
   ChangeDesk Changes_;
--- a/core/EnvironmentView.cpp
+++ b/core/EnvironmentView.cpp
@@ -11,6 +11,11 @@
 /// Renewals in one lifetime of a registration.
 constexpr int RenewalsPerLife = 4;
 
+/// Readings that fail for longer tell of an outage, in which leases may lapse.
+constexpr Millis OutageIfLonger{1000};
+/// How long entries that live may take to register again after an outage.
+constexpr Millis BackWithin{2000};
+
 auto contains(const std::vector<RegisteredEntry> &Entries,
               const EntryRegistration &Wanted) -> bool {
   return std::any_of(
@@ -58,8 +63,14 @@
                                TimePoint SentAt) -> void {
   if (Result.Status_ == StoreStatus::Unavailable) {
     FailedAt_ = Now.Steady_;
+    if (!Failing_)
+      Failing_ = FailedReadings{SentAt, SentAt};
+    Failing_->LastAt_ = SentAt;
     return;
   }
+  if (Failing_ && Failing_->FirstAt_ + OutageIfLonger < SentAt)
+    ReturnedAt_ = Now.Steady_;
+  Failing_.reset();
   KnownRevision_ = std::max(KnownRevision_, Result.Live_.Head_.Revision_);
   noteEntries(Now, Result.Live_);
   if (Result.Live_.Head_.Revision_ > revision()) {
@@ -172,6 +183,10 @@
       [&](const EntryRegistration &Each) { return Each.Entry_ == Entry; });
 }
 
+auto EnvironmentView::lapsesDoubtful(Moment Now) const -> bool {
+  return ReturnedAt_ != TimePoint{} && Now.Steady_ < ReturnedAt_ + BackWithin;
+}
+
 auto EnvironmentView::contact(Moment Now) const -> StoreContact {
   const auto FreshFor = Current_.Document_.Policy_.FreshFor_;
   if (FreshAt_ != TimePoint{} && FreshAt_ + FreshFor > Now.Steady_)
@@ -245,6 +260,8 @@
         if (Result.Status_ == StoreStatus::Ok) {
           Announced_ = true;
           ++Registrations_;
+          // Nothing can be owned before a reading shows the registration.
+          NextRead_ = {};
         }
         if (Result.Status_ == StoreStatus::NotFound)
           Lease_ = {};
--- a/core/EnvironmentView.h
+++ b/core/EnvironmentView.h
@@ -73,6 +73,19 @@
   /// was lost.
   auto registrations() const -> std::uint64_t { return Registrations_; }
   auto registered() const -> bool { return Registered_; }
+  /// Whether the store has come back so lately that registrations which lapsed
+  /// meanwhile may still be renewed by entries that live.
+  auto lapsesDoubtful(Moment Now) const -> bool;
+  /// When the first and the last reading of an unbroken series of failures was
+  /// sent.
+  struct FailedReadings {
+    TimePoint FirstAt_;
+    TimePoint LastAt_;
+  };
+  /// The present series; nothing where the last reading has succeeded.
+  auto failing() const -> const std::optional<FailedReadings> & {
+    return Failing_;
+  }
   auto left() const -> bool { return Left_; }
 
 private:
@@ -104,6 +117,9 @@
   TimePoint NextRead_{};
   TimePoint FreshAt_{};
   TimePoint FailedAt_{};
+  std::optional<FailedReadings> Failing_;
+  /// When the last series of failed readings ended.
+  TimePoint ReturnedAt_{};
   bool LeaseCallOpen_ = false;
   LeaseId Lease_;
   bool Announced_ = false;
--- a/core/Interference.cpp
+++ b/core/Interference.cpp
@@ -26,12 +26,41 @@
 constexpr int FitRounds = 40;
 constexpr double MilliCoresPerCore = 1000.0;
 
+/// Differences of a growth for each processor, and of a level, that change no
+/// decision.
+constexpr double SmallPress = 0.02;
+constexpr double SmallLevel = 0.1;
+
+auto isAlike(const PressRow &Left, const PressRow &Right) -> bool {
+  return Left.Filling_ == Right.Filling_ &&
+         std::abs(Left.PerCore_ - Right.PerCore_) <= SmallPress;
+}
+
+auto isAlike(const ServingRow &Left, const ServingRow &Right) -> bool {
+  return Left.Serving_ == Right.Serving_ &&
+         std::abs(Left.Alone_ - Right.Alone_) <= SmallLevel &&
+         std::abs(Left.Spread_ - Right.Spread_) <= SmallLevel &&
+         std::equal(Left.Presses_.begin(), Left.Presses_.end(),
+                    Right.Presses_.begin(), Right.Presses_.end(),
+                    [](const PressRow &One, const PressRow &Other) {
+                      return isAlike(One, Other);
+                    });
+}
+
 auto logOf(Millis Tail) -> double {
   return std::log(std::max(1.0, static_cast<double>(Tail.count())));
 }
 
 } // namespace
 
+auto isAlike(const PressTable &Left, const PressTable &Right) -> bool {
+  return std::equal(Left.Rows_.begin(), Left.Rows_.end(), Right.Rows_.begin(),
+                    Right.Rows_.end(),
+                    [](const ServingRow &One, const ServingRow &Other) {
+                      return isAlike(One, Other);
+                    });
+}
+
 auto PressKnowledge::adopt(const PressTable &Table) -> void {
   Table_ = Table;
   Serving_.clear();
--- a/core/Interference.h
+++ b/core/Interference.h
@@ -89,6 +89,9 @@
   static constexpr auto fields() { return std::make_tuple(&PressTable::Rows_); }
 };
 
+/// Whether two tables differ by too little to change a decision.
+auto isAlike(const PressTable &Left, const PressTable &Right) -> bool;
+
 /// What is known, ready to be asked.
 class PressKnowledge {
 public:
--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -100,9 +100,9 @@
                       Next, HeadIndex_};
   // Only what is new travels: a commit is a small head and the batch.
   if (!Batch_.empty())
-    Swap.Along_ = WriteValue{commitKey(Identity_.Environment_, Identity_.Shard_,
-                                       Head_.NextCommit_),
-                             ShardSegment{Head_.NextCommit_, Batch_}};
+    Swap.Along_ = WriteValue{
+        commitKey(Identity_.Environment_, Identity_.Shard_, Head_.NextCommit_),
+        ShardSegment{Head_.NextCommit_, Batch_}};
   Store_.call(std::move(Swap),
               [this](Moment Now, const StoreResult &Result, EntryOutbox &) {
                 CallOpen_ = false;
@@ -346,9 +346,8 @@
 
 auto LedgerWriter::startSnapshot() -> void {
   const auto Commits = Head_.NextCommit_ - Head_.FirstCommit_;
-  const auto Due =
-      CommitsSize_ >= std::max(LeastCompactSize, SnapshotSize_) ||
-      Commits >= CompactAfter;
+  const auto Due = CommitsSize_ >= std::max(LeastCompactSize, SnapshotSize_) ||
+                   Commits >= CompactAfter;
   if (Snapshot_ || !Due)
     return;
   auto Records = State_.snapshot();
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -15,6 +15,9 @@
 constexpr int BindLimit = 64;
 /// Pending tasks looked at in one pass.
 constexpr std::size_t ScanLimit = 4000;
+/// Where nothing has changed, passes over the pending tasks and looks after
+/// bound ones are this far apart.
+constexpr Millis PassEvery{150};
 /// Sizes of task that find no room before a pass ends.
 constexpr int MissLimit = 48;
 /// Workers looked at for one task in a large fleet.
@@ -711,8 +714,7 @@
   if (View_.OnlyShard_)
     Place.Free_ -= There->Amount_;
   Place.FillingMilliCores_ = There->FillingMilliCores_;
-  const auto Step =
-      There->TasksOfStep_.find({Task.Job_, Task.Step_, Task.Occurrence_});
+  const auto Step = There->TasksOfStep_.find(stepKeyOf(Task));
   if (Step != There->TasksOfStep_.end())
     Place.TasksOfStep_ = Step->second;
   viewNeighbours(Now, Job.stepOf(Task), Candidate, *There, Place);
@@ -791,11 +793,14 @@
     return false;
   const auto &Step = Job.stepOf(Rank.Task_);
   const auto TakesAny = hasWaitedLong(Now, Step, Rank.Task_);
+  if (!TakesAny && Pass.NoPlace_ == stepKeyOf(Rank.Task_))
+    return false;
   if (Step.Fills_ && !TakesAny && Pass.NoQuietPlace_.count(Step.Image_) != 0)
     return false;
   auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Out);
   if (Chosen == nullptr) {
     ++Pass.Misses_;
+    Pass.NoPlace_ = stepKeyOf(Rank.Task_);
     if (Step.Fills_ && !TakesAny)
       Pass.NoQuietPlace_.insert(Step.Image_);
     // A step with limits of its own says nothing of other steps.
@@ -834,6 +839,14 @@
       break;
     if (!isDue(Now, Rank.Task_))
       continue;
+    // Tasks of one step follow each other and differ in nothing else.
+    if (!Order.empty() &&
+        stepKeyOf(Order.back().Rank_.Task_) == stepKeyOf(Rank.Task_)) {
+      auto Turn = Order.back();
+      Turn.Rank_ = Rank;
+      Order.push_back(std::move(Turn));
+      continue;
+    }
     const auto &Job = *state().findJob(Rank.Task_.Job_);
     BindTurn Turn{Rank.Class_, promiseOf(Job, Rank.Task_, Now.Wall_), 0, Rank};
     if (Job.stepOf(Rank.Task_).Fills_) {
@@ -1174,8 +1187,14 @@
   const auto Committed = Ledger_.takeCommitted();
   for (const auto &Record : Committed)
     std::visit([&](const auto &Each) { committed(Now, Each, Out); }, Record);
-  // A commit often makes tasks ready or frees room, so they are bound at once.
-  if (!Committed.empty())
+  // What makes tasks ready or frees room lets others be bound at once; a task
+  // that got a worker does neither.
+  const auto Frees =
+      std::any_of(Committed.begin(), Committed.end(), [](const auto &Record) {
+        const auto *Change = std::get_if<TaskChanged>(&Record);
+        return Change == nullptr || Change->State_ != TaskState::Bound;
+      });
+  if (Frees)
     BindDue_ = true;
   Ledger_.advance();
 }
@@ -1202,7 +1221,8 @@
   }
   if (Draining_ && quiet())
     Ledger_.release(Now);
-  if (MayGrant && !releasing()) {
+  if (MayGrant && !releasing() && Now.Steady_ >= NextPass_) {
+    NextPass_ = Now.Steady_ + PassEvery;
     watchBound(Now, Out);
     if (!Draining_) {
       bindPending(Now, Generator, Out);
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -157,6 +157,8 @@
   struct BindPass {
     int Misses_ = 0;
     std::vector<Resources> NoRoom_;
+    /// The last step whose task found no place; nor will the others.
+    StepKey NoPlace_;
     /// Filling images that disturb what serves wherever there is room.
     std::set<std::string> NoQuietPlace_;
   };
@@ -284,6 +286,7 @@
   std::vector<ClaimedRequest> Claimed_;
   TimePoint NextForget_{};
   TimePoint NextVerify_{};
+  TimePoint NextPass_{};
 };
 
 /// The shard of a key or a team.
--- a/core/ShardUse.cpp
+++ b/core/ShardUse.cpp
@@ -19,6 +19,10 @@
 
 } // namespace
 
+auto stepKeyOf(const TaskId &Task) -> StepKey {
+  return {Task.Job_, Task.Step_, Task.Occurrence_};
+}
+
 auto isShort(const StepDeclaration &Step) -> bool {
   return !Step.Fills_ && !Step.LongRunning_;
 }
@@ -48,7 +52,7 @@
   }
   if (Held.FillingMilliCores_ > 0)
     There.Filling_[Held.Image_] += Held.FillingMilliCores_;
-  ++There.TasksOfStep_[{Task.Job_, Task.Step_, Task.Occurrence_}];
+  ++There.TasksOfStep_[stepKeyOf(Task)];
 }
 
 auto ShardUse::release(const Job &Job, const TaskId &Task) -> void {
@@ -67,8 +71,7 @@
     There.Serving_.erase(Held.Image_);
   if (Held.FillingMilliCores_ > 0)
     takeAway(There.Filling_, Held.Image_, Held.FillingMilliCores_);
-  takeAway(There.TasksOfStep_, StepKey{Task.Job_, Task.Step_, Task.Occurrence_},
-           1U);
+  takeAway(There.TasksOfStep_, stepKeyOf(Task), 1U);
 }
 
 auto ShardUse::clear() -> void { *this = {}; }
--- a/core/ShardUse.h
+++ b/core/ShardUse.h
@@ -15,6 +15,7 @@
 
 /// One step of one occurrence of a job.
 using StepKey = std::tuple<JobId, std::uint32_t, std::uint32_t>;
+auto stepKeyOf(const TaskId &Task) -> StepKey;
 
 /// What the shard's tasks take of one worker.
 struct WorkerUse {
--- a/core/StoreCalls.h
+++ b/core/StoreCalls.h
@@ -44,15 +44,18 @@
   EntryId Entry_;
   Incarnation Incarnation_ = 0;
   std::string PeerAddress_;
+  /// What the entry can carry, in thousandths of a processor.
+  std::uint32_t Strength_ = 0;
 
   static constexpr auto fields() {
-    return std::make_tuple(&EntryRegistration::Entry_,
-                           &EntryRegistration::Incarnation_,
-                           &EntryRegistration::PeerAddress_);
+    return std::make_tuple(
+        &EntryRegistration::Entry_, &EntryRegistration::Incarnation_,
+        &EntryRegistration::PeerAddress_, &EntryRegistration::Strength_);
   }
 };
 
-/// Part of a shard's ledger, written once: one commit, or a piece of a snapshot.
+/// Part of a shard's ledger, written once: one commit, or a piece of a
+/// snapshot.
 struct ShardSegment {
   /// Number of the commit; 0 in a snapshot.
   CommitNumber Commit_ = 0;
@@ -81,11 +84,10 @@
   CommitNumber NextCommit_ = 1;
 
   static constexpr auto fields() {
-    return std::make_tuple(&ShardHead::Epoch_, &ShardHead::Owner_,
-                           &ShardHead::OwnerIncarnation_,
-                           &ShardHead::OldGrantsFor_, &ShardHead::Write_,
-                           &ShardHead::Segments_, &ShardHead::FirstCommit_,
-                           &ShardHead::NextCommit_);
+    return std::make_tuple(
+        &ShardHead::Epoch_, &ShardHead::Owner_, &ShardHead::OwnerIncarnation_,
+        &ShardHead::OldGrantsFor_, &ShardHead::Write_, &ShardHead::Segments_,
+        &ShardHead::FirstCommit_, &ShardHead::NextCommit_);
   }
 };
 
--- a/test/correctness/LedgerTest.cpp
+++ b/test/correctness/LedgerTest.cpp
@@ -3,6 +3,7 @@
 
 #include "core/LedgerWriter.h"
 #include "test/fuzz/FakeStore.h"
+#include "wire/Cbor.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -82,6 +83,32 @@
   BOOST_TEST(Bench.Writer_.state().claims().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(ACommitCarriesOnlyWhatIsNew) {
+  Fuzz::FakeStore Store;
+  LedgerBench Bench(Store, "a");
+  Bench.take();
+  for (int Number = 0; Number < 1000; ++Number) {
+    Bench.Writer_.append(claimOf(Number));
+    Bench.settle();
+  }
+  const auto Head =
+      Store.apply(Micros{0}, ReadValue{shardHeadKey({"test"}, 0)});
+  constexpr std::size_t SmallHead = 400;
+  BOOST_TEST(encode(Head.Value_).size() < SmallHead);
+}
+
+BOOST_AUTO_TEST_CASE(AGivenUpCommitIsNotWrittenAgain) {
+  Fuzz::FakeStore Store;
+  LedgerBench Bench(Store, "a");
+  Bench.take();
+  Bench.Writer_.append(claimOf(1));
+  Bench.Writer_.abandon();
+  Bench.settle(1);
+  LedgerBench Second(Store, "b");
+  Second.take();
+  BOOST_TEST(Second.Writer_.owning());
+}
+
 BOOST_AUTO_TEST_CASE(StaleOwnerLosesTheCompare) {
   Fuzz::FakeStore Store;
   LedgerBench First(Store, "a");
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -36,6 +36,7 @@
     Identity.Environment_ = {"test"};
     Identity.PeerAddress_ = nameOf(Index).Value_;
     Identity.ShardCount_ = 1;
+    Identity.Strength_ = Strengths_[Index];
     Identity.Policy_ = policy();
     Entries_[Index] = std::make_unique<EntryCore>(Identity);
     StoreCut_[Index] = false;
@@ -44,6 +45,11 @@
       if (Peer != Index)
         Entries_[Index]->peerOpened(Now_, nameOf(Peer), Out);
     deliver(Index, std::move(Out));
+    for (std::size_t Peer = 0; Peer < EntryCount; ++Peer)
+      if (Peer != Index && Entries_[Peer])
+        with(Peer, [&](EntryCore &Core, EntryOutbox &Opened) {
+          Core.peerOpened(Now_, nameOf(Index), Opened);
+        });
   }
 
   auto kill(std::size_t Index) -> void {
@@ -131,6 +137,7 @@
 
   std::array<std::unique_ptr<EntryCore>, EntryCount> Entries_;
   std::array<bool, EntryCount> StoreCut_{};
+  std::array<std::uint32_t, EntryCount> Strengths_{1000, 1000};
   std::vector<BindTask> Binds_;
   /// The entries that the agent was last told of.
   std::vector<std::string> Known_;
@@ -293,6 +300,45 @@
   BOOST_TEST(Bench.owner() == Old);
 }
 
+BOOST_AUTO_TEST_CASE(NobodyGivesUpWhenAnOutageOfAllEndsForOthersFirst) {
+  EntryBench Bench;
+  const auto Old = Bench.owner();
+  Bench.StoreCut_.fill(true);
+  Bench.pass(Millis{4000});
+  Bench.StoreCut_[1 - Old] = false;
+  Bench.pass(Millis{350});
+  Bench.StoreCut_[Old] = false;
+  Bench.pass(Millis{1000});
+  BOOST_TEST(Bench.owner() == Old);
+}
+
+BOOST_AUTO_TEST_CASE(AMuchStrongerEntryGetsTheShardOnceItIsSteady) {
+  EntryBench Bench;
+  const auto Old = Bench.owner();
+  Bench.kill(1 - Old);
+  Bench.Strengths_[1 - Old] = 4000;
+  Bench.bear(1 - Old);
+  Bench.pass(Millis{2000});
+  BOOST_TEST(Bench.owner() == Old);
+  Bench.pass(Millis{5000});
+  BOOST_TEST(Bench.owner() == 1 - Old);
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryThatEndsAnswersWhoeverStillWaits) {
+  EntryBench Bench;
+  const auto Old = Bench.owner();
+  Bench.kill(1 - Old);
+  Bench.StoreCut_[Old] = true;
+  Bench.with(Old, [&](EntryCore &Core, EntryOutbox &Out) {
+    Core.leave(Bench.Now_, Out);
+  });
+  // The process ends StopReserve before it may be ended by force.
+  Bench.pass(Millis{10400});
+  const auto Token = Bench.submit(Old, "a");
+  Bench.pass(Millis{300});
+  BOOST_TEST(Bench.replyOf(Token) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(ADeadOwnersShardIsTakenAfterItsLease) {
   EntryBench Bench;
   const auto Old = Bench.owner();
--- a/test/correctness/SharingTest.cpp
+++ b/test/correctness/SharingTest.cpp
@@ -162,4 +162,17 @@
   BOOST_TEST(Guard.look(TimePoint(Seconds{3}), Tasks).Evictions_.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(TablesOfSmallDifferencesAreAlike) {
+  const PressTable Table{{{"portal", 2.0, 0.3, {{"claims", 0.20}}}}};
+  auto Near = Table;
+  Near.Rows_.front().Presses_.front().PerCore_ = 0.21;
+  auto Far = Table;
+  Far.Rows_.front().Presses_.front().PerCore_ = 0.30;
+  auto Longer = Table;
+  Longer.Rows_.front().Presses_.push_back({"reports", 0.1});
+  BOOST_TEST(isAlike(Table, Near));
+  BOOST_TEST(!isAlike(Table, Far));
+  BOOST_TEST(!isAlike(Table, Longer));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/wire/CheckedJson.cpp
+++ b/wire/CheckedJson.cpp
@@ -1,5 +1,7 @@
 #include "wire/CheckedJson.h"
 
+#include <sstream>
+
 namespace skylark {
 
 auto describe(const Problem &Mistake) -> std::string {
@@ -92,6 +94,22 @@
   return find(Name) == nullptr ? Default : integer(Name, Allowed);
 }
 
+auto CheckedObject::number(const std::string &Name, double Least, double Most,
+                           double Default) -> double {
+  const auto *Found = find(Name);
+  if (Found == nullptr)
+    return Default;
+  if (Found->is_number()) {
+    const auto Number = Found->get<double>();
+    if (Number >= Least && Number <= Most)
+      return Number;
+  }
+  std::ostringstream Allowed;
+  Allowed << "a number from " << Least << " to " << Most;
+  problem(Name, Allowed.str());
+  return Default;
+}
+
 auto CheckedObject::flag(const std::string &Name, bool Default) -> bool {
   const auto *Found = find(Name);
   if (Found == nullptr)
--- a/wire/CheckedJson.h
+++ b/wire/CheckedJson.h
@@ -32,6 +32,9 @@
   auto integer(const std::string &Name, Range Allowed) -> std::int64_t;
   auto integer(const std::string &Name, Range Allowed, std::int64_t Default)
       -> std::int64_t;
+  /// A number that may have a fraction, from `Least` to `Most`.
+  auto number(const std::string &Name, double Least, double Most,
+              double Default) -> double;
   auto flag(const std::string &Name, bool Default) -> bool;
   auto names(const std::string &Name) -> std::vector<std::string>;
   /// A list of texts that may be empty.
--- a/wire/Settings.cpp
+++ b/wire/Settings.cpp
@@ -3,6 +3,7 @@
 #include "wire/CheckedJson.h"
 #include "wire/ResourcesText.h"
 
+#include <algorithm>
 #include <array>
 #include <optional>
 
@@ -56,6 +57,22 @@
   return static_cast<std::size_t>(Descriptors - DescriptorReserve);
 }
 
+/// Processor, in thousandths, that a link of one Mbit/s is worth as much as.
+constexpr double MilliCoresPerMbit = 10;
+constexpr double MilliCoresPerCore = 1000;
+constexpr double MostCores = 1024;
+constexpr double LeastShare = 0.001;
+constexpr double MostMbit = 1e6;
+
+/// What an entry can carry, bound by its processor or its link.
+auto readStrength(CheckedObject &From) -> std::uint32_t {
+  const auto Share = From.number("processor_share", LeastShare, MostCores, 1);
+  const auto Cores = From.number("cores", 1, MostCores, 1);
+  const auto Link = From.number("link_mbps", LeastShare, MostMbit, MostMbit);
+  return static_cast<std::uint32_t>(
+      std::min(Share * Cores * MilliCoresPerCore, Link * MilliCoresPerMbit));
+}
+
 auto readEntry(CheckedObject &Top, Settings &Result) -> void {
   auto &Entry = Result.Entry_;
   Entry.Entry_ = {Top.text("id")};
@@ -103,6 +120,8 @@
     if (From.has("descriptors"))
       Limits.Connections_ = connectionsOf(
           From.integer("descriptors", {DescriptorReserve + 1, 1000000}));
+    if (From.has("processor_share"))
+      Entry.Strength_ = readStrength(From);
     Entry.Desk_.InFlightLimit_ = static_cast<std::size_t>(
         From.integer("in_flight", {1, 1000000},
                      static_cast<std::int64_t>(Entry.Desk_.InFlightLimit_)));
