Serving tasks stand close together; harmless fillers stay beside them

What was learned shows two groups of filling images, each harmless to a part of the serving ones. Change: a serving task goes to the fullest worker that serves, its own image first; a filler that disturbs nobody goes beside serving tasks, where it finds processors that they reserve and don't use, and leaves workers without serving tasks to the others. Balance of shards after each reading; a peer's restart is read at once; losses of the store and of the registration are logged.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -519,6 +519,8 @@
     Known.SeenRevision_ = 0;
     Known.ConfirmedRevision_ = 0;
     Known.HeardSince_ = Now.Steady_;
+    // An entry that runs anew may free the shards of its earlier life.
+    View_.readSoon();
   }
   Known.HeardAt_ = Now.Steady_;
   Known.SeenRevision_ = std::max(Known.SeenRevision_, Message.SeenRevision_);
@@ -1055,10 +1057,13 @@
   View_.tick(Now);
   Desk_.tick(Now, Generator_, Out);
   renounceShards(Now, Out);
-  if (View_.registrations() != CheckedRegistrations_)
+  noteStore(Now, Out);
+  // Each reading may tell of an owner that has come or gone.
+  if (View_.freshAt() != BalancedAt_)
     NextBalance_ = Now.Steady_;
   if (Now.Steady_ >= NextBalance_) {
     NextBalance_ = Now.Steady_ + BalanceEvery;
+    BalancedAt_ = View_.freshAt();
     balanceShards(Now);
     Grants_.prune(Now.Steady_ - KeepGrantsFor);
   }
@@ -1078,6 +1083,25 @@
   complete(Now, Out);
 }
 
+auto EntryCore::noteStore(Moment Now, EntryOutbox &Out) -> void {
+  const auto Log = [&](std::string_view Event, std::string Detail) {
+    Out.push_back(LogDecision{Event, Identity_.Entry_.Value_, View_.revision(),
+                              ErrorKind::None, std::move(Detail)});
+  };
+  const auto Reached = View_.contact(Now) == StoreContact::Fresh;
+  if (Reached != StoreReached_) {
+    const auto Age =
+        std::chrono::duration_cast<Millis>(Now.Steady_ - View_.freshAt());
+    Log(Reached ? "store-reached" : "store-lost",
+        "last read " + std::to_string(Age.count()) + " ms ago");
+  }
+  if (View_.registered() != Registered_)
+    Log(View_.registered() ? "registered" : "registration-lost",
+        std::to_string(View_.peers().size()) + " other entries");
+  StoreReached_ = Reached;
+  Registered_ = View_.registered();
+}
+
 auto EntryCore::leave(Moment Now, EntryOutbox &Out) -> void {
   if (Leaving_)
     return;
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -225,6 +225,8 @@
   auto dispatchClaimed(Moment Now, EntryOutbox &Out) -> void;
   auto complete(Moment Now, EntryOutbox &Out) -> void;
   auto answerPeers(EntryOutbox &Out) -> void;
+  /// Logs when the store, or the registration in it, is lost or regained.
+  auto noteStore(Moment Now, EntryOutbox &Out) -> void;
   auto finishLeaving(Moment Now, EntryOutbox &Out) -> void;
   /// Answers every caller who still waits.
   auto answerRest(EntryOutbox &Out) -> void;
@@ -257,6 +259,10 @@
   TimePoint RemovedGrantsEnd_{};
   TimePoint NextPeerBeat_{};
   TimePoint NextBalance_{};
+  /// The reading of the store after which shards were last balanced.
+  TimePoint BalancedAt_{};
+  bool StoreReached_ = false;
+  bool Registered_ = false;
   /// Registrations since which the shards' heads were checked.
   std::uint64_t CheckedRegistrations_ = 0;
   bool Leaving_ = false;
--- a/core/EnvironmentView.h
+++ b/core/EnvironmentView.h
@@ -39,6 +39,8 @@
   auto learn(Moment Now, const Configuration &Learned) -> void;
   /// Withdraws the registration on a graceful shutdown.
   auto leave() -> void;
+  /// Reads the store at the next tick.
+  auto readSoon() -> void { NextRead_ = {}; }
 
   auto configuration() const -> const Configuration & { return Current_; }
   auto revision() const -> Revision { return Current_.Head_.Revision_; }
--- a/core/Placement.cpp
+++ b/core/Placement.cpp
@@ -1,35 +1,73 @@
 #include "core/Placement.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace skylark {
 namespace {
 
-/// Share of a worker's processors that stay unused once the task runs there.
+/// Part of what serving tasks reserve that they use; fillers get the rest.
+constexpr double ServingUse = 0.5;
+/// Growth of neighbours' tails that is too small to choose by.
+constexpr double SmallPress = 0.05;
+
+auto shareOf(double MilliCores, const PlaceView &Place) -> double {
+  const auto Capacity = std::max<std::int64_t>(Place.Capacity_.MilliCores_, 1);
+  return MilliCores / static_cast<double>(Capacity);
+}
+
+/// Share of a worker's processors that stay free once the task runs there.
 auto freeShare(const StepDeclaration &Step, const PlaceView &Place) -> double {
   const auto Left = Place.Free_.MilliCores_ - Place.FillingMilliCores_ -
                     Step.Resources_.MilliCores_;
-  const auto Capacity = std::max<std::int64_t>(Place.Capacity_.MilliCores_, 1);
-  return static_cast<double>(Left) / static_cast<double>(Capacity);
+  return shareOf(static_cast<double>(Left), Place);
+}
+
+/// Share that is left for fillers, which also get what others reserve and
+/// don't use.
+auto unusedShare(const StepDeclaration &Step, const PlaceView &Place)
+    -> double {
+  const auto Unused =
+      (1 - ServingUse) * static_cast<double>(Place.ServingMilliCores_);
+  return freeShare(Step, Place) + shareOf(Unused, Place);
+}
+
+/// Orders places from worst to best; the first that differs decides.
+using PlaceRank = std::array<double, 4>;
+
+/// Serving tasks stand close together, those of one image first: work that
+/// disturbs them finds workers without them.
+auto rankForServing(const StepDeclaration &Step, const PlaceView &Place)
+    -> PlaceRank {
+  const auto Mixed = Place.SameImage_ ? 0 : Place.ServingImages_;
+  const auto Serves = Place.ServingImages_ > 0;
+  return {Serves ? 1.0 : 0.0, -static_cast<double>(Mixed), -Place.AddedPress_,
+          -freeShare(Step, Place)};
+}
+
+/// Work that disturbs nobody leaves the workers without serving tasks to work
+/// that would.
+auto rankForFilling(const StepDeclaration &Step, const PlaceView &Place)
+    -> PlaceRank {
+  const auto Press = Place.AddedPress_ > SmallPress ? Place.AddedPress_ : 0.0;
+  const auto Unused = unusedShare(Step, Place);
+  const auto Serves = Place.ServingImages_ > 0;
+  return {-Press, Unused >= 0 ? 1.0 : 0.0, Serves ? 1.0 : 0.0, Unused};
 }
 
-/// Images that the place would have beyond the one that it has at least.
-/// Serving tasks of one image are kept together, so that work which disturbs
-/// that image finds workers without it.
-auto mixedImages(const StepDeclaration &Step, const PlaceView &Place)
-    -> std::int64_t {
-  if (Step.TailTarget_ == Millis{0})
-    return 0;
-  return Place.SameImage_ ? 0 : static_cast<std::int64_t>(Place.ServingImages_);
+auto rankForShort(const StepDeclaration &Step, const PlaceView &Place)
+    -> PlaceRank {
+  return {freeShare(Step, Place), 0, 0, 0};
 }
 
-/// Orders places from worst to best.
 auto rankOf(const StepDeclaration &Step, const PlaceView &Place) {
   const auto NearData = Step.DataRack_.empty() || Step.DataRack_ == Place.Rack_;
+  const auto Rank = Step.TailTarget_ > Millis{0} ? rankForServing(Step, Place)
+                    : Step.Fills_                ? rankForFilling(Step, Place)
+                                                 : rankForShort(Step, Place);
   return std::make_tuple(!Place.Suspect_, !Place.FailedHere_, NearData,
-                         Place.Overrun_ <= 0, -mixedImages(Step, Place),
-                         -Place.AddedPress_, freeShare(Step, Place));
+                         Place.Overrun_ <= 0, Rank);
 }
 
 } // namespace
--- a/core/Placement.h
+++ b/core/Placement.h
@@ -19,6 +19,8 @@
   std::string Rack_;
   /// Processors, in thousandths, that tasks which fill already ask for here.
   std::int64_t FillingMilliCores_ = 0;
+  /// Processors, in thousandths, that serving tasks reserve here.
+  std::int64_t ServingMilliCores_ = 0;
   /// Different images of the tasks here that serve users of their own.
   std::size_t ServingImages_ = 0;
   /// Whether tasks of the same image serve here.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -714,6 +714,7 @@
   if (View_.OnlyShard_)
     Place.Free_ -= There->Amount_;
   Place.FillingMilliCores_ = There->FillingMilliCores_;
+  Place.ServingMilliCores_ = There->ServingMilliCores_;
   const auto Step = There->TasksOfStep_.find(stepKeyOf(Task));
   if (Step != There->TasksOfStep_.end())
     Place.TasksOfStep_ = Step->second;
--- a/core/ShardUse.cpp
+++ b/core/ShardUse.cpp
@@ -46,6 +46,7 @@
   There.Amount_ += Held.Amount_;
   There.FillingMilliCores_ += Held.FillingMilliCores_;
   if (Held.Target_ > Millis{0}) {
+    There.ServingMilliCores_ += Held.Amount_.MilliCores_;
     auto &Serving = There.Serving_[Held.Image_];
     ++Serving.Tasks_;
     Serving.Target_ = Held.Target_;
@@ -67,8 +68,11 @@
   auto &There = At_[Held.Agent_];
   There.Amount_ -= Held.Amount_;
   There.FillingMilliCores_ -= Held.FillingMilliCores_;
-  if (Held.Target_ > Millis{0} && --There.Serving_[Held.Image_].Tasks_ == 0)
-    There.Serving_.erase(Held.Image_);
+  if (Held.Target_ > Millis{0}) {
+    There.ServingMilliCores_ -= Held.Amount_.MilliCores_;
+    if (--There.Serving_[Held.Image_].Tasks_ == 0)
+      There.Serving_.erase(Held.Image_);
+  }
   if (Held.FillingMilliCores_ > 0)
     takeAway(There.Filling_, Held.Image_, Held.FillingMilliCores_);
   takeAway(There.TasksOfStep_, stepKeyOf(Task), 1U);
--- a/core/ShardUse.h
+++ b/core/ShardUse.h
@@ -26,6 +26,8 @@
 
   Resources Amount_;
   std::int64_t FillingMilliCores_ = 0;
+  /// What serving tasks reserve; a part of Amount_.
+  std::int64_t ServingMilliCores_ = 0;
   /// By image: what serves, and the processors that fillers ask for.
   std::map<std::string, ServingUse> Serving_;
   std::map<std::string, std::int64_t> Filling_;
--- a/test/correctness/PlacementTest.cpp
+++ b/test/correctness/PlacementTest.cpp
@@ -78,6 +78,39 @@
   BOOST_TEST(choosePlace(Step, {Mixed, Same}) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(ServingTasksLeaveWholeWorkersFree) {
+  auto Step = stepOf(4000);
+  Step.TailTarget_ = Millis{18};
+  auto Serving = placeWith(8000);
+  Serving.ServingImages_ = 1;
+  Serving.SameImage_ = true;
+  auto Fuller = Serving;
+  Fuller.Free_.MilliCores_ = 5000;
+  BOOST_TEST(choosePlace(Step, {placeWith(32000), Serving, Fuller}) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(HarmlessFillersLeaveQuietWorkersToOthers) {
+  auto Step = stepOf(4000);
+  Step.Fills_ = true;
+  auto Serving = placeWith(6000);
+  Serving.ServingImages_ = 1;
+  Serving.ServingMilliCores_ = 26000;
+  BOOST_TEST(choosePlace(Step, {placeWith(32000), Serving}) == 1U);
+  Serving.AddedPress_ = 0.4;
+  BOOST_TEST(choosePlace(Step, {placeWith(32000), Serving}) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(FillersGetWhatServingTasksReserveAndDontUse) {
+  auto Step = stepOf(4000);
+  Step.Fills_ = true;
+  auto Serving = placeWith(0);
+  Serving.ServingImages_ = 1;
+  Serving.ServingMilliCores_ = 32000;
+  auto Crowded = Serving;
+  Crowded.FillingMilliCores_ = 14000;
+  BOOST_TEST(choosePlace(Step, {Crowded, Serving}) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ARetryGoesElsewhere) {
   auto Failed = placeWith(30000);
   Failed.FailedHere_ = true;
