--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -1001,7 +1001,6 @@
     const auto Preferred = preferredOwner(Now, Each->number());
     const auto Mine = Preferred == Identity_.Entry_ && View_.registered() &&
                       View_.contact(Now) == StoreContact::Fresh &&
-                      !View_.lapsesDoubtful(Now) &&
                       knownOwner(Now, Each->number()).empty();
     if (Mine && Each->idle() && !Leaving_)
       Each->take([this](const ShardHead &Head) { return takeRule(Head); });
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -312,6 +312,18 @@
   BOOST_TEST(Bench.owner() == Old);
 }
 
+BOOST_AUTO_TEST_CASE(AnOwnerThatDiedInAnOutageIsReplacedAtItsEnd) {
+  EntryBench Bench;
+  const auto Old = Bench.owner();
+  Bench.StoreCut_.fill(true);
+  Bench.pass(Millis{3000});
+  Bench.kill(Old);
+  Bench.pass(Millis{1000});
+  Bench.StoreCut_.fill(false);
+  Bench.pass(Millis{1000});
+  BOOST_TEST(Bench.owner() == 1 - Old);
+}
+
 BOOST_AUTO_TEST_CASE(AMuchStrongerEntryGetsTheShardOnceItIsSteady) {
   EntryBench Bench;
   const auto Old = Bench.owner();
