--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -15,6 +15,9 @@
 /// How long an entry's own readings of the store must have failed before it
 /// counts as alone: longer than a few refusals of a busy store last.
 constexpr Millis AloneAfter{600};
+/// An entry that has given shards up gets some again once its last reading of
+/// the store is younger than this.
+constexpr Millis BackInReachWithin{700};
 /// How long an entry must have been heard of before a weaker one hands its
 /// shards over to it.
 constexpr Millis SteadyAfter{4000};
@@ -335,11 +338,17 @@
 // Other entries.
 
 auto EntryCore::mayOwn(Moment Now, const EntryId &Peer) const -> bool {
-  const auto Known = Peers_.find(Peer);
+  const auto Found = Peers_.find(Peer);
+  if (Found == Peers_.end())
+    return false;
+  // One that has given shards up may be out of the store's reach still.
+  const auto &Known = Found->second;
   const auto FreshFor = View_.configuration().Document_.Policy_.FreshFor_;
-  return Known != Peers_.end() && canAsk(Now, Peer) &&
-         Known->second.StoreReadAt_ + FreshFor + PeerBeatEvery > Now.Steady_ &&
-         !Known->second.Leaving_;
+  const auto Limit = Known.Renounced_.empty()
+                         ? Duration(FreshFor + PeerBeatEvery)
+                         : Duration(BackInReachWithin);
+  return canAsk(Now, Peer) && !Known.Leaving_ &&
+         Known.StoreReadAt_ + Limit > Now.Steady_;
 }
 
 auto EntryCore::strengthOf(const EntryId &Entry) const -> std::uint32_t {
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -149,6 +149,7 @@
     Policy.RegistrationFor_ = Millis{2000};
     Policy.TaskLease_ = Millis{5000};
     Policy.OutageHorizon_ = Millis{10000};
+    Policy.FreshFor_ = Millis{1500};
     return Policy;
   }
 
@@ -282,6 +283,23 @@
   BOOST_TEST(isJobState(Bench.replyOf(Token)));
 }
 
+BOOST_AUTO_TEST_CASE(AShardThatWasGivenUpIsTakenWithinHalfASecond) {
+  // Whichever of the two the hash prefers.
+  for (std::size_t First = 0; First < EntryCount; ++First) {
+    EntryBench Bench;
+    Bench.kill(1 - First);
+    Bench.pass(Millis{6000});
+    Bench.bear(1 - First);
+    Bench.pass(Millis{2000});
+    BOOST_REQUIRE(Bench.owner() == First);
+    Bench.StoreCut_[First] = true;
+    while (Bench.owner() == First)
+      Bench.pass(Millis{50});
+    Bench.pass(Millis{500});
+    BOOST_TEST(Bench.owner() == 1 - First);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ARenouncedShardStaysFreeWhenTheStoreIsBack) {
   EntryBench Bench;
   const auto Old = Bench.owner();
