A weak entry leaves shards to a strong one that has registered

Change: for 1.5 s after it has registered, an entry takes nothing while a much stronger one is registered that it hasn't heard of yet. Test: Ownership AWeakEntryLeavesTheShardToAStrongOneThatHasRegistered, failed before; 120 pass.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -18,6 +18,9 @@
 /// An entry that has given shards up gets some again once its last reading of
 /// the store is younger than this.
 constexpr Millis BackInReachWithin{700};
+/// How long a weak entry that has just registered leaves shards to a strong
+/// one that is registered too and not heard of yet.
+constexpr Millis StrongerHeardWithin{1500};
 /// How long an entry must have been heard of before a weaker one hands its
 /// shards over to it.
 constexpr Millis SteadyAfter{4000};
@@ -370,6 +373,17 @@
   return chooseOwner(Candidates, Shard);
 }
 
+auto EntryCore::awaitsStronger(Moment Now) const -> bool {
+  // Where all start anew, a weak entry that takes a shard first reads its
+  // ledger for seconds, and then hands it over.
+  return Now.Steady_ < RegisteredAt_ + StrongerHeardWithin &&
+         std::any_of(View_.peers().begin(), View_.peers().end(),
+                     [&](const EntryRegistration &Each) {
+                       return !canAsk(Now, Each.Entry_) &&
+                              isTooWeak(Identity_.Strength_, Each.Strength_);
+                     });
+}
+
 auto EntryCore::knownOwner(Moment Now, ShardNumber Shard) const -> EntryId {
   EntryId Owner;
   Epoch Newest = 0;
@@ -1010,6 +1024,7 @@
     const auto Preferred = preferredOwner(Now, Each->number());
     const auto Mine = Preferred == Identity_.Entry_ && View_.registered() &&
                       View_.contact(Now) == StoreContact::Fresh &&
+                      !awaitsStronger(Now) &&
                       knownOwner(Now, Each->number()).empty();
     if (Mine && Each->idle() && !Leaving_)
       Each->take([this](const ShardHead &Head) { return takeRule(Head); });
@@ -1106,6 +1121,8 @@
   if (View_.registered() != Registered_)
     Log(View_.registered() ? "registered" : "registration-lost",
         std::to_string(View_.peers().size()) + " other entries");
+  if (View_.registered() && !Registered_)
+    RegisteredAt_ = Now.Steady_;
   StoreReached_ = Reached;
   Registered_ = View_.registered();
 }
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -206,6 +206,8 @@
   auto mayMove(Moment Now, ShardNumber Shard, const EntryId &Preferred) const
       -> bool;
   auto strengthOf(const EntryId &Entry) const -> std::uint32_t;
+  /// Whether a much stronger entry may be about to take what has no owner.
+  auto awaitsStronger(Moment Now) const -> bool;
   auto canAsk(Moment Now, const EntryId &Peer) const -> bool;
   auto expireForwards(Moment Now, EntryOutbox &Out) -> void;
   auto preferredOwner(Moment Now, ShardNumber Shard) const -> EntryId;
@@ -263,6 +265,7 @@
   TimePoint BalancedAt_{};
   bool StoreReached_ = false;
   bool Registered_ = false;
+  TimePoint RegisteredAt_{};
   /// Registrations since which the shards' heads were checked.
   std::uint64_t CheckedRegistrations_ = 0;
   bool Leaving_ = false;
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -29,7 +29,8 @@
     pass(Millis{4000});
   }
 
-  auto bear(std::size_t Index) -> void {
+  /// Starts an entry; `Heard` tells whether it and the others reach each other.
+  auto bear(std::size_t Index, bool Heard = true) -> void {
     EntryIdentity Identity;
     Identity.Entry_ = nameOf(Index);
     Identity.Incarnation_ = ++Incarnations_;
@@ -42,11 +43,11 @@
     StoreCut_[Index] = false;
     EntryOutbox Out;
     for (std::size_t Peer = 0; Peer < EntryCount; ++Peer)
-      if (Peer != Index)
+      if (Peer != Index && Heard)
         Entries_[Index]->peerOpened(Now_, nameOf(Peer), Out);
     deliver(Index, std::move(Out));
     for (std::size_t Peer = 0; Peer < EntryCount; ++Peer)
-      if (Peer != Index && Entries_[Peer])
+      if (Peer != Index && Entries_[Peer] && Heard)
         with(Peer, [&](EntryCore &Core, EntryOutbox &Opened) {
           Core.peerOpened(Now_, nameOf(Index), Opened);
         });
@@ -354,6 +355,21 @@
   BOOST_TEST(Bench.owner() == 1 - Old);
 }
 
+BOOST_AUTO_TEST_CASE(AWeakEntryLeavesTheShardToAStrongOneThatHasRegistered) {
+  EntryBench Bench;
+  Bench.kill(1);
+  Bench.Strengths_[1] = 4000;
+  Bench.bear(1);
+  Bench.pass(Millis{8000});
+  BOOST_REQUIRE(Bench.owner() == 1U);
+  Bench.kill(0);
+  Bench.kill(1);
+  Bench.bear(0, false);
+  Bench.bear(1, false);
+  Bench.pass(Millis{800});
+  BOOST_TEST(Bench.owner() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnEntryThatEndsAnswersWhoeverStillWaits) {
   EntryBench Bench;
   const auto Old = Bench.owner();
