--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -18,6 +18,17 @@
   Incarnation Incarnation_ = 0;
 };
 
+/// A snapshot on its way to the store, beside which commits go on.
+struct LedgerSnapshot {
+  /// The first commit that it doesn't hold.
+  CommitNumber Next_ = 0;
+  std::size_t Size_ = 0;
+  std::deque<ShardSegment> ToWrite_;
+  /// Names the segment whose write is open; empty where none is.
+  WriteId Writing_;
+  std::vector<WriteId> Written_;
+};
+
 /// Owns a shard's keys in the store while it holds the highest epoch. Safety
 /// rests on the compare-and-swap alone: a stale writer loses it.
 class LedgerWriter {
@@ -63,16 +74,6 @@
   auto commits() const -> std::uint64_t { return Commits_; }
 
 private:
-  /// A snapshot on its way to the store, beside which commits go on.
-  struct Snapshot {
-    /// The first commit that it doesn't hold.
-    CommitNumber Next_ = 0;
-    std::size_t Size_ = 0;
-    std::deque<ShardSegment> ToWrite_;
-    /// Names the segment whose write is open; empty where none is.
-    WriteId Writing_;
-    std::vector<WriteId> Written_;
-  };
   enum class Phase : std::uint8_t {
     Idle,
     Reading,
@@ -125,7 +126,7 @@
   std::uint64_t Commits_ = 0;
   std::deque<LedgerRecord> Pending_;
   std::vector<LedgerRecord> Batch_;
-  std::optional<Snapshot> Snapshot_;
+  std::optional<LedgerSnapshot> Snapshot_;
   std::vector<LedgerRecord> Committed_;
 };
 
