--- a/test/error/SettingsTest.cpp
+++ b/test/error/SettingsTest.cpp
@@ -47,6 +47,46 @@
   BOOST_TEST(hasPath(Parsed.Problems_, "colour"));
 }
 
+// An entry of a fleet of hundreds of workers did not start, because the
+// settings allowed fewer store calls a second than its store serves.
+BOOST_AUTO_TEST_CASE(EverySizeOfDeploymentIsAllowed) {
+  struct Size {
+    int StoreCalls_;
+    int Descriptors_;
+    const char *Share_;
+    int LinkMbps_;
+  };
+  // From two workers' entries up to the two-year target of 14,000 workers.
+  for (const auto &Each :
+       {Size{20, 1024, "0.05", 1}, Size{400, 4100, "0.25", 1000},
+        Size{1200, 4100, "0.12", 10}, Size{3200, 8192, "0.5", 200},
+        Size{200000, 1048576, "64", 100000}}) {
+    std::ostringstream Text;
+    Text << R"({"role": "entry", "id": "e", "environment": "production",
+      "data_centre": "hobart", "http": {"endpoint": "127.0.0.1:1"},
+      "link": {"endpoint": "127.0.0.1:2"}, "store": {"endpoint":
+      "127.0.0.1:3", "calls_per_second": )"
+         << Each.StoreCalls_ << R"(}, "limits": {"descriptors": )"
+         << Each.Descriptors_ << R"(, "processor_share": )" << Each.Share_
+         << R"(, "cores": 1, "link_mbps": )" << Each.LinkMbps_ << "}}";
+    const auto Problems = parseSettings(Text.str()).Problems_;
+    for (const auto &Mistake : Problems)
+      BOOST_ERROR(describe(Mistake));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnExceededMaximumIsNamedWithItsReason) {
+  const auto Parsed = parseSettings(R"({
+    "role": "entry", "id": "e", "environment": "production",
+    "data_centre": "hobart", "http": {"endpoint": "127.0.0.1:1"},
+    "link": {"endpoint": "127.0.0.1:2"},
+    "store": {"endpoint": "127.0.0.1:3", "calls_per_second": 1000001}})");
+  BOOST_REQUIRE(Parsed.Problems_.size() == 1U);
+  const auto Text = describe(Parsed.Problems_[0]);
+  BOOST_TEST(Text.find("store.calls_per_second") != std::string::npos);
+  BOOST_TEST(Text.find("1000000, the maximum because") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(MalformedAndDeepTextsAreRejected) {
   BOOST_TEST(!parseSettings("{").Problems_.empty());
   BOOST_TEST(!parseDocument(std::string(100000, '[')).Problems_.empty());
--- a/wire/CheckedJson.cpp
+++ b/wire/CheckedJson.cpp
@@ -23,9 +23,17 @@
   return Text;
 }
 
-auto rangeText(IntegerRange Allowed) -> std::string {
-  return "a whole number from " + std::to_string(Allowed.Min_) + " to " +
-         std::to_string(Allowed.Max_);
+/// Describes the range, and for a number that exceeds it the reason for its
+/// maximum.
+auto rangeText(IntegerRange Allowed, const Json *Found) -> std::string {
+  auto Text = "a whole number from " + std::to_string(Allowed.Min_) + " to " +
+              std::to_string(Allowed.Max_);
+  const auto TooLarge =
+      Found != nullptr && Found->is_number() &&
+      Found->get<double>() > static_cast<double>(Allowed.Max_);
+  if (TooLarge && Allowed.MaxReason_ != nullptr)
+    Text += ", the maximum because " + std::string(Allowed.MaxReason_);
+  return Text;
 }
 
 } // namespace
@@ -87,7 +95,7 @@
       return Number;
   }
   if (Value_.is_object())
-    reportProblem(Name, rangeText(Allowed));
+    reportProblem(Name, rangeText(Allowed, Found));
   return Allowed.Min_;
 }
 
--- a/wire/CheckedJson.h
+++ b/wire/CheckedJson.h
@@ -18,6 +18,9 @@
 struct IntegerRange {
   std::int64_t Min_ = 0;
   std::int64_t Max_ = 0;
+  /// Why there is a maximum, to complete the sentence "the maximum is N because
+  /// ..."; null where the range explains itself.
+  const char *MaxReason_ = nullptr;
 };
 
 /// Reads and validates the fields of one JSON object. A field that is missing
--- a/wire/Settings.cpp
+++ b/wire/Settings.cpp
@@ -11,9 +11,23 @@
 namespace {
 
 using Internal::CheckedObject;
+using Internal::IntegerRange;
 
 constexpr std::int64_t MaxPort = 65535;
 
+/// Upper limits that follow from the program itself. None of them describes a
+/// deployment: those differ by orders of magnitude.
+constexpr IntegerRange StoreCallRates{
+    5, 1000000, "the rate limiter counts time in whole microseconds"};
+constexpr IntegerRange ShardCounts{
+    1, 4096, "every entry sends a claim of each shard in its heartbeats"};
+constexpr IntegerRange ConnectionCounts{
+    1, 1000000, "each connection takes a file descriptor of the process"};
+constexpr IntegerRange InFlightCounts{
+    1, 1000000, "each request in flight is kept in memory"};
+constexpr IntegerRange SlotCounts{
+    1, 65536, "a target has no more connections than ports"};
+
 /// Parses "address:port". Returns nothing for other text.
 auto parseEndpoint(const std::string &Text) -> std::optional<Address> {
   const auto Colon = Text.rfind(':');
@@ -54,6 +68,8 @@
 /// File descriptors that are kept back from callers' connections, for files and
 /// the connections to peers, agents and the store.
 constexpr std::int64_t ReservedDescriptors = 700;
+constexpr IntegerRange DescriptorCounts{ReservedDescriptors + 1, 1073741816,
+                                        "the kernel allows a process no more"};
 
 auto connectionLimitFor(std::int64_t Descriptors) -> std::size_t {
   return static_cast<std::size_t>(Descriptors - ReservedDescriptors);
@@ -99,7 +115,7 @@
   });
   Entry.DataCentre_ = {Root.text("data_centre")};
   Entry.ShardCount_ =
-      static_cast<ShardNumber>(Root.integer("shards", {1, 4096}, 8));
+      static_cast<ShardNumber>(Root.integer("shards", ShardCounts, 8));
   Entry.Seed_ =
       static_cast<std::uint64_t>(Root.integer("seed", {0, 1000000000}, 0));
   Entry.StopTimeout_ = Seconds{Root.integer(
@@ -115,8 +131,8 @@
   Entry.PeerAddress_ = Result.Link_.text();
   Root.object("store", true, [&](CheckedObject &Object) {
     Result.Store_ = readAddress(Object);
-    Entry.StoreCallsPerSecond_ =
-        static_cast<double>(Object.integer("calls_per_second", {5, 2000}, 100));
+    Entry.StoreCallsPerSecond_ = static_cast<double>(
+        Object.integer("calls_per_second", StoreCallRates, 100));
   });
   Root.object("limits", false, [&](CheckedObject &Object) {
     auto &Limits = Result.Limits_;
@@ -125,15 +141,15 @@
         Object.integer("body_bytes", {1024, MaxBodyBytes},
                        static_cast<std::int64_t>(Limits.BodyBytes_)));
     Limits.Connections_ = static_cast<std::size_t>(
-        Object.integer("connections", {1, 20000},
+        Object.integer("connections", ConnectionCounts,
                        static_cast<std::int64_t>(Limits.Connections_)));
     if (Object.has("descriptors"))
-      Limits.Connections_ = connectionLimitFor(
-          Object.integer("descriptors", {ReservedDescriptors + 1, 1000000}));
+      Limits.Connections_ =
+          connectionLimitFor(Object.integer("descriptors", DescriptorCounts));
     if (Object.has("processor_share"))
       Entry.CapacityMilliCores_ = readCapacity(Object);
     Entry.Dispatcher_.InFlightLimit_ = static_cast<std::size_t>(Object.integer(
-        "in_flight", {1, 1000000},
+        "in_flight", InFlightCounts,
         static_cast<std::int64_t>(Entry.Dispatcher_.InFlightLimit_)));
   });
 }
@@ -188,9 +204,9 @@
   Root.object("target", !Agent.WorkerAnnounces_, [&](CheckedObject &Object) {
     Result.Target_ = readAddress(Object);
     Agent.Limits_.Slots_ =
-        static_cast<std::uint32_t>(Object.integer("slots", {1, 4096}));
+        static_cast<std::uint32_t>(Object.integer("slots", SlotCounts));
     Agent.Limits_.Connections_ =
-        static_cast<std::uint32_t>(Object.integer("connections", {1, 65536}));
+        static_cast<std::uint32_t>(Object.integer("connections", SlotCounts));
     for (const auto &Name : Object.names("services"))
       Agent.Services_.push_back({Name});
   });
