Settings: reasons of two maxima as the code has them

Cause: read again as a newcomer, the reasons given for the maxima of store calls and shards did not match the code (the limiter doesn't count in microseconds).

--- a/wire/Settings.cpp
+++ b/wire/Settings.cpp
@@ -18,9 +18,9 @@
 /// Upper limits that follow from the program itself. None of them describes a
 /// deployment: those differ by orders of magnitude.
 constexpr IntegerRange StoreCallRates{
-    5, 1000000, "the rate limiter counts time in whole microseconds"};
-constexpr IntegerRange ShardCounts{
-    1, 4096, "every entry sends a claim of each shard in its heartbeats"};
+    5, 1000000, "a burst of one second's calls is kept in memory"};
+constexpr IntegerRange ShardCounts{1, 4096,
+                                   "each shard has a ledger of its own"};
 constexpr IntegerRange ConnectionCounts{
     1, 1000000, "each connection takes a file descriptor of the process"};
 constexpr IntegerRange InFlightCounts{
