Log reports that are not current, missing tasks and attempts that an agent doesn't hold

An end could be acknowledged without a record in the ledger at four places, and none of them left a line. The new lines name the attempt, the epoch and what the owner or the agent holds of the task: report-not-current, task-missing-at-agent, attempt-not-held, end-contradicted, owner-accepted, owner-rejected. No decision changes.

--- a/core/Messages.h
+++ b/core/Messages.h
@@ -32,6 +32,9 @@
   return Phase >= TaskPhase::Finished;
 }
 
+/// Lower-case name of a phase, for log lines.
+auto taskPhaseText(TaskPhase Phase) -> std::string_view;
+
 /// Binds a task to an agent, which may start it once resources are free.
 struct BindTask {
   /// Increases with each BindTask or DispatchRequest message on a connection; a
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -996,8 +996,13 @@
                          Task->Agent_ == From.agent() &&
                          Task->Worker_ == From.Hello_.Worker_ &&
                          HeldTasks.count(Id) == 0 && Proposed_.count(Id) == 0;
-    if (Missing)
-      requeue(Now, Id, ErrorKind::WorkerGone, Task->Checkpoint_, false);
+    if (!Missing)
+      continue;
+    log("task-missing-at-agent", Id.text(), ErrorKind::WorkerGone,
+        "attempt " + std::to_string(Task->Attempt_) + " at " +
+            From.agent().Value_ + ", epoch " + std::to_string(Confirm.Epoch_),
+        Out);
+    requeue(Now, Id, ErrorKind::WorkerGone, Task->Checkpoint_, false);
   }
   Ledger_.advance();
 }
@@ -1053,6 +1058,19 @@
 
 auto ShardOwner::answerStaleReport(const Target &From, const TaskReport &Report,
                                    EntryOutbox &Out) const -> void {
+  const auto *Task = state().findTask(Report.Task_);
+  log("report-not-current", Report.Task_.text(), Report.Reason_,
+      "attempt " + std::to_string(Report.Attempt_) + " " +
+          std::string(taskPhaseText(Report.Phase_)) + " at " +
+          From.agent().Value_ + "; epoch " + std::to_string(Ledger_.epoch()) +
+          " has " +
+          (Task == nullptr ? std::string("no such task")
+                           : std::string(taskStateText(Task->State_)) +
+                                 " attempt " + std::to_string(Task->Attempt_) +
+                                 " at " + Task->Agent_.Value_) +
+          (Proposed_.count(Report.Task_) != 0 ? ", change being committed"
+                                              : ""),
+      Out);
   // The attempt is no longer the current one in the ledger, so the agent can
   // stop reporting its end.
   if (isEnded(Report.Phase_) && Proposed_.count(Report.Task_) == 0)
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -4,6 +4,7 @@
 #include "core/Mutation.h"
 
 #include <algorithm>
+#include <array>
 
 namespace skylark {
 namespace {
@@ -35,6 +36,13 @@
 
 } // namespace
 
+auto taskPhaseText(TaskPhase Phase) -> std::string_view {
+  constexpr std::array<std::string_view, 8> Texts{
+      "queued",   "starting", "running", "stopping",
+      "finished", "failed",   "stopped", "not started"};
+  return Texts[static_cast<std::size_t>(Phase)];
+}
+
 auto TaskManager::reportOf(const HeldTask &Held) -> TaskReport {
   return {Held.Bind_.Shard_, Held.Bind_.Task_, Held.Bind_.Attempt_, Held.Phase_,
           Held.Checkpoint_,  Held.Reason_,     Held.NeedsBinding_};
@@ -153,6 +161,14 @@
     if (FoundTask != Tasks_.end() &&
         FoundTask->second.Bind_.Attempt_ <= Bind.Attempt_)
       continue;
+    Out.push_back(LogDecision{
+        "attempt-not-held", Bind.Task_.text(), 0, Task.Reason_,
+        "attempt " + std::to_string(Bind.Attempt_) + " " +
+            std::string(taskPhaseText(Task.Phase_)) + " on the worker; holds " +
+            (FoundTask == Tasks_.end()
+                 ? std::string("none")
+                 : "attempt " +
+                       std::to_string(FoundTask->second.Bind_.Attempt_))});
     if (isEnded(Task.Phase_))
       Out.push_back(ForgetOnWorker{Bind.Task_, Bind.Attempt_});
     else
@@ -163,8 +179,18 @@
 auto TaskManager::updateTask(HeldTask &Held, const WorkerTask &Observed,
                              AgentOutbox &Out) -> bool {
   Held.Checkpoint_ = Observed.Checkpoint_;
-  if (isEnded(Held.Phase_))
+  if (isEnded(Held.Phase_)) {
+    if (Held.Phase_ != Observed.Phase_ && !Held.ConflictLogged_) {
+      Held.ConflictLogged_ = true;
+      Out.push_back(LogDecision{
+          "end-contradicted", Held.Bind_.Task_.text(), Held.StartRevision_,
+          Held.Reason_,
+          "attempt " + std::to_string(Held.Bind_.Attempt_) + " was reported " +
+              std::string(taskPhaseText(Held.Phase_)) + "; the worker lists " +
+              std::string(taskPhaseText(Observed.Phase_))});
+    }
     return false;
+  }
   if (isEnded(Observed.Phase_)) {
     // A stop that was requested keeps the reason given with the request.
     const auto StopRequested = Held.Phase_ == TaskPhase::Stopping &&
@@ -279,6 +305,7 @@
 
 auto TaskManager::claim(SessionNumber Session, const ClaimOwnership &Claim,
                         AgentOutbox &Out) -> void {
+  const auto KnownEpoch = Owners_[Claim.Shard_].Epoch_;
   const auto OwnerAccepted = acceptOwner(Claim.Shard_, Claim.Epoch_, Session);
   ConfirmOwnership Confirm;
   Confirm.Shard_ = Claim.Shard_;
@@ -287,6 +314,12 @@
   for (const auto &[Task, Held] : Tasks_)
     if (OwnerAccepted && Held.Bind_.Shard_ == Claim.Shard_)
       Confirm.HeldTasks_.push_back(reportOf(Held));
+  Out.push_back(
+      LogDecision{OwnerAccepted ? "owner-accepted" : "owner-rejected",
+                  std::to_string(Claim.Shard_), 0, ErrorKind::None,
+                  "epoch " + std::to_string(Claim.Epoch_) + " after " +
+                      std::to_string(KnownEpoch) + ", holds " +
+                      std::to_string(Confirm.HeldTasks_.size()) + " tasks"});
   Out.push_back(SendToEntry{Session, std::move(Confirm)});
   // A new owner has no interference data yet.
   if (OwnerAccepted && !InterferenceController_.table().Rows_.empty())
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -114,6 +114,9 @@
     bool NeedsBinding_ = false;
     /// Adopted after a restart of the agent; its pace is unknown.
     bool Adopted_ = false;
+    /// Whether it was logged that the worker lists another end than the one
+    /// reported.
+    bool ConflictLogged_ = false;
     /// Since when a best-effort task has waited for latency headroom, that is,
     /// until it can start without a serving task missing its target.
     TimePoint AwaitingHeadroomSince_{};
