--- a/test/fuzz/Checker.cpp
+++ b/test/fuzz/Checker.cpp
@@ -46,6 +46,10 @@
   if (Finished_.count(Task) != 0 &&
       (Bind.Payload_ == "once" || !FaultsInjected_))
     addViolation(concatenate("finished task ran again: ", Task));
+  if (FinishAcknowledged_.count(Task) != 0)
+    addViolation(concatenate("task started again after its end was "
+                             "acknowledged: ",
+                             Task, " attempt ", Bind.Attempt_, " on ", Worker));
   LastAttempt_[Task] = Bind.Attempt_;
   Running_[Task] = {Worker, Bind.Attempt_};
   auto &Allocated = Allocated_[Worker];
@@ -66,10 +70,20 @@
                              " after ", InForce_, " was in force"));
 }
 
+auto Checker::finishAcknowledged(const std::string &Worker, const TaskId &Task,
+                                 AttemptNumber Attempt) -> void {
+  FinishAcknowledged_.insert(Task);
+  if (LastAttempt_[Task] > Attempt)
+    addViolation(concatenate("end of attempt ", Attempt, " of ", Task, " on ",
+                             Worker, " acknowledged, but attempt ",
+                             LastAttempt_[Task], " has started"));
+}
+
 auto Checker::taskEnded(const std::string &Worker, const TaskId &Task,
-                        TaskPhase Phase) -> void {
+                        AttemptNumber Attempt, TaskPhase Phase) -> void {
   const auto Found = Running_.find(Task);
-  if (Found != Running_.end() && Found->second.Worker_ == Worker)
+  if (Found != Running_.end() && Found->second.Worker_ == Worker &&
+      Found->second.Attempt_ == Attempt)
     Running_.erase(Found);
   Allocated_[Worker].erase(Task);
   if (Phase == TaskPhase::Finished)
--- a/test/fuzz/Checker.h
+++ b/test/fuzz/Checker.h
@@ -44,8 +44,13 @@
   auto taskStarted(TrueTime Now, const std::string &Worker,
                    const DataCentreName &DataCentre, const BindTask &Bind,
                    const Resources &Capacity, Revision AgentRevision) -> void;
-  auto taskEnded(const std::string &Worker, const TaskId &Task, TaskPhase Phase)
-      -> void;
+  auto taskEnded(const std::string &Worker, const TaskId &Task,
+                 AttemptNumber Attempt, TaskPhase Phase) -> void;
+  /// The worker was allowed to discard the end of a finished attempt, and its
+  /// leases have not expired in between: the task must not have started again
+  /// since the end, and must not start any more.
+  auto finishAcknowledged(const std::string &Worker, const TaskId &Task,
+                          AttemptNumber Attempt) -> void;
   auto requestRan(const std::string &Body) -> void;
 
   // Events at callers and operators.
@@ -87,6 +92,8 @@
   /// Resources of the running tasks of each worker.
   std::map<std::string, std::map<TaskId, Resources>> Allocated_;
   std::set<TaskId> Finished_;
+  /// Tasks of which the end of a finished attempt was acknowledged.
+  std::set<TaskId> FinishAcknowledged_;
   /// Bodies of the requests that have not been answered.
   std::map<CallerToken, std::string> PendingBodies_;
   /// All requests, by body: bodies are unique, and repeats of a request with an
--- a/test/fuzz/FakeWorker.cpp
+++ b/test/fuzz/FakeWorker.cpp
@@ -1,5 +1,7 @@
 #include "test/fuzz/FakeWorker.h"
 
+#include <algorithm>
+
 namespace skylark::Fuzz {
 
 auto FakeWorker::acceptsAgent(Incarnation Agent) -> bool {
@@ -9,50 +11,69 @@
   return true;
 }
 
+auto FakeWorker::find(const TaskId &Task, AttemptNumber Attempt)
+    -> AttemptState * {
+  const auto Found = Attempts_.find({Task, Attempt});
+  return Found == Attempts_.end() ? nullptr : &Found->second;
+}
+
 auto FakeWorker::start(TrueTime Now, Micros Clock, const StartOnWorker &Start,
-                       Incarnation Agent, Revision AgentRevision) -> void {
-  if (!acceptsAgent(Agent) || Start.LeaseUntil_ <= Clock)
-    return;
+                       Incarnation Agent, Revision AgentRevision)
+    -> StartOutcome {
+  if (!acceptsAgent(Agent))
+    return StartOutcome::Unknown;
   const auto &Bind = Start.Bind_;
-  const auto Found = Tasks_.find(Bind.Task_);
-  if (Found != Tasks_.end() &&
-      (Found->second.Task_.Bind_.Attempt_ >= Bind.Attempt_ ||
-       !isEnded(Found->second.Task_.Phase_)))
-    return;
-  TaskRecord New;
+  const auto *Known = find(Bind.Task_, Bind.Attempt_);
+  if (Known != nullptr && !isEnded(Known->Task_.Phase_))
+    return StartOutcome::Accepted;
+  const auto LastEnded = LastEnded_.find(Bind.Task_);
+  const auto Runs =
+      std::any_of(Attempts_.begin(), Attempts_.end(), [&](const auto &Each) {
+        return Each.first.first == Bind.Task_ &&
+               !isEnded(Each.second.Task_.Phase_);
+      });
+  if (Start.LeaseUntil_ <= Clock || Runs ||
+      (LastEnded != LastEnded_.end() && LastEnded->second >= Bind.Attempt_))
+    return StartOutcome::Refused;
+  auto &New = Attempts_[{Bind.Task_, Bind.Attempt_}];
   New.Task_.Bind_ = Bind;
   New.Task_.Checkpoint_ = Bind.Checkpoint_;
   New.LeaseUntil_ = Start.LeaseUntil_;
+  WorkerLease_ = std::max(WorkerLease_, Start.LeaseUntil_);
   if (!Bind.Checkpoint_.empty())
     New.WorkDone_ = Micros{std::stoll(Bind.Checkpoint_.Value_)};
-  Tasks_[Bind.Task_] = New;
   Checker_.taskStarted(Now, Config_.Name_, Config_.DataCentreName_, Bind,
                        Config_.Capacity_, AgentRevision);
+  return StartOutcome::Accepted;
 }
 
-auto FakeWorker::end(TaskRecord &Each, TaskPhase Phase, ErrorKind Reason)
+auto FakeWorker::end(AttemptState &Each, TaskPhase Phase, ErrorKind Reason)
     -> void {
+  const auto &Bind = Each.Task_.Bind_;
   Each.Task_.Phase_ = Phase;
   Each.Task_.Reason_ = Reason;
   Each.Task_.Checkpoint_ = {std::to_string(Each.WorkDone_.count())};
-  Checker_.taskEnded(Config_.Name_, Each.Task_.Bind_.Task_, Phase);
+  LastEnded_[Bind.Task_] = std::max(LastEnded_[Bind.Task_], Bind.Attempt_);
+  Checker_.taskEnded(Config_.Name_, Bind.Task_, Bind.Attempt_, Phase);
 }
 
 auto FakeWorker::stop(const StopOnWorker &Stop, Incarnation Agent) -> void {
-  const auto Found = Tasks_.find(Stop.Task_);
-  if (acceptsAgent(Agent) && Found != Tasks_.end() &&
-      Found->second.Task_.Bind_.Attempt_ == Stop.Attempt_ &&
-      !isEnded(Found->second.Task_.Phase_))
-    end(Found->second, TaskPhase::Stopped, ErrorKind::None);
+  if (!acceptsAgent(Agent))
+    return;
+  auto *Known = find(Stop.Task_, Stop.Attempt_);
+  if (Known != nullptr && !isEnded(Known->Task_.Phase_))
+    end(*Known, TaskPhase::Stopped, ErrorKind::None);
+  LastEnded_[Stop.Task_] = std::max(LastEnded_[Stop.Task_], Stop.Attempt_);
 }
 
 auto FakeWorker::forget(const ForgetOnWorker &Forget, Incarnation Agent)
     -> void {
-  const auto Found = Tasks_.find(Forget.Task_);
-  if (acceptsAgent(Agent) && Found != Tasks_.end() &&
-      Found->second.Task_.Bind_.Attempt_ == Forget.Attempt_ &&
-      isEnded(Found->second.Task_.Phase_))
-    Tasks_.erase(Found);
+  const auto *Known = find(Forget.Task_, Forget.Attempt_);
+  if (!acceptsAgent(Agent) || Known == nullptr || !isEnded(Known->Task_.Phase_))
+    return;
+  if (Known->Task_.Phase_ == TaskPhase::Finished && !Known->LapsedSinceEnd_)
+    Checker_.finishAcknowledged(Config_.Name_, Forget.Task_, Forget.Attempt_);
+  Attempts_.erase({Forget.Task_, Forget.Attempt_});
 }
 
 auto FakeWorker::renewLeases(const PollWorker &Poll, Incarnation Agent)
@@ -60,28 +81,47 @@
   if (!acceptsAgent(Agent))
     return;
   for (const auto &Lease : Poll.Leases_) {
-    const auto Found = Tasks_.find(Lease.Task_);
-    if (Found != Tasks_.end() &&
-        Found->second.Task_.Bind_.Attempt_ == Lease.Attempt_)
-      Found->second.LeaseUntil_ =
-          std::max(Found->second.LeaseUntil_, Lease.LeaseUntil_);
+    auto *Known = find(Lease.Task_, Lease.Attempt_);
+    if (Known != nullptr)
+      Known->LeaseUntil_ = std::max(Known->LeaseUntil_, Lease.LeaseUntil_);
   }
+  const auto First =
+      std::min_element(Poll.Leases_.begin(), Poll.Leases_.end(),
+                       [](const WorkerLease &Left, const WorkerLease &Right) {
+                         return Left.LeaseUntil_ < Right.LeaseUntil_;
+                       });
+  if (First != Poll.Leases_.end())
+    WorkerLease_ = std::max(WorkerLease_, First->LeaseUntil_);
+}
+
+auto FakeWorker::leaseOf(const AttemptState &Each) const -> Micros {
+  return Config_.ListsIdsOnly_ ? WorkerLease_ : Each.LeaseUntil_;
 }
 
 auto FakeWorker::inventory(Micros Clock) const -> WorkerInventory {
   WorkerInventory Inventory;
   Inventory.Worker_ = Config_.Incarnation_;
   Inventory.Clock_ = Clock;
-  for (const auto &Each : Tasks_)
-    Inventory.Tasks_.push_back(Each.second.Task_);
+  for (const auto &[Key, Each] : Attempts_) {
+    Inventory.Tasks_.push_back(Each.Task_);
+    if (!Config_.ListsIdsOnly_)
+      continue;
+    auto &Listed = Inventory.Tasks_.back();
+    Listed.IdOnly_ = true;
+    Listed.Bind_ = {};
+    Listed.Bind_.Task_ = Key.first;
+    Listed.Bind_.Attempt_ = Key.second;
+  }
   return Inventory;
 }
 
 auto FakeWorker::advance(Micros Clock, Micros Elapsed) -> void {
-  for (auto &[Task, Each] : Tasks_) {
-    if (isEnded(Each.Task_.Phase_))
+  for (auto &[Key, Each] : Attempts_) {
+    if (isEnded(Each.Task_.Phase_)) {
+      Each.LapsedSinceEnd_ |= leaseOf(Each) < Clock;
       continue;
-    if (Each.LeaseUntil_ < Clock) {
+    }
+    if (leaseOf(Each) < Clock) {
       end(Each, TaskPhase::Stopped, ErrorKind::LeaseExpired);
       continue;
     }
@@ -95,10 +135,11 @@
 }
 
 auto FakeWorker::terminate() -> void {
-  for (auto &[Task, Each] : Tasks_)
+  for (auto &[Key, Each] : Attempts_)
     if (!isEnded(Each.Task_.Phase_))
-      Checker_.taskEnded(Config_.Name_, Task, TaskPhase::Failed);
-  Tasks_.clear();
+      Checker_.taskEnded(Config_.Name_, Key.first, Key.second,
+                         TaskPhase::Failed);
+  Attempts_.clear();
 }
 
 } // namespace skylark::Fuzz
--- a/test/fuzz/FakeWorker.h
+++ b/test/fuzz/FakeWorker.h
@@ -13,6 +13,9 @@
   DataCentreName DataCentreName_;
   Resources Capacity_;
   Incarnation Incarnation_ = 0;
+  /// Whether the worker lists only the ids of its attempts, not their bindings,
+  /// and has one lease for all of them.
+  bool ListsIdsOnly_ = false;
 };
 
 /// Simulates a worker that runs tasks under leases, and reports their starts
@@ -27,8 +30,10 @@
   /// \param Clock time on the worker's own clock, on which leases end.
   /// \param Agent incarnation of the agent that gives the command.
   /// \param AgentRevision revision that the agent had when it gave the command.
+  /// \returns Accepted if the worker has the attempt, Refused if it is too late
+  ///   or not newer than one that has ended, and Unknown for an older agent.
   auto start(TrueTime Now, Micros Clock, const StartOnWorker &Start,
-             Incarnation Agent, Revision AgentRevision) -> void;
+             Incarnation Agent, Revision AgentRevision) -> StartOutcome;
   auto stop(const StopOnWorker &Stop, Incarnation Agent) -> void;
   auto forget(const ForgetOnWorker &Forget, Incarnation Agent) -> void;
   auto renewLeases(const PollWorker &Poll, Incarnation Agent) -> void;
@@ -44,21 +49,33 @@
   auto config() const -> const WorkerConfig & { return Config_; }
 
 private:
-  struct TaskRecord {
+  using AttemptKey = std::pair<TaskId, AttemptNumber>;
+  struct AttemptState {
     WorkerTask Task_;
     Micros LeaseUntil_{0};
     /// Run time completed so far; a checkpoint holds this value.
     Micros WorkDone_{0};
+    /// Whether the attempt's lease has expired since the attempt ended.
+    bool LapsedSinceEnd_ = false;
   };
   /// Whether an agent's command may take effect; records the agent if so.
   auto acceptsAgent(Incarnation Agent) -> bool;
-  auto end(TaskRecord &Each, TaskPhase Phase, ErrorKind Reason) -> void;
+  auto find(const TaskId &Task, AttemptNumber Attempt) -> AttemptState *;
+  auto leaseOf(const AttemptState &Each) const -> Micros;
+  auto end(AttemptState &Each, TaskPhase Phase, ErrorKind Reason) -> void;
 
   WorkerConfig Config_;
   Checker &Checker_;
   /// The highest agent incarnation seen.
   Incarnation NewestAgent_ = 0;
-  std::map<TaskId, TaskRecord> Tasks_;
+  /// Running attempts, and ended ones that the agent has not discarded.
+  std::map<AttemptKey, AttemptState> Attempts_;
+  /// The highest attempt of each task that was stopped or ended here; only
+  /// higher ones can start.
+  std::map<TaskId, AttemptNumber> LastEnded_;
+  /// The lease of all attempts of a worker that lists ids only; others have one
+  /// for each attempt.
+  Micros WorkerLease_{0};
   bool Failing_ = false;
 };
 
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -21,6 +21,8 @@
 const std::array<const char *, 3> DataCentres{"hobart", "launceston", "burnie"};
 constexpr Millis TickInterval{50};
 constexpr Millis StoreTimeout{1000};
+/// Time after which a start command counts as unanswered.
+constexpr Millis OrderTimeout{400};
 /// Steady clocks start far from zero, and each one has its own rate.
 constexpr Seconds SteadyStart{1000};
 const WallTime WallStart{Seconds{1796000000}};
@@ -88,6 +90,9 @@
   bool Leaving_ = false;
   std::deque<std::function<void()>> DeferredCommands_;
   Revision HighestRevision_ = 0;
+  /// How many copies of each start command without a definite answer this
+  /// process has sent.
+  std::map<std::pair<TaskId, AttemptNumber>, int> UnansweredStarts_;
 };
 
 /// A connection between an agent and an entry, with the state at either end.
@@ -151,7 +156,7 @@
   Identity.Incarnation_ = ++LastIncarnation_;
   Identity.Environment_ = {"production"};
   Identity.DataCentre_ = {DataCentres[Index % DataCentres.size()]};
-  Identity.ShardCount_ = 4;
+  Identity.ShardCount_ = shardCount();
   Identity.StoreCallsPerSecond_ = 200;
   Identity.Seed_ = Generator_();
   Node.Core_ = std::make_unique<EntryCore>(Identity);
@@ -177,6 +182,7 @@
   Identity.Services_ = {{"check"}, {"lodge"}};
   Node.Incarnation_ = Identity.Incarnation_;
   Node.Core_ = std::make_unique<AgentCore>(Identity);
+  Node.UnansweredStarts_.clear();
   Node.Leaving_ = false;
   Node.FrozenUntil_ = TrueTime{0};
   Node.DeferredCommands_.clear();
@@ -194,6 +200,7 @@
   Config.DataCentreName_ = {DataCentres[Index % DataCentres.size()]};
   Config.Capacity_ = WorkerCapacity;
   Config.Incarnation_ = ++LastIncarnation_;
+  Config.ListsIdsOnly_ = Config_.MinimalWorkers_;
   Node.Worker_ = std::make_unique<FakeWorker>(Config, Checker_);
   startAgent(Index);
 }
@@ -538,8 +545,21 @@
       closeFromEntry(Each);
 }
 
-auto Simulation::execute(std::size_t /*Entry*/,
-                         const LogDecision & /*Decision*/) -> void {}
+auto Simulation::trace(const std::string &Process,
+                       const LogDecision &Decision) const -> void {
+  if (!Config_.Trace_)
+    return;
+  std::printf("%9.3f %-8s %s %s %s; %s\n",
+              std::chrono::duration<double>(Now_).count(), Process.c_str(),
+              std::string(Decision.Event_).c_str(), Decision.Subject_.c_str(),
+              std::string(errorInfo(Decision.Reason_).Code_).c_str(),
+              Decision.Detail_.c_str());
+}
+
+auto Simulation::execute(std::size_t Entry, const LogDecision &Decision)
+    -> void {
+  trace(Entries_[Entry]->Id_.Value_, Decision);
+}
 
 auto Simulation::execute(std::size_t Entry, const ExitProcess & /*Exit*/)
     -> void {
@@ -604,14 +624,52 @@
 
 auto Simulation::executeForAgent(std::size_t Agent, const StartOnWorker &Start)
     -> void {
-  const auto AgentIncarnation = Agents_[Agent]->Incarnation_;
-  const auto Revision = Agents_[Agent]->Core_->configuration().Head_.Revision_;
-  callWorker(Agent, [this, Agent, Start, AgentIncarnation,
-                     Revision](FakeWorker &Worker) {
+  auto &Node = *Agents_[Agent];
+  const auto AgentIncarnation = Node.Incarnation_;
+  const auto Generation = Node.Generation_;
+  const auto Revision = Node.Core_->configuration().Head_.Revision_;
+  const auto Answered = std::make_shared<bool>(!Config_.MinimalWorkers_);
+  const auto AnswerOnce = [this, Agent, Generation, Answered,
+                           Bind = Start.Bind_](StartOutcome Outcome) {
+    if (!std::exchange(*Answered, true) &&
+        Agents_[Agent]->Generation_ == Generation)
+      answerStart(Agent, Bind, Outcome);
+  };
+  callWorker(Agent, [this, Agent, Start, AgentIncarnation, Revision,
+                     AnswerOnce](FakeWorker &Worker) {
     const auto Clock = std::chrono::duration_cast<Micros>(
         localTime(Agents_[Agent]->WorkerClockRate_).Steady_.time_since_epoch());
-    Worker.start(Now_, Clock, Start, AgentIncarnation, Revision);
+    const auto Outcome =
+        Worker.start(Now_, Clock, Start, AgentIncarnation, Revision);
+    const auto AnswerLost = Config_.MinimalWorkers_ &&
+                            ActiveUntil_[FaultKind::Reorder] > Now_ &&
+                            chance(0.2);
+    if (Config_.MinimalWorkers_ && !AnswerLost)
+      scheduleAt(Now_ + randomDelay() / 4,
+                 [AnswerOnce, Outcome] { AnswerOnce(Outcome); });
   });
+  if (!Config_.MinimalWorkers_)
+    return;
+  ++Node.UnansweredStarts_[{Start.Bind_.Task_, Start.Bind_.Attempt_}];
+  scheduleAfter(OrderTimeout,
+                [AnswerOnce] { AnswerOnce(StartOutcome::Unknown); });
+}
+
+auto Simulation::answerStart(std::size_t Agent, const BindTask &Bind,
+                             StartOutcome Outcome) -> void {
+  auto &Unanswered = Agents_[Agent]->UnansweredStarts_;
+  const auto Found = Unanswered.find({Bind.Task_, Bind.Attempt_});
+  if (Found == Unanswered.end())
+    return;
+  const auto Copies = Found->second;
+  if (Outcome != StartOutcome::Unknown)
+    Unanswered.erase(Found);
+  if (Outcome == StartOutcome::Refused && Copies != 1)
+    return;
+  callAgent(Agent,
+            [Bind, Outcome](AgentCore &Core, Moment Then, AgentOutbox &Out) {
+              Core.startAnswered(Then, Bind.Task_, Bind.Attempt_, Outcome, Out);
+            });
 }
 
 auto Simulation::executeForAgent(std::size_t Agent, const StopOnWorker &Stop)
@@ -671,8 +729,10 @@
   });
 }
 
-auto Simulation::executeForAgent(std::size_t /*Agent*/,
-                                 const LogDecision & /*Decision*/) -> void {}
+auto Simulation::executeForAgent(std::size_t Agent, const LogDecision &Decision)
+    -> void {
+  trace("agent-" + std::to_string(Agent), Decision);
+}
 
 auto Simulation::executeForAgent(std::size_t /*Agent*/,
                                  const PaceOnWorker & /*Pace*/) -> void {}
@@ -966,7 +1026,7 @@
   for (const auto *Name : DataCentres)
     setDataCentreOut({Name}, false);
   for (const auto &Node : Entries_)
-    for (ShardNumber Shard = 0; Node->Core_ && Shard < 4; ++Shard)
+    for (ShardNumber Shard = 0; Node->Core_ && Shard < shardCount(); ++Shard)
       if (const auto *State = Node->Core_->shardState(Shard))
         for (const auto &[Id, Job] : State->jobs())
           if (Job.isWatcher() && !Job.Cancelled_)
@@ -1005,11 +1065,12 @@
   std::size_t OwnedShards = 0;
   for (const auto &Node : Entries_)
     OwnedShards += Node->Core_->ownedShards();
-  if (OwnedShards != 4)
-    Checker_.addViolation("at the end " + std::to_string(OwnedShards) +
-                          " of 4 shards have an owner");
+  if (OwnedShards != shardCount())
+    Checker_.addViolation("at the end " + std::to_string(OwnedShards) + " of " +
+                          std::to_string(shardCount()) +
+                          " shards have an owner");
   for (const auto &Node : Entries_) {
-    for (ShardNumber Shard = 0; Shard < 4; ++Shard) {
+    for (ShardNumber Shard = 0; Shard < shardCount(); ++Shard) {
       const auto *State = Node->Core_->shardState(Shard);
       if (State == nullptr)
         continue;
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -93,6 +93,11 @@
   /// Time without new work and faults at the end of the run, in which all
   /// batch work must complete.
   Millis Quiet_{60000};
+  /// As on the users' platform: workers list only the ids of their attempts,
+  /// answers to start commands may be lost, and there is one shard.
+  bool MinimalWorkers_ = false;
+  /// Whether to print the decisions that the processes log.
+  bool Trace_ = false;
 };
 
 /// How often each fault was injected in a run, and how much work was done.
@@ -191,6 +196,10 @@
   auto execute(std::size_t Entry, const ExitProcess &Exit) -> void;
   auto executeForAgent(std::size_t Agent, const SendToEntry &Send) -> void;
   auto executeForAgent(std::size_t Agent, const StartOnWorker &Start) -> void;
+  /// Reports the outcome of a start command to the agent's present process if
+  /// it is definite, as the platform's worker client does.
+  auto answerStart(std::size_t Agent, const BindTask &Bind,
+                   StartOutcome Outcome) -> void;
   auto executeForAgent(std::size_t Agent, const StopOnWorker &Stop) -> void;
   auto executeForAgent(std::size_t Agent, const ForgetOnWorker &Forget) -> void;
   auto executeForAgent(std::size_t Agent, const PollWorker &Poll) -> void;
@@ -241,6 +250,13 @@
   /// Checks that all shards have an owner and that no batch work is left.
   auto checkFinalState() -> void;
 
+  /// Prints a line of the trace, if one was asked for.
+  auto trace(const std::string &Process, const LogDecision &Decision) const
+      -> void;
+  auto shardCount() const -> ShardNumber {
+    return Config_.MinimalWorkers_ ? 1 : 4;
+  }
+
   SimulationConfig Config_;
   Random Generator_;
   Checker Checker_;
--- a/test/fuzz/Soak.cpp
+++ b/test/fuzz/Soak.cpp
@@ -8,6 +8,7 @@
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <iostream>
 #include <mutex>
@@ -21,8 +22,23 @@
 /// Faults last from 200 ms to 200 ms plus this time.
 constexpr std::uint32_t FaultDurationSpreadMs = 12000;
 
+/// The fault kinds with these names; all kinds if `Names` is empty.
+auto selectKinds(const std::vector<std::string> &Names)
+    -> std::vector<FaultKind> {
+  std::vector<FaultKind> Kinds;
+  for (int Index = 0; Index < static_cast<int>(FaultKind::Count); ++Index) {
+    const auto Kind = static_cast<FaultKind>(Index);
+    if (Names.empty() ||
+        std::find(Names.begin(), Names.end(), faultName(Kind)) != Names.end())
+      Kinds.push_back(Kind);
+  }
+  return Kinds;
+}
+
 /// Makes the configuration of one run; the same arguments give the same faults.
-auto makeConfig(std::uint64_t Seed, int FaultCount) -> SimulationConfig {
+/// \param Kinds the kinds to choose from.
+auto makeConfig(std::uint64_t Seed, int FaultCount,
+                const std::vector<FaultKind> &Kinds) -> SimulationConfig {
   SimulationConfig Config;
   Config.Seed_ = Seed;
   Random Generator(Seed * 7919 + 13);
@@ -31,8 +47,7 @@
   };
   for (int Index = 0; Index < FaultCount; ++Index) {
     Fault Each;
-    Each.Kind_ = static_cast<FaultKind>(
-        Draw(static_cast<std::uint32_t>(FaultKind::Count) - 1));
+    Each.Kind_ = Kinds[Draw(static_cast<std::uint32_t>(Kinds.size()) - 1)];
     Each.StartMs_ =
         3000 + Draw(static_cast<std::uint32_t>(Config.Busy_.count()) - 3000);
     Each.DurationMs_ = 200 + Draw(FaultDurationSpreadMs);
@@ -59,14 +74,16 @@
 /// Prints the violations of a failed run, and those of the run with its faults
 /// reduced to the necessary ones.
 auto printFailure(const SimulationConfig &Config,
-                  const std::vector<std::string> &Violations) -> void {
+                  const std::vector<std::string> &Violations, bool Trace)
+    -> void {
   std::cout << "seed " << Config.Seed_ << " failed:\n";
   for (const auto &Each : Violations)
     std::cout << "  " << Each << '\n';
-  const auto Shrunk = shrink(Config);
+  auto Shrunk = shrink(Config);
   std::cout << "  these faults alone make it fail:\n";
   for (const auto &Each : Shrunk.Faults_)
     std::cout << "    " << Each << '\n';
+  Shrunk.Trace_ = Trace;
   for (const auto &Each : Simulation(Shrunk).run())
     std::cout << "  violation with these faults: " << Each << '\n';
 }
@@ -84,12 +101,25 @@
       "quiet", "seconds to complete all work after the last fault",
       cxxopts::value<int>()->default_value("60"))(
       "mutation", "number of the mutation to activate; the run must detect it",
-      cxxopts::value<int>()->default_value("0"))("h,help", "print this text");
+      cxxopts::value<int>()->default_value("0"))(
+      "kinds", "kinds of faults to inject, separated by commas; all by default",
+      cxxopts::value<std::vector<std::string>>())(
+      "minimal-workers", "workers list only task ids and attempts; one shard")(
+      "trace", "print what the processes log in a failed run, reduced to the "
+               "necessary faults")("h,help", "print this text");
   const auto Parsed = Options.parse(Count, Arguments);
   if (Parsed.count("help") != 0) {
     std::cout << Options.help();
     return 0;
   }
+  const auto Kinds =
+      selectKinds(Parsed.count("kinds") != 0
+                      ? Parsed["kinds"].as<std::vector<std::string>>()
+                      : std::vector<std::string>{});
+  if (Kinds.empty()) {
+    std::cerr << "--kinds names no known kind of fault\n";
+    return 2;
+  }
   const auto MutationNumber = Parsed["mutation"].as<int>();
   setMutation(static_cast<Mutation>(MutationNumber));
   const auto FirstSeed = Parsed["seed"].as<std::uint64_t>();
@@ -105,7 +135,8 @@
       if (MutationNumber != 0 && DetectedSeed != 0)
         return;
       auto Config = makeConfig(FirstSeed + static_cast<std::uint64_t>(Index),
-                               Parsed["faults"].as<int>());
+                               Parsed["faults"].as<int>(), Kinds);
+      Config.MinimalWorkers_ = Parsed.count("minimal-workers") != 0;
       Config.Quiet_ = Seconds{Parsed["quiet"].as<int>()};
       Simulation Run(Config);
       const auto Violations = Run.run();
@@ -121,7 +152,7 @@
         continue;
       ++FailedRuns;
       if (MutationNumber == 0)
-        printFailure(Config, Violations);
+        printFailure(Config, Violations, Parsed.count("trace") != 0);
       else if (DetectedSeed == 0) {
         DetectedSeed = Config.Seed_;
         std::cout << "mutation " << MutationNumber << " found at seed "
