Agent: a later attempt waits until the earlier one has ended, and doesn't end the process

Callers saw the tasks of a whole worker without an agent for a second or more. Cause: an agent that was frozen past its leases still holds attempt 1 when the owner, which gave that attempt up, binds attempt 2 to it. The agent asserted that this can't happen and ended its process. The test Agent/ALaterAttemptWaitsUntilTheEarlierOneHasEnded failed before with signal SIGABRT. The agent now stops the earlier attempt and leaves the binding out; the owner repeats it.

--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -337,15 +337,18 @@
     return;
   const auto Found = Tasks_.find(Bind.Task_);
   if (Found != Tasks_.end()) {
-    SKYLARK_ASSERT(Bind.Attempt_ <= Found->second.Bind_.Attempt_ ||
-                       isEnded(Found->second.Phase_),
-                   "second attempt bound while the first is held:", Bind.Task_,
-                   Bind.Attempt_);
     if (Bind.Attempt_ <= Found->second.Bind_.Attempt_) {
       completeBinding(Found->second, Bind);
       report(Found->second, Out);
       return;
     }
+    // The owner gave the earlier attempt up while this agent couldn't be
+    // reached. The binding is taken when the owner repeats it after that
+    // attempt has ended.
+    if (!isEnded(Found->second.Phase_)) {
+      stopHeld(Found->second, ErrorKind::StaleEpoch, Out);
+      return;
+    }
   }
   auto &Held = Tasks_[Bind.Task_];
   Held = HeldTask{};
