Agent: a stop counts while the start is unanswered

Cause: a stop that reached the agent while a start was unanswered was dropped, and the agent went on repeating the start command every 400 ms, as long as its permits lasted. Ruled out: a late copy of the first command alone, whose lease ends with the start permit, at most 2 s after it. The tests Agent/ATaskStoppedWhileItsStartIsUnansweredIsNotStartedAgain and ...IsStoppedOnceItRuns failed before (no stop command; the start repeated). The agent now remembers the stop, tells the worker at once, which then refuses a start that arrives later, and repeats the stop instead of the start.

--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -193,19 +193,24 @@
   }
   if (isEnded(Observed.Phase_)) {
     // A stop that was requested keeps the reason given with the request.
-    const auto StopRequested = Held.Phase_ == TaskPhase::Stopping &&
-                               Observed.Phase_ == TaskPhase::Stopped;
+    const auto StopRequested =
+        Held.StopRequested_ && Observed.Phase_ == TaskPhase::Stopped;
     end(Held, Observed.Phase_, StopRequested ? Held.Reason_ : Observed.Reason_,
         Out);
     return true;
   }
-  if (Held.Phase_ == TaskPhase::Starting) {
-    Held.Phase_ = TaskPhase::Running;
-    report(Held, Out);
-  }
+  if (Held.Phase_ == TaskPhase::Starting)
+    startObserved(Held, Out);
   return false;
 }
 
+auto TaskManager::startObserved(HeldTask &Held, AgentOutbox &Out) -> void {
+  Held.Phase_ = TaskPhase::Running;
+  report(Held, Out);
+  if (Held.StopRequested_)
+    stopHeld(Held, Held.Reason_, Out);
+}
+
 auto TaskManager::startAnswered(TimePoint Now, const TaskId &Task,
                                 AttemptNumber Attempt, StartOutcome Outcome,
                                 const StartPermits &Permits, AgentOutbox &Out)
@@ -216,17 +221,18 @@
     return;
   auto &Held = Found->second;
   if (Outcome == StartOutcome::Accepted) {
-    Held.Phase_ = TaskPhase::Running;
     const auto Pace = InterferenceController_.startPace(Task, Attempt);
     if (Held.Bind_.BestEffort_ && Pace < FullPace)
       Out.push_back(PaceOnWorker{Task, Attempt, Pace});
-    report(Held, Out);
+    startObserved(Held, Out);
     return;
   }
   if (Outcome == StartOutcome::Refused) {
     end(Held, TaskPhase::NotStarted, ErrorKind::WorkerGone, Out);
     return;
   }
+  if (Held.StopRequested_)
+    return;
   // A second copy of the start command is harmless: the worker runs an attempt
   // only once.
   const auto Until = std::min(runUntil(Held, Permits),
@@ -260,7 +266,10 @@
     return;
   const auto Phase = Held.Phase_ == TaskPhase::Starting ? TaskPhase::NotStarted
                                                         : TaskPhase::Failed;
-  end(Held, Phase, ErrorKind::WorkerGone, Out);
+  const auto NotStarted = Phase == TaskPhase::NotStarted;
+  end(Held, Phase,
+      NotStarted && Held.StopRequested_ ? Held.Reason_ : ErrorKind::WorkerGone,
+      Out);
 }
 
 auto TaskManager::end(HeldTask &Held, TaskPhase Phase, ErrorKind Reason,
@@ -393,13 +402,16 @@
     end(Held, TaskPhase::NotStarted, Reason, Out);
     return;
   }
-  if (Held.Phase_ != TaskPhase::Running && Held.Phase_ != TaskPhase::Stopping)
+  if (isEnded(Held.Phase_))
     return;
-  if (Held.Phase_ == TaskPhase::Running) {
+  if (!Held.StopRequested_) {
+    Held.StopRequested_ = true;
     Held.Reason_ = Reason;
     log("stop-ordered", Held, Out);
   }
-  Held.Phase_ = TaskPhase::Stopping;
+  // A stop that arrives before the start makes the worker refuse the start.
+  if (Held.Phase_ != TaskPhase::Starting)
+    Held.Phase_ = TaskPhase::Stopping;
   Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
 }
 
@@ -546,7 +558,7 @@
     if (isEnded(Held.Phase_))
       report(Held, Out);
     // The stop command may have been lost on its way to the worker.
-    if (Held.Phase_ == TaskPhase::Stopping)
+    else if (Held.StopRequested_)
       Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
   }
 }
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -114,6 +114,9 @@
     bool NeedsBinding_ = false;
     /// Adopted after a restart of the agent; its pace is unknown.
     bool Adopted_ = false;
+    /// Whether the worker was told to stop the task. While the start is
+    /// unanswered, the phase stays Starting.
+    bool StopRequested_ = false;
     /// Whether it was logged that the worker lists another end than the one
     /// reported.
     bool ConflictLogged_ = false;
@@ -150,6 +153,9 @@
   auto report(const HeldTask &Held, AgentOutbox &Out) const -> void;
   auto startTask(HeldTask &Held, TimePoint LeaseUntil, Revision Observed,
                  AgentOutbox &Out) -> void;
+  /// Handles that the worker has the task, whose start was commanded.
+  auto startObserved(HeldTask &Held, AgentOutbox &Out) -> void;
+  /// Ends a queued task, and commands the worker to stop any other.
   auto stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out) -> void;
   /// Until when the task may run under its owner's grants.
   auto runUntil(const HeldTask &Held, const StartPermits &Permits) const
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -347,4 +347,24 @@
   BOOST_TEST(Fixture.lastReport("a")->Attempt_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(ATaskStoppedWhileItsStartIsUnansweredIsNotStartedAgain) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.receive(StopTask{0, 1, {{"a"}, 0}, 1, ErrorKind::Cancelled});
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+  Fixture.clear();
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                              StartOutcome::Unknown, Fixture.Out_);
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ATaskStoppedWhileItsStartIsUnansweredIsStoppedOnceItRuns) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.receive(StopTask{0, 1, {{"a"}, 0}, 1, ErrorKind::Cancelled});
+  Fixture.clear();
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf({"a"}));
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
