Agent: an expired lease is never extended, whatever the phase of the task

Callers would see one task run twice: an agent that was frozen or cut off past its lease got new grants for the shard and extended the lease of every task it still held, also of those that the owner had given up and bound elsewhere. Cause: only queued tasks were checked for an expired lease. An unanswered start was repeated under the new grants, and running tasks were renewed. Class: a process that was paused acts on a permission that has run out. The tests Agent/AnExpiredLeaseIsNotExtendedForAnUnansweredStart (the start command was repeated) and Agent/ARunningTaskIsStoppedOnceItsLeaseHasExpired (no stop, the lease renewed) failed before. The lease of an attempt now ends for good: a queued task is returned, any other is stopped and no longer renewed; a repeated start carries no later lease than the attempt's own.

--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -235,8 +235,8 @@
     return;
   // A second copy of the start command is harmless: the worker runs an attempt
   // only once.
-  const auto Until = std::min(runUntil(Held, Permits),
-                              Permits.startUntil(Held.StartRevision_));
+  const auto Until =
+      std::min(Held.LeaseUntil_, Permits.startUntil(Held.StartRevision_));
   if (Until <= Now)
     return;
   recordLease(Now, Until);
@@ -425,16 +425,23 @@
   Tasks_.erase(Found);
 }
 
+auto TaskManager::hasExpired(const HeldTask &Held, TimePoint Now) -> bool {
+  // The lease of an adopted task is unknown until its owner grants one.
+  const auto Granted = Held.LeaseUntil_ != TimePoint{};
+  return Held.LeaseUntil_ <= Now &&
+         (Granted || Held.Phase_ == TaskPhase::Queued);
+}
+
 auto TaskManager::refreshLeases(TimePoint Now, const StartPermits &Permits,
                                 AgentOutbox &Out) -> void {
   for (auto &[Task, Held] : Tasks_) {
-    const auto Expired =
-        Held.Phase_ == TaskPhase::Queued && Held.LeaseUntil_ <= Now;
-    if (Expired)
-      end(Held, TaskPhase::NotStarted, ErrorKind::LeaseExpired, Out);
-    else if (!isEnded(Held.Phase_))
-      // A lease that was granted stays valid when the connection closes.
+    if (isEnded(Held.Phase_))
+      continue;
+    // A lease that was granted stays valid when the connection closes.
+    if (!hasExpired(Held, Now))
       Held.LeaseUntil_ = std::max(Held.LeaseUntil_, runUntil(Held, Permits));
+    else if (Held.Phase_ == TaskPhase::Queued || !Held.StopRequested_)
+      stopHeld(Held, ErrorKind::LeaseExpired, Out);
   }
 }
 
@@ -578,7 +585,7 @@
     const auto Renewable = Held.Phase_ == TaskPhase::Starting ||
                            Held.Phase_ == TaskPhase::Running ||
                            Held.Phase_ == TaskPhase::Stopping;
-    if (!Renewable || RunUntil == TimePoint{} || WorkerClock_ == Micros{0})
+    if (!Renewable || RunUntil <= Now || WorkerClock_ == Micros{0})
       continue;
     recordLease(Now, RunUntil);
     Poll.Leases_.push_back(
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -57,8 +57,8 @@
   /// Removes an ended task once its owner has recorded the end.
   auto acknowledge(const TaskReportAck &Ack, AgentOutbox &Out) -> void;
 
-  /// Returns queued tasks whose lease has expired to their owners, and extends
-  /// the leases of the others.
+  /// Returns queued tasks whose lease has expired to their owners, stops others
+  /// whose lease has expired, and extends the leases of the rest.
   /// Must run before a message is handled: the owner may have bound a task
   /// elsewhere once its lease has expired, so an expired lease must never be
   /// extended.
@@ -157,6 +157,7 @@
   auto startObserved(HeldTask &Held, AgentOutbox &Out) -> void;
   /// Ends a queued task, and commands the worker to stop any other.
   auto stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out) -> void;
+  static auto hasExpired(const HeldTask &Held, TimePoint Now) -> bool;
   /// Until when the task may run under its owner's grants.
   auto runUntil(const HeldTask &Held, const StartPermits &Permits) const
       -> TimePoint;
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -367,4 +367,33 @@
   BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(AnExpiredLeaseIsNotExtendedForAnUnansweredStart) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.Now_.Steady_ += RunGrantDuration + Millis{1000};
+  Fixture.advance(Millis{50});
+  Fixture.acknowledgeHeartbeat();
+  Fixture.clear();
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                              StartOutcome::Unknown, Fixture.Out_);
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ARunningTaskIsStoppedOnceItsLeaseHasExpired) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                              StartOutcome::Accepted, Fixture.Out_);
+  Fixture.clear();
+  Fixture.Now_.Steady_ += RunGrantDuration + Millis{1000};
+  Fixture.advance(Millis{50});
+  Fixture.acknowledgeHeartbeat();
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() >= 1U);
+  Fixture.clear();
+  Fixture.advance(Millis{600});
+  for (const auto &Each : Fixture.Out_)
+    if (const auto *Poll = std::get_if<PollWorker>(&Each))
+      BOOST_TEST(Poll->Leases_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
