Agent: the worker's list decides how an attempt ended, and no end is discarded unreported

Callers saw a task start again after it had ended as done. Cause, two ways to one effect: (1) an agent that had reported an attempt as not started or lost ignored that the worker listed it as finished later, from a copy of the start command that was carried out late; the acknowledgement of the first report let the worker discard the end. (2) An end of an attempt that the agent doesn't hold was discarded at once. A later binding also replaced a finished attempt whose end no owner had recorded. Class: evidence that work is done is dropped before it is recorded. Failed before: Agent/AnAttemptReportedNotStartedThatFinishedIsReportedAgain (stays not started), AnAttemptReportedNotStartedThatRunsIsStopped (0 stops), AnEndThatIsNotHeldIsReportedBeforeItIsDiscarded (discarded at once, no report), AFinishedAttemptIsNotReplacedByALaterBinding (attempt 2 started). Now the listed end is reported again, an unheld end is reported and discarded only when acknowledged, and a binding of a finished task is answered with that end. Acknowledged ends that the worker still lists are not reported again.

--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -15,9 +15,7 @@
 /// to its owner.
 constexpr Millis HeadroomTimeout{700};
 
-using AttemptKey = std::pair<TaskId, AttemptNumber>;
-
-auto keyOf(const BindTask &Bind) -> AttemptKey {
+auto keyOf(const BindTask &Bind) -> std::pair<TaskId, AttemptNumber> {
   return {Bind.Task_, Bind.Attempt_};
 }
 
@@ -92,7 +90,7 @@
     else
       resolveMissing(Held, Inventory, Out);
   }
-  removeUnknownTasks(Inventory, Out);
+  handleUnheldAttempts(Inventory, Out);
   return NewlyEnded;
 }
 
@@ -153,14 +151,28 @@
     Out.push_back(SendToEntry{Session, Orders.Sample_});
 }
 
-auto TaskManager::removeUnknownTasks(const WorkerInventory &Inventory,
-                                     AgentOutbox &Out) -> void {
+auto TaskManager::handleUnheldAttempts(const WorkerInventory &Inventory,
+                                       AgentOutbox &Out) -> void {
+  std::map<AttemptKey, TaskReport> Listed;
   for (const auto &Task : Inventory.Tasks_) {
     const auto &Bind = Task.Bind_;
     const auto FoundTask = Tasks_.find(Bind.Task_);
     if (FoundTask != Tasks_.end() &&
         FoundTask->second.Bind_.Attempt_ <= Bind.Attempt_)
       continue;
+    if (!isEnded(Task.Phase_))
+      Out.push_back(StopOnWorker{Bind.Task_, Bind.Attempt_});
+    else if (AcknowledgedEnds_.count(keyOf(Bind)) != 0)
+      Out.push_back(ForgetOnWorker{Bind.Task_, Bind.Attempt_});
+    const TaskReport Report{Bind.Shard_, Bind.Task_,       Bind.Attempt_,
+                            Task.Phase_, Task.Checkpoint_, Task.Reason_,
+                            false};
+    Listed.emplace(keyOf(Bind), Report);
+    const auto Known = UnheldAttempts_.find(keyOf(Bind));
+    const auto Changed =
+        Known == UnheldAttempts_.end() || Known->second.Phase_ != Report.Phase_;
+    if (!Changed || AcknowledgedEnds_.count(keyOf(Bind)) != 0)
+      continue;
     Out.push_back(LogDecision{
         "attempt-not-held", Bind.Task_.text(), 0, Task.Reason_,
         "attempt " + std::to_string(Bind.Attempt_) + " " +
@@ -170,25 +182,36 @@
                  : "attempt " +
                        std::to_string(FoundTask->second.Bind_.Attempt_))});
     if (isEnded(Task.Phase_))
-      Out.push_back(ForgetOnWorker{Bind.Task_, Bind.Attempt_});
-    else
-      Out.push_back(StopOnWorker{Bind.Task_, Bind.Attempt_});
+      sendReport(Report, Out);
   }
+  for (auto Each = AcknowledgedEnds_.begin(); Each != AcknowledgedEnds_.end();)
+    Each = Listed.count(*Each) == 0 ? AcknowledgedEnds_.erase(Each)
+                                    : std::next(Each);
+  for (const auto &Key : AcknowledgedEnds_)
+    Listed.erase(Key);
+  UnheldAttempts_ = std::move(Listed);
+}
+
+auto TaskManager::finishedAttempt(const BindTask &Later) const
+    -> std::optional<TaskReport> {
+  if (Later.Kind_ == WorkKind::Watcher)
+    return std::nullopt;
+  const auto Held = Tasks_.find(Later.Task_);
+  if (Held != Tasks_.end() && Held->second.Phase_ == TaskPhase::Finished)
+    return reportOf(Held->second);
+  for (auto Each = UnheldAttempts_.lower_bound({Later.Task_, 0});
+       Each != UnheldAttempts_.end() && Each->first.first == Later.Task_;
+       ++Each)
+    if (Each->second.Phase_ == TaskPhase::Finished)
+      return Each->second;
+  return std::nullopt;
 }
 
 auto TaskManager::updateTask(HeldTask &Held, const WorkerTask &Observed,
                              AgentOutbox &Out) -> bool {
   Held.Checkpoint_ = Observed.Checkpoint_;
   if (isEnded(Held.Phase_)) {
-    if (Held.Phase_ != Observed.Phase_ && !Held.ConflictLogged_) {
-      Held.ConflictLogged_ = true;
-      Out.push_back(LogDecision{
-          "end-contradicted", Held.Bind_.Task_.text(), Held.StartRevision_,
-          Held.Reason_,
-          "attempt " + std::to_string(Held.Bind_.Attempt_) + " was reported " +
-              std::string(taskPhaseText(Held.Phase_)) + "; the worker lists " +
-              std::string(taskPhaseText(Observed.Phase_))});
-    }
+    correctEnd(Held, Observed, Out);
     return false;
   }
   if (isEnded(Observed.Phase_)) {
@@ -204,6 +227,29 @@
   return false;
 }
 
+auto TaskManager::correctEnd(HeldTask &Held, const WorkerTask &Observed,
+                             AgentOutbox &Out) -> void {
+  if (Held.Phase_ == Observed.Phase_)
+    return;
+  // The attempt was reported ended, so its owner may have started another one.
+  if (!isEnded(Observed.Phase_))
+    Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
+  if (!Held.ConflictLogged_) {
+    Held.ConflictLogged_ = true;
+    Out.push_back(LogDecision{
+        "end-contradicted", Held.Bind_.Task_.text(), Held.StartRevision_,
+        Held.Reason_,
+        "attempt " + std::to_string(Held.Bind_.Attempt_) + " was reported " +
+            std::string(taskPhaseText(Held.Phase_)) + "; the worker lists " +
+            std::string(taskPhaseText(Observed.Phase_))});
+  }
+  if (Observed.Phase_ != TaskPhase::Finished)
+    return;
+  Held.Phase_ = TaskPhase::Finished;
+  Held.Reason_ = ErrorKind::None;
+  report(Held, Out);
+}
+
 auto TaskManager::startObserved(HeldTask &Held, AgentOutbox &Out) -> void {
   Held.Phase_ = TaskPhase::Running;
   report(Held, Out);
@@ -291,10 +337,14 @@
 }
 
 auto TaskManager::report(const HeldTask &Held, AgentOutbox &Out) const -> void {
-  const auto Session = sessionOf(Held.Bind_.Shard_);
-  if (Session == 0)
-    return;
-  Out.push_back(SendToEntry{Session, reportOf(Held)});
+  sendReport(reportOf(Held), Out);
+}
+
+auto TaskManager::sendReport(const TaskReport &Report, AgentOutbox &Out) const
+    -> void {
+  const auto Session = sessionOf(Report.Shard_);
+  if (Session != 0)
+    Out.push_back(SendToEntry{Session, Report});
 }
 
 auto TaskManager::sessionOf(ShardNumber Shard) const -> SessionNumber {
@@ -323,6 +373,10 @@
   for (const auto &[Task, Held] : Tasks_)
     if (OwnerAccepted && Held.Bind_.Shard_ == Claim.Shard_)
       Confirm.HeldTasks_.push_back(reportOf(Held));
+  for (const auto &[Key, Report] : UnheldAttempts_)
+    if (OwnerAccepted && Report.Shard_ == Claim.Shard_ &&
+        isEnded(Report.Phase_))
+      Confirm.HeldTasks_.push_back(Report);
   Out.push_back(
       LogDecision{OwnerAccepted ? "owner-accepted" : "owner-rejected",
                   std::to_string(Claim.Shard_), 0, ErrorKind::None,
@@ -359,6 +413,11 @@
       return;
     }
   }
+  // The owner doesn't know yet that the task is done.
+  if (const auto Finished = finishedAttempt(Bind)) {
+    sendReport(*Finished, Out);
+    return;
+  }
   auto &Held = Tasks_[Bind.Task_];
   Held = HeldTask{};
   Held.Bind_ = Bind;
@@ -417,12 +476,18 @@
 
 auto TaskManager::acknowledge(const TaskReportAck &Ack, AgentOutbox &Out)
     -> void {
-  const auto Found = Tasks_.find(Ack.Task_);
-  if (Found == Tasks_.end() || Found->second.Bind_.Attempt_ != Ack.Attempt_ ||
-      !isEnded(Found->second.Phase_))
+  const AttemptKey Key{Ack.Task_, Ack.Attempt_};
+  const auto Held = Tasks_.find(Ack.Task_);
+  const auto Unheld = UnheldAttempts_.find(Key);
+  if (Held != Tasks_.end() && keyOf(Held->second.Bind_) == Key &&
+      isEnded(Held->second.Phase_))
+    Tasks_.erase(Held);
+  else if (Unheld != UnheldAttempts_.end() && isEnded(Unheld->second.Phase_))
+    UnheldAttempts_.erase(Unheld);
+  else
     return;
+  AcknowledgedEnds_.insert(Key);
   Out.push_back(ForgetOnWorker{Ack.Task_, Ack.Attempt_});
-  Tasks_.erase(Found);
 }
 
 auto TaskManager::hasExpired(const HeldTask &Held, TimePoint Now) -> bool {
@@ -568,6 +633,9 @@
     else if (Held.StopRequested_)
       Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
   }
+  for (const auto &[Key, Report] : UnheldAttempts_)
+    if (isEnded(Report.Phase_))
+      sendReport(Report, Out);
 }
 
 auto TaskManager::recordLease(TimePoint Now, TimePoint Until) -> void {
@@ -601,9 +669,11 @@
 }
 
 auto TaskManager::hasUnacknowledgedEnds() const -> bool {
-  return std::any_of(Tasks_.begin(), Tasks_.end(), [](const auto &Each) {
+  const auto HasEnded = [](const auto &Each) {
     return isEnded(Each.second.Phase_);
-  });
+  };
+  return std::any_of(Tasks_.begin(), Tasks_.end(), HasEnded) ||
+         std::any_of(UnheldAttempts_.begin(), UnheldAttempts_.end(), HasEnded);
 }
 
 auto TaskManager::queued() const -> std::uint32_t {
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -8,6 +8,8 @@
 #include "core/StartPermits.h"
 
 #include <map>
+#include <optional>
+#include <set>
 
 namespace skylark {
 
@@ -89,8 +91,11 @@
   auto close(SessionNumber Session) -> void;
 
   auto free() const -> Resources { return Ledger_.free(); }
-  auto empty() const -> bool { return Tasks_.empty(); }
-  /// Whether there are ended tasks whose end the owner has not acknowledged.
+  /// Whether no task is held and no end awaits its owner.
+  auto empty() const -> bool {
+    return Tasks_.empty() && !hasUnacknowledgedEnds();
+  }
+  /// Whether there are ended attempts whose end the owner has not acknowledged.
   auto hasUnacknowledgedEnds() const -> bool;
   /// Number of tasks that wait for resources, without best-effort tasks that
   /// wait for latency headroom.
@@ -98,6 +103,7 @@
   auto worker() const -> Incarnation { return Worker_; }
 
 private:
+  using AttemptKey = std::pair<TaskId, AttemptNumber>;
   struct HeldTask {
     BindTask Bind_;
     TaskPhase Phase_ = TaskPhase::Queued;
@@ -144,13 +150,22 @@
   /// that was sent for it may still take effect.
   auto resolveMissing(HeldTask &Held, const WorkerInventory &Inventory,
                       AgentOutbox &Out) -> void;
-  /// Makes the worker stop attempts that the agent doesn't hold, or discard its
-  /// records of them if they have ended.
-  auto removeUnknownTasks(const WorkerInventory &Inventory, AgentOutbox &Out)
+  /// Handles that the worker lists an ended attempt otherwise than it was
+  /// reported: its list counts.
+  auto correctEnd(HeldTask &Held, const WorkerTask &Observed, AgentOutbox &Out)
+      -> void;
+  /// Makes the worker stop attempts that the agent doesn't hold, and reports
+  /// the ends of such attempts, which an owner must record or know already
+  /// before the worker may discard them.
+  auto handleUnheldAttempts(const WorkerInventory &Inventory, AgentOutbox &Out)
       -> void;
+  /// Returns the report of a finished attempt of the task, if there is one.
+  auto finishedAttempt(const BindTask &Later) const
+      -> std::optional<TaskReport>;
   auto end(HeldTask &Held, TaskPhase Phase, ErrorKind Reason, AgentOutbox &Out)
       -> void;
   auto report(const HeldTask &Held, AgentOutbox &Out) const -> void;
+  auto sendReport(const TaskReport &Report, AgentOutbox &Out) const -> void;
   auto startTask(HeldTask &Held, TimePoint LeaseUntil, Revision Observed,
                  AgentOutbox &Out) -> void;
   /// Handles that the worker has the task, whose start was commanded.
@@ -190,6 +205,11 @@
   TimePoint WorkerClockAt_{};
   /// By task. A new attempt replaces an earlier one that has ended.
   std::map<TaskId, HeldTask> Tasks_;
+  /// Attempts in the worker's last inventory that the agent doesn't hold and
+  /// whose ends no owner has acknowledged.
+  std::map<AttemptKey, TaskReport> UnheldAttempts_;
+  /// Acknowledged ends that the worker may still list.
+  std::set<AttemptKey> AcknowledgedEnds_;
   std::map<ShardNumber, Owner> Owners_;
 };
 
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -396,4 +396,57 @@
       BOOST_TEST(Poll->Leases_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AnAttemptReportedNotStartedThatFinishedIsReportedAgain) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                              StartOutcome::Refused, Fixture.Out_);
+  BOOST_TEST((Fixture.lastReport("a")->Phase_ == TaskPhase::NotStarted));
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryWithFinished("a"));
+  BOOST_TEST((Fixture.lastReport("a")->Phase_ == TaskPhase::Finished));
+}
+
+BOOST_AUTO_TEST_CASE(AnAttemptReportedNotStartedThatRunsIsStopped) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                              StartOutcome::Refused, Fixture.Out_);
+  Fixture.clear();
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf({"a"}));
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnEndThatIsNotHeldIsReportedBeforeItIsDiscarded) {
+  AgentFixture Fixture;
+  Fixture.clear();
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryWithFinished("x"));
+  BOOST_TEST(Fixture.countOutputs<ForgetOnWorker>() == 0U);
+  BOOST_REQUIRE(Fixture.lastReport("x").has_value());
+  BOOST_TEST((Fixture.lastReport("x")->Phase_ == TaskPhase::Finished));
+  Fixture.receive(TaskReportAck{{{"x"}, 0}, 1});
+  BOOST_TEST(Fixture.countOutputs<ForgetOnWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAcknowledgedEndThatIsStillListedIsNotReportedAgain) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryWithFinished("a"));
+  Fixture.receive(TaskReportAck{{{"a"}, 0}, 1});
+  Fixture.clear();
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryWithFinished("a"));
+  BOOST_TEST(!Fixture.lastReport("a").has_value());
+  BOOST_TEST(Fixture.countOutputs<ForgetOnWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AFinishedAttemptIsNotReplacedByALaterBinding) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryWithFinished("a"));
+  Fixture.clear();
+  Fixture.bind("a", 1000, 2);
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+  BOOST_REQUIRE(Fixture.lastReport("a").has_value());
+  BOOST_TEST(Fixture.lastReport("a")->Attempt_ == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
