Owner: a finished attempt is recorded even if its task was put back meanwhile

Cause: the owner had put the task back (grant of a cut-off agent expired, agent with a new worker, task missing at its agent) when the report 'finished' came. Three ways: the task pending or bound again, and the report acknowledged as outdated; the change that puts it back still being committed, and its commit acknowledging the attempt, though nobody had recorded that it finished. Class: evidence that work is done is dropped before it is recorded. Failed before: Ownership/AFinishedReportOfAnEarlierAttemptFinishesAPendingTask (attempt 2 bound), ...StopsTheLaterOne (attempt 1 acknowledged, task not finished, no stop), AFinishReportedWhileItsTaskIsPutBackIsRecorded (acknowledged and bound again). What to do with a report that is not current is a function of its own (core/StaleReport). A finished attempt is recorded; a binding whose write has not begun is withdrawn, a later attempt is stopped. A commit acknowledges an attempt only if its agent has reported an end that the commit covers.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Assert.h"
 #include "core/Mutation.h"
+#include "core/StaleReport.h"
 
 #include <algorithm>
 #include <cmath>
@@ -625,6 +626,10 @@
   const auto *Job = state().findJob(Record.Task_.Job_);
   if (Job == nullptr)
     return;
+  const auto FoundDelivery = Bound_.find(Record.Task_);
+  const auto WasBound = FoundDelivery != Bound_.end();
+  const auto ReportedEnd =
+      WasBound ? FoundDelivery->second.ReportedEnd_ : TaskPhase::Queued;
   updateIndex(*Job, Record.Task_);
   if (Record.State_ == TaskState::Failed)
     Failing_.erase(Record.Task_.Job_);
@@ -641,9 +646,21 @@
   }
   if (Record.State_ == TaskState::Finished)
     ++Context_.Counters_.TasksFinished_;
-  if (BoundTo != nullptr)
+  // An attempt that finished while its task was being put back is not recorded
+  // yet; the agent reports it again.
+  const auto Unrecorded =
+      ReportedEnd == TaskPhase::Finished &&
+      Job->task(Record.Task_).State_ == TaskState::Pending &&
+      !Job->stepOf(Record.Task_).LongRunning_;
+  if (BoundTo != nullptr && isEnded(ReportedEnd) && !Unrecorded)
     Out.push_back(SendToAgent{BoundTo->Session_,
                               TaskReportAck{Record.Task_, Record.Attempt_}});
+  // An earlier attempt has finished.
+  if (BoundTo != nullptr && WasBound && !isEnded(ReportedEnd) &&
+      Record.State_ == TaskState::Finished)
+    Out.push_back(SendToAgent{BoundTo->Session_,
+                              StopTask{Shard_, Ledger_.epoch(), Record.Task_,
+                                       Record.Attempt_, ErrorKind::Cancelled}});
   log("task-settled", Record.Task_.text(), Record.Reason_,
       std::string(taskStateText(Record.State_)) + " after attempt " +
           std::to_string(Record.Attempt_) + " at " + Record.Agent_.Value_,
@@ -1042,12 +1059,14 @@
                        Task->Agent_ == From.agent() &&
                        Task->Worker_ == From.Hello_.Worker_;
   if (!Current) {
-    answerStaleReport(From, Report, Out);
+    handleStaleReport(Now, From, Report, Out);
     return;
   }
   auto &Delivery = Bound_[Report.Task_];
   Delivery.Sent_ = true;
   Delivery.Reported_ = true;
+  if (isEnded(Report.Phase_))
+    Delivery.ReportedEnd_ = Report.Phase_;
   if (Report.NeedsBinding_ && !isEnded(Report.Phase_))
     sendBind(Now, Report.Task_, From, Out);
   if (!isEnded(Report.Phase_) || Proposed_.count(Report.Task_) != 0)
@@ -1056,10 +1075,13 @@
   Ledger_.advance();
 }
 
-auto ShardOwner::answerStaleReport(const Target &From, const TaskReport &Report,
-                                   EntryOutbox &Out) const -> void {
-  const auto *Task = state().findTask(Report.Task_);
-  log("report-not-current", Report.Task_.text(), Report.Reason_,
+auto ShardOwner::handleStaleReport(Moment Now, const Target &From,
+                                   const TaskReport &Report, EntryOutbox &Out)
+    -> void {
+  const auto &Id = Report.Task_;
+  const auto *Job = state().findJob(Id.Job_);
+  const auto *Task = state().findTask(Id);
+  log("report-not-current", Id.text(), Report.Reason_,
       "attempt " + std::to_string(Report.Attempt_) + " " +
           std::string(taskPhaseText(Report.Phase_)) + " at " +
           From.agent().Value_ + "; epoch " + std::to_string(Ledger_.epoch()) +
@@ -1068,18 +1090,38 @@
                            : std::string(taskStateText(Task->State_)) +
                                  " attempt " + std::to_string(Task->Attempt_) +
                                  " at " + Task->Agent_.Value_) +
-          (Proposed_.count(Report.Task_) != 0 ? ", change being committed"
-                                              : ""),
+          (Proposed_.count(Id) != 0 ? ", change being committed" : ""),
       Out);
-  // The attempt is no longer the current one in the ledger, so the agent can
-  // stop reporting its end.
-  if (isEnded(Report.Phase_) && Proposed_.count(Report.Task_) == 0)
-    Out.push_back(SendToAgent{From.Session_,
-                              TaskReportAck{Report.Task_, Report.Attempt_}});
-  if (!isEnded(Report.Phase_))
-    Out.push_back(SendToAgent{
-        From.Session_, StopTask{Shard_, Ledger_.epoch(), Report.Task_,
-                                Report.Attempt_, ErrorKind::StaleEpoch}});
+  const auto Action = chooseStaleReportAction(
+      Task, Report, Task != nullptr && Job->stepOf(Id).LongRunning_,
+      Proposed_.count(Id) != 0 && !withdrawBinding(Report));
+  if (Action == StaleReportAction::RecordFinish) {
+    propose(Id, makeChange(*Task, TaskState::Finished, ErrorKind::None, Now));
+    Ledger_.advance();
+  } else if (Action == StaleReportAction::Acknowledge) {
+    Out.push_back(
+        SendToAgent{From.Session_, TaskReportAck{Id, Report.Attempt_}});
+  } else if (Action == StaleReportAction::Stop) {
+    Out.push_back(SendToAgent{From.Session_, StopTask{Shard_, Ledger_.epoch(),
+                                                      Id, Report.Attempt_,
+                                                      ErrorKind::StaleEpoch}});
+  }
+}
+
+auto ShardOwner::withdrawBinding(const TaskReport &Report) -> bool {
+  const auto &Id = Report.Task_;
+  if (Report.Phase_ != TaskPhase::Finished)
+    return false;
+  const auto Withdrawn = Ledger_.withdraw([&](const LedgerRecord &Record) {
+    const auto *Change = std::get_if<TaskChanged>(&Record);
+    return Change != nullptr && Change->Task_ == Id &&
+           Change->State_ == TaskState::Bound;
+  });
+  if (!Withdrawn)
+    return false;
+  Proposed_.erase(Id);
+  Usage_.release(*state().findJob(Id.Job_), Id);
+  return true;
 }
 
 auto ShardOwner::handleTaskEnd(Moment Now, Target &From,
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -161,6 +161,9 @@
     bool Sent_ = false;
     /// Whether the agent has sent a report of the task.
     bool Reported_ = false;
+    /// The end that the agent has reported of the current attempt; a phase
+    /// that is no end if there is none.
+    TaskPhase ReportedEnd_ = TaskPhase::Queued;
     TimePoint SentAt_{};
     /// When the agent was last asked to stop the task.
     TimePoint StopSentAt_{};
@@ -300,9 +303,12 @@
   /// lost once its worker is gone and can no longer be running it.
   auto checkBoundTask(Moment Now, const TaskId &Task, BindDelivery &Delivery,
                       EntryOutbox &Out) -> void;
-  /// Answers a report of an attempt that is not the current one of its task.
-  auto answerStaleReport(const Target &From, const TaskReport &Report,
-                         EntryOutbox &Out) const -> void;
+  /// Handles a report of an attempt that is not the current one of its task.
+  auto handleStaleReport(Moment Now, const Target &From,
+                         const TaskReport &Report, EntryOutbox &Out) -> void;
+  /// Withdraws the binding of a task whose earlier attempt is reported as
+  /// finished. \returns whether there was one whose write had not begun.
+  auto withdrawBinding(const TaskReport &Report) -> bool;
   auto handleTaskEnd(Moment Now, Target &From, const TaskReport &Report)
       -> void;
   /// Counts an attempt's outcome towards the quarantine of its worker.
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -19,6 +19,16 @@
   return {"entry-" + std::to_string(Index)};
 }
 
+/// A report of an attempt of a job's first task.
+auto taskReport(const std::string &Job, AttemptNumber Attempt, TaskPhase Phase)
+    -> TaskReport {
+  TaskReport Report;
+  Report.Task_ = {{Job}, 0};
+  Report.Attempt_ = Attempt;
+  Report.Phase_ = Phase;
+  return Report;
+}
+
 /// Two entries that are connected to each other, and one agent that has a
 /// session with each.
 class EntryFixture {
@@ -94,6 +104,17 @@
     for (std::size_t Index = 0; Index < EntryCount; ++Index)
       sendFromAgent(Index, Message);
   }
+  /// Sends the owner a report of an attempt of a job's first task.
+  auto report(const std::string &Job, AttemptNumber Attempt, TaskPhase Phase)
+      -> void {
+    sendFromAgent(owner(), taskReport(Job, Attempt, Phase));
+  }
+  auto acknowledged(const std::string &Job, AttemptNumber Attempt) const
+      -> bool {
+    return std::any_of(Acks_.begin(), Acks_.end(), [&](const auto &Each) {
+      return Each.Task_ == TaskId{{Job}, 0} && Each.Attempt_ == Attempt;
+    });
+  }
   /// Closes the agent's sessions.
   auto leave() -> void {
     Worker_ = 0;
@@ -145,6 +166,10 @@
   std::array<bool, EntryCount> StoreUnreachable_{};
   std::array<std::uint32_t, EntryCount> Capacities_{1000, 1000};
   std::vector<BindTask> Binds_;
+  std::vector<TaskReportAck> Acks_;
+  std::vector<StopTask> Stops_;
+  /// What the agent lists when it confirms an owner.
+  std::vector<TaskReport> HeldTasks_;
   /// Addresses of the entries in the last list that the agent got.
   std::vector<std::string> KnownAddresses_;
   Moment Now_{TimePoint(Seconds{100}), WallTime(Seconds{1000})};
@@ -220,11 +245,15 @@
       return;
     if (const auto *Bind = std::get_if<BindTask>(&Send.Message_))
       Binds_.push_back(*Bind);
+    if (const auto *Ack = std::get_if<TaskReportAck>(&Send.Message_))
+      Acks_.push_back(*Ack);
+    if (const auto *Stop = std::get_if<StopTask>(&Send.Message_))
+      Stops_.push_back(*Stop);
     if (const auto *KnownList = std::get_if<KnownEntries>(&Send.Message_))
       KnownAddresses_ = KnownList->Addresses_;
     if (const auto *Claim = std::get_if<ClaimOwnership>(&Send.Message_))
-      sendFromAgent(
-          From, ConfirmOwnership{Claim->Shard_, Claim->Epoch_, Worker_, {}});
+      sendFromAgent(From, ConfirmOwnership{Claim->Shard_, Claim->Epoch_,
+                                           Worker_, HeldTasks_});
   }
   auto perform(std::size_t /*From*/, const AnswerCaller &Answer) -> void {
     Replies_[Answer.Token_] = Answer.Reply_;
@@ -463,4 +492,73 @@
               ErrorKind::UnknownJob));
 }
 
+BOOST_AUTO_TEST_CASE(AFinishedReportOfAnEarlierAttemptFinishesAPendingTask) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->State_ == TaskState::Bound);
+  Fixture.leave();
+  Fixture.advance(Millis{8000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->State_ == TaskState::Pending);
+  Fixture.HeldTasks_ = {taskReport("a", 1, TaskPhase::Finished)};
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{100});
+  Fixture.report("a", 1, TaskPhase::Finished);
+  Fixture.advance(Millis{2000});
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Finished));
+  BOOST_TEST(Fixture.taskStatus("a")->Attempt_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AFinishedReportOfAnEarlierAttemptStopsTheLaterOne) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  Fixture.leave();
+  Fixture.connectAgent(2);
+  Fixture.advance(Millis{2000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->Attempt_ == 2U);
+  Fixture.report("a", 1, TaskPhase::Finished);
+  BOOST_TEST(!Fixture.acknowledged("a", 1));
+  Fixture.advance(Millis{200});
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Finished));
+  BOOST_REQUIRE(!Fixture.Stops_.empty());
+  BOOST_TEST(Fixture.Stops_.back().Attempt_ == 2U);
+  Fixture.report("a", 1, TaskPhase::Finished);
+  BOOST_TEST(Fixture.acknowledged("a", 1));
+}
+
+BOOST_AUTO_TEST_CASE(AFinishReportedWhileItsTaskIsPutBackIsRecorded) {
+  EntryFixture Fixture;
+  Fixture.killEntry(1 - Fixture.owner());
+  Fixture.advance(Millis{3000});
+  const auto Owner = Fixture.owner();
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{1000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->State_ == TaskState::Bound);
+  Fixture.leave();
+  Fixture.advance(Millis{4400});
+  // The change that puts the task back can't be committed for now.
+  Fixture.StoreUnreachable_[Owner] = true;
+  Fixture.advance(Millis{2500});
+  Fixture.HeldTasks_ = {taskReport("a", 1, TaskPhase::Finished)};
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{200});
+  Fixture.StoreUnreachable_[Owner] = false;
+  Fixture.advance(Millis{100});
+  const auto Recorded = [&] {
+    return Fixture.taskStatus("a")->State_ == TaskState::Finished;
+  };
+  BOOST_TEST((Recorded() || !Fixture.acknowledged("a", 1)));
+  Fixture.report("a", 1, TaskPhase::Finished);
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Recorded());
+  BOOST_TEST(Fixture.taskStatus("a")->Attempt_ == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
