Owner: it acts on an attempt that its ledger lacks only after it has verified its ownership

What callers could see: a task starts again after an attempt of it has ended as done and was acknowledged, or a running task is stopped for nothing. Cause: an owner that has been replaced and doesn't know it yet acknowledged the end of any attempt that its ledger didn't have, and stopped such attempts. An agent on the platform that restarts knows no epoch (its worker lists task and attempt only), so it accepts whichever owner claims the shard first. Class: a process acts on a permission that has run out. Failed before: Ownership/AnAttemptBeyondTheLedgerIsAcknowledgedByAVerifiedOwnerOnly (acknowledged and stopped at once, with the store out of reach). The owner now reads the head of its shard first; if that has changed it gives the shard up, and the agent's report goes to the successor.

--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -317,13 +317,16 @@
 auto LedgerWriter::readToVerify() -> void {
   VerifyRequested_ = false;
   CallInFlight_ = true;
+  const auto Number = ++VerificationsStarted_;
   Store_.call(ReadValue{shardHeadKey(Identity_.Environment_, Identity_.Shard_)},
-              [this](Moment, const StoreResult &Result, EntryOutbox &) {
+              [this, Number](Moment, const StoreResult &Result, EntryOutbox &) {
                 CallInFlight_ = false;
                 if (Result.Status_ == StoreStatus::Unavailable)
                   VerifyRequested_ = true;
                 else if (Result.Index_ != HeadIndex_)
                   loseOwnership();
+                else
+                  LastVerification_ = Number;
               });
 }
 
--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -57,6 +57,12 @@
   /// Requests a read of the head, which shows whether another entry has
   /// acquired the shard.
   auto verifyOwnership() -> void { VerifyRequested_ = true; }
+  /// Number of the verification that a call of verifyOwnership() would start
+  /// now, and of the last one that has succeeded.
+  auto nextVerification() const -> std::uint64_t {
+    return VerificationsStarted_ + 1;
+  }
+  auto lastVerification() const -> std::uint64_t { return LastVerification_; }
   /// Gives up ownership without a write to the store, and drops all uncommitted
   /// records.
   auto abandon() -> void {
@@ -139,6 +145,8 @@
   std::optional<ShardHead> InFlightHead_;
   bool CallInFlight_ = false;
   bool VerifyRequested_ = false;
+  std::uint64_t VerificationsStarted_ = 0;
+  std::uint64_t LastVerification_ = 0;
   ShardState State_;
   std::size_t SegmentsLoaded_ = 0;
   /// Sizes, in bytes, of the newest snapshot and of the commits after it.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -605,6 +605,7 @@
   Cancelling_.clear();
   Failing_.clear();
   AbandonedKeys_.clear();
+  Unverified_.clear();
   MeanWork_ = {};
   for (const auto &Each : state().jobs()) {
     MeanWork_.record(Each.second);
@@ -1092,9 +1093,13 @@
                                  " at " + Task->Agent_.Value_) +
           (Proposed_.count(Id) != 0 ? ", change being committed" : ""),
       Out);
+  const auto Verified =
+      (Task != nullptr && Report.Attempt_ <= Task->Attempt_) ||
+      isVerifiedSince(Report);
   const auto Action = chooseStaleReportAction(
       Task, Report, Task != nullptr && Job->stepOf(Id).LongRunning_,
-      Proposed_.count(Id) != 0 && !withdrawBinding(Report));
+      Proposed_.count(Id) != 0 && !(Verified && withdrawBinding(Report)),
+      Verified);
   if (Action == StaleReportAction::RecordFinish) {
     propose(Id, makeChange(*Task, TaskState::Finished, ErrorKind::None, Now));
     Ledger_.advance();
@@ -1108,6 +1113,20 @@
   }
 }
 
+auto ShardOwner::isVerifiedSince(const TaskReport &Report) -> bool {
+  const auto Found = Unverified_
+                         .try_emplace({Report.Task_, Report.Attempt_},
+                                      Ledger_.nextVerification())
+                         .first;
+  if (Ledger_.lastVerification() < Found->second) {
+    Ledger_.verifyOwnership();
+    Ledger_.advance();
+    return false;
+  }
+  Unverified_.erase(Found);
+  return true;
+}
+
 auto ShardOwner::withdrawBinding(const TaskReport &Report) -> bool {
   const auto &Id = Report.Task_;
   if (Report.Phase_ != TaskPhase::Finished)
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -309,6 +309,9 @@
   /// Withdraws the binding of a task whose earlier attempt is reported as
   /// finished. \returns whether there was one whose write had not begun.
   auto withdrawBinding(const TaskReport &Report) -> bool;
+  /// Whether the ownership was verified since this attempt, which the ledger
+  /// doesn't have, was first reported. Requests the verification if not.
+  auto isVerifiedSince(const TaskReport &Report) -> bool;
   auto handleTaskEnd(Moment Now, Target &From, const TaskReport &Report)
       -> void;
   /// Counts an attempt's outcome towards the quarantine of its worker.
@@ -365,6 +368,9 @@
   /// Keys whose callers were answered "not run" while the claim was being
   /// written.
   std::set<IdempotencyKey> AbandonedKeys_;
+  /// The verification of ownership that has to succeed before a report of an
+  /// attempt which the ledger doesn't have counts.
+  std::map<std::pair<TaskId, AttemptNumber>, std::uint64_t> Unverified_;
   /// Jobs whose cancellation is not committed yet.
   std::set<JobId> Cancelling_;
   /// Jobs that will fail once a proposed change of one of their tasks is
--- a/core/StaleReport.cpp
+++ b/core/StaleReport.cpp
@@ -3,8 +3,11 @@
 namespace skylark {
 
 auto chooseStaleReportAction(const TaskStatus *Task, const TaskReport &Report,
-                             bool LongRunning, bool ChangePending)
-    -> StaleReportAction {
+                             bool LongRunning, bool ChangePending,
+                             bool Verified) -> StaleReportAction {
+  const auto InLedger = Task != nullptr && Report.Attempt_ <= Task->Attempt_;
+  if (!InLedger && !Verified)
+    return StaleReportAction::VerifyOwnership;
   if (!isEnded(Report.Phase_))
     return StaleReportAction::Stop;
   if (Task == nullptr)
--- a/core/StaleReport.h
+++ b/core/StaleReport.h
@@ -19,15 +19,18 @@
   /// Command the agent to stop the attempt.
   Stop,
   /// The ledger doesn't have the attempt. Either its job was removed, or a
-  /// later owner bound it and this one has been replaced.
+  /// later owner bound it and this one has been replaced: only an owner that
+  /// has verified its ownership since may act on the report.
   VerifyOwnership
 };
 
 /// \param Task the task in the owner's ledger; null if there is none.
 /// \param LongRunning whether the task is restarted however it ends.
 /// \param ChangePending whether a change of the task is being committed.
+/// \param Verified whether the owner has verified its ownership since the
+///   attempt was first reported.
 auto chooseStaleReportAction(const TaskStatus *Task, const TaskReport &Report,
-                             bool LongRunning, bool ChangePending)
-    -> StaleReportAction;
+                             bool LongRunning, bool ChangePending,
+                             bool Verified) -> StaleReportAction;
 
 } // namespace skylark
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -561,4 +561,33 @@
   BOOST_TEST(Fixture.taskStatus("a")->Attempt_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(
+    AnAttemptBeyondTheLedgerIsAcknowledgedByAVerifiedOwnerOnly) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->Attempt_ == 1U);
+  // A successor of this owner may have bound attempt 2 and accepted job b.
+  Fixture.StoreUnreachable_.fill(true);
+  for (int Repeat = 0; Repeat < 3; ++Repeat) {
+    Fixture.report("a", 2, TaskPhase::Finished);
+    Fixture.report("b", 1, TaskPhase::Finished);
+    Fixture.report("b", 2, TaskPhase::Running);
+    Fixture.advance(Millis{300});
+  }
+  BOOST_TEST(!Fixture.acknowledged("a", 2));
+  BOOST_TEST(!Fixture.acknowledged("b", 1));
+  BOOST_TEST(Fixture.Stops_.empty());
+  Fixture.StoreUnreachable_.fill(false);
+  for (int Repeat = 0; Repeat < 3; ++Repeat) {
+    Fixture.advance(Millis{1000});
+    Fixture.report("b", 1, TaskPhase::Finished);
+    Fixture.report("b", 2, TaskPhase::Running);
+  }
+  BOOST_TEST(Fixture.acknowledged("b", 1));
+  BOOST_TEST(!Fixture.Stops_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
