Leases and grants are measured on the clock that counts suspension

What callers could see: a task that runs twice. A suspended instance's steady clock (CLOCK_MONOTONIC) stands still, so an agent that resumes takes grants and leases for valid that ran out meanwhile for the owner and the worker, renews them, and starts queued tasks that the owner has bound elsewhere. Class: a process that was paused acts on a permission that has run out. The time of the state machines is CLOCK_BOOTTIME now; timers of the event loops stay on the steady clock, as only their intervals count. Found by reading.

--- a/command/Load.cpp
+++ b/command/Load.cpp
@@ -95,7 +95,7 @@
         std::chrono::duration<double>(InterArrivalSeconds(Random_)));
     if (NextArrivalAt_ > StartedAt_ + Plan_.Duration_)
       return;
-    Timer_.expires_at(NextArrivalAt_);
+    Timer_.expires_after(NextArrivalAt_ - SteadyClock::now());
     Timer_.async_wait([this](std::error_code Error) {
       if (Error)
         return;
--- a/core/Time.h
+++ b/core/Time.h
@@ -7,7 +7,20 @@
 
 namespace skylark {
 
-using SteadyClock = std::chrono::steady_clock;
+/// A clock that never jumps and also counts the time for which the machine is
+/// suspended: a lease that ran out meanwhile has expired when it resumes.
+struct SteadyClock {
+  // The standard library prescribes the names of these members.
+  // NOLINTBEGIN(readability-identifier-naming)
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<SteadyClock>;
+  static constexpr bool is_steady = true;
+  /// Defined in runtime; the state machines are passed the time.
+  static auto now() noexcept -> time_point;
+  // NOLINTEND(readability-identifier-naming)
+};
 using TimePoint = SteadyClock::time_point;
 using Duration = SteadyClock::duration;
 using Micros = std::chrono::microseconds;
--- a/runtime/Process.cpp
+++ b/runtime/Process.cpp
@@ -8,6 +8,7 @@
 #include <glog/logging.h>
 
 #include <condition_variable>
+#include <ctime>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -107,6 +108,13 @@
 
 } // namespace
 
+auto SteadyClock::now() noexcept -> time_point {
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return time_point(Seconds{Time.tv_sec} +
+                    std::chrono::nanoseconds{Time.tv_nsec});
+}
+
 auto currentMoment() -> Moment {
   return {SteadyClock::now(), std::chrono::time_point_cast<Millis>(
                                   std::chrono::system_clock::now())};
--- a/test/performance/Capacity.cpp
+++ b/test/performance/Capacity.cpp
@@ -18,11 +18,11 @@
 
 template <typename Function>
 auto microsPerCall(int Count, Function Call) -> double {
-  const auto StartedAt = SteadyClock::now();
+  const auto StartedAt = std::chrono::steady_clock::now();
   for (int Index = 0; Index < Count; ++Index)
     Call(Index);
   const std::chrono::duration<double, std::micro> Elapsed =
-      SteadyClock::now() - StartedAt;
+      std::chrono::steady_clock::now() - StartedAt;
   return Elapsed.count() / Count;
 }
 
