Owner: an attempt that runs on the worker's next incarnation is not bound again

Callers would see one task run twice. A worker that crashes and starts again under the same id has seen no fencing token, and its clock begins anew, so a start command to its earlier life that arrives late still takes effect. The owner took the attempt for lost, because the ledger names the earlier incarnation: it bound the next attempt at once, while the first one ran, and acknowledged the first one's end without recording it. Class: an attempt is given up on a conclusion, against what its worker lists. Failed before: Ownership/AnAttemptThatRunsOnTheNextWorkerIsNotBoundAgain (attempt 2 bound and attempt 1 told to stop). The owner now follows the attempt to the worker on which the agent reports it: bindings, grants and the check for missing tasks go by that incarnation. Tasks that the new worker doesn't list are bound again at once, as before.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -955,7 +955,7 @@
   Bind.Sequence_ = ++To.LastSequence_;
   Bind.Shard_ = Shard_;
   Bind.Epoch_ = Ledger_.epoch();
-  Bind.Worker_ = Task.Worker_;
+  Bind.Worker_ = workerOf(Task, Delivery);
   Bind.Task_ = Id;
   Bind.Attempt_ = Task.Attempt_;
   Bind.Kind_ = Step.LongRunning_ ? WorkKind::Watcher : WorkKind::Batch;
@@ -1012,7 +1012,7 @@
     const auto *Task = state().findTask(Id);
     const auto Missing = Task != nullptr && Task->State_ == TaskState::Bound &&
                          Task->Agent_ == From.agent() &&
-                         Task->Worker_ == From.Hello_.Worker_ &&
+                         workerOf(*Task, Delivery) == From.Hello_.Worker_ &&
                          HeldTasks.count(Id) == 0 && Proposed_.count(Id) == 0;
     if (!Missing)
       continue;
@@ -1057,8 +1057,7 @@
   const auto *Task = state().findTask(Report.Task_);
   const auto Current = Task != nullptr && Task->State_ == TaskState::Bound &&
                        Task->Attempt_ == Report.Attempt_ &&
-                       Task->Agent_ == From.agent() &&
-                       Task->Worker_ == From.Hello_.Worker_;
+                       Task->Agent_ == From.agent();
   if (!Current) {
     handleStaleReport(Now, From, Report, Out);
     return;
@@ -1066,6 +1065,7 @@
   auto &Delivery = Bound_[Report.Task_];
   Delivery.Sent_ = true;
   Delivery.Reported_ = true;
+  Delivery.Worker_ = From.Hello_.Worker_;
   if (isEnded(Report.Phase_))
     Delivery.ReportedEnd_ = Report.Phase_;
   if (Report.NeedsBinding_ && !isEnded(Report.Phase_))
@@ -1191,7 +1191,7 @@
     return;
   auto *BoundTo = Context_.Targets_.findAgent(Task.Agent_);
   const auto Present = BoundTo != nullptr &&
-                       BoundTo->Hello_.Worker_ == Task.Worker_ &&
+                       BoundTo->Hello_.Worker_ == workerOf(Task, Delivery) &&
                        BoundTo->ConfirmedShards_.count(Shard_) != 0;
   if (Present) {
     if (!Delivery.Reported_ && Delivery.SentAt_ + ResendInterval < Now.Steady_)
@@ -1206,10 +1206,12 @@
     }
     return;
   }
+  const auto Worker = workerOf(Task, Delivery);
   Delivery = {};
+  Delivery.Worker_ = Worker;
   // An agent that joined before the task was bound to it has not been asked yet
   // which tasks of this shard it holds.
-  if (BoundTo != nullptr && BoundTo->Hello_.Worker_ == Task.Worker_) {
+  if (BoundTo != nullptr && BoundTo->Hello_.Worker_ == Worker) {
     sendOwnershipClaim(Now, *BoundTo, Out);
     return;
   }
@@ -1226,7 +1228,7 @@
   const auto LeaseDuration = withClockMargin(
       Context_.Configuration_.Document_.Policy_.TaskLeaseDuration_);
   const auto GrantExpiry =
-      std::max(Context_.Grants_.expiryOf({Task.Agent_, Task.Worker_}),
+      std::max(Context_.Grants_.expiryOf({Task.Agent_, Worker}),
                Ledger_.oldGrantsUntil() + LeaseDuration);
   if (Now.Steady_ > GrantExpiry ||
       isMutationActive(Mutation::ResumeBeforeLeaseEnds))
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -164,10 +164,19 @@
     /// The end that the agent has reported of the current attempt; a phase
     /// that is no end if there is none.
     TaskPhase ReportedEnd_ = TaskPhase::Queued;
+    /// The worker on which the agent has reported the attempt; 0 before the
+    /// first report. Differs from the one in the ledger if a start command
+    /// reached the next incarnation of the worker.
+    Incarnation Worker_ = 0;
     TimePoint SentAt_{};
     /// When the agent was last asked to stop the task.
     TimePoint StopSentAt_{};
   };
+  /// The worker that has or gets the task's current attempt.
+  static auto workerOf(const TaskStatus &Task, const BindDelivery &Delivery)
+      -> Incarnation {
+    return Delivery.Worker_ != 0 ? Delivery.Worker_ : Task.Worker_;
+  }
   /// A claim that is not committed yet; its caller waits until ExpiresAt_.
   struct PendingClaim {
     CallerToken Token_ = 0;
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -590,4 +590,28 @@
   BOOST_TEST(!Fixture.Stops_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AnAttemptThatRunsOnTheNextWorkerIsNotBoundAgain) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->Attempt_ == 1U);
+  Fixture.leave();
+  // The start command reached the worker's next incarnation.
+  Fixture.HeldTasks_ = {taskReport("a", 1, TaskPhase::Running)};
+  Fixture.HeldTasks_.front().NeedsBinding_ = true;
+  Fixture.connectAgent(2);
+  Fixture.advance(Millis{3000});
+  BOOST_TEST(Fixture.taskStatus("a")->Attempt_ == 1U);
+  BOOST_TEST(Fixture.Stops_.empty());
+  BOOST_TEST(Fixture.Binds_.back().Worker_ == 2U);
+  // Only the grants to the worker that runs it count.
+  Fixture.leave();
+  Fixture.advance(Millis{4500});
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Bound));
+  Fixture.advance(Millis{2000});
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Pending));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
