Owner: a listed earlier attempt doesn't hide that the current one is missing

An agent confirms an owner with a list of reports, which now also holds ends of earlier attempts. The owner looked for the task only, so a binding that was lost with the former connection was repeated after 2 s instead of being replaced at once. Failed before: Ownership/AnEarlierAttemptDoesNotHideThatTheCurrentOneIsMissing (still bound as attempt 2).

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1003,9 +1003,9 @@
   // task that was bound in the meantime.
   if (!From.ConfirmedShards_.insert(Shard_).second)
     return;
-  std::set<TaskId> HeldTasks;
+  std::set<std::pair<TaskId, AttemptNumber>> HeldAttempts;
   for (const auto &Report : Confirm.HeldTasks_) {
-    HeldTasks.insert(Report.Task_);
+    HeldAttempts.insert({Report.Task_, Report.Attempt_});
     taskReported(Now, From, Report, Out);
   }
   for (const auto &[Id, Delivery] : Bound_) {
@@ -1013,7 +1013,8 @@
     const auto Missing = Task != nullptr && Task->State_ == TaskState::Bound &&
                          Task->Agent_ == From.agent() &&
                          workerOf(*Task, Delivery) == From.Hello_.Worker_ &&
-                         HeldTasks.count(Id) == 0 && Proposed_.count(Id) == 0;
+                         HeldAttempts.count({Id, Task->Attempt_}) == 0 &&
+                         Proposed_.count(Id) == 0;
     if (!Missing)
       continue;
     log("task-missing-at-agent", Id.text(), ErrorKind::WorkerGone,
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -614,4 +614,22 @@
   BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Pending));
 }
 
+BOOST_AUTO_TEST_CASE(AnEarlierAttemptDoesNotHideThatTheCurrentOneIsMissing) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  Fixture.leave();
+  Fixture.connectAgent(2);
+  Fixture.advance(Millis{2000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->Attempt_ == 2U);
+  Fixture.leave();
+  Fixture.HeldTasks_ = {taskReport("a", 1, TaskPhase::Failed)};
+  Fixture.connectAgent(2);
+  Fixture.advance(Millis{500});
+  BOOST_TEST((Fixture.taskStatus("a")->Attempt_ == 3U ||
+              Fixture.taskStatus("a")->State_ == TaskState::Pending));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
