Owner: every agent that joins is asked what it holds

Ends that an agent holds of tasks which are bound elsewhere by now were never acknowledged: an owner claimed its shard only at agents to which a task was bound, and an agent without an owner sends no reports. The worker's ends stood unacknowledged, and such an agent could not leave. Found by review.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -982,13 +982,8 @@
     -> void {
   if (!owning() || releasing())
     return;
-  for (const auto &Each : Bound_) {
-    const auto *Task = state().findTask(Each.first);
-    if (Task == nullptr || Task->Agent_ != Joined.agent())
-      continue;
-    sendOwnershipClaim(Now, Joined, Out);
-    return;
-  }
+  // The agent may hold ends of tasks that are bound elsewhere by now.
+  sendOwnershipClaim(Now, Joined, Out);
 }
 
 auto ShardOwner::ownershipConfirmed(Moment Now, Target &From,
