Owner: tasks are lost at once only if their agent has a newer worker

The check asked for another worker, so an agent that was misled by a late message of the worker's earlier life had the tasks of the present one bound elsewhere while they ran. Found by review. If a worker's time of start is lower than its predecessor's, its tasks wait for their grants to expire.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1213,7 +1213,8 @@
   }
   // The agent has confirmed this owner and has a newer worker: the one that the
   // task was bound to has ended, and its tasks with it.
-  if (BoundTo != nullptr && BoundTo->ConfirmedShards_.count(Shard_) != 0) {
+  if (BoundTo != nullptr && BoundTo->Hello_.Worker_ > Worker &&
+      BoundTo->ConfirmedShards_.count(Shard_) != 0) {
     handleLostTask(Now, Id, {});
     return;
   }
