Owner: no attempt starts after a finish that is reported while a change is committed

Two faults of the commit that records a finish of an attempt that was given up, found by review. (1) A finish reported while the binding of the next attempt, or the change that puts the task back, was being written was recorded at the agent's next report, up to 1 s later; meanwhile the next attempt started. It is recorded with the commit now, and the binding is not sent. (2) A finish recorded behind the cancellation of its job made the owner assert, and each later owner that loads the ledger. The report now waits for the end of the job. Failed before: Ownership/NoAttemptStartsIfAFinishWasReportedWhileItsBindingIsWritten and NoAttemptStartsBetweenAPutBackAndTheNextReportOfItsFinish (one binding), AFinishReportedWhileItsJobIsCancelledDoesNotEndTheOwner (SIGABRT).

--- a/core/Messages.h
+++ b/core/Messages.h
@@ -118,9 +118,12 @@
 struct TaskReportAck {
   TaskId Task_;
   AttemptNumber Attempt_ = 0;
+  /// The end that was reported.
+  TaskPhase Phase_ = TaskPhase::Finished;
 
   static constexpr auto fields() {
-    return std::make_tuple(&TaskReportAck::Task_, &TaskReportAck::Attempt_);
+    return std::make_tuple(&TaskReportAck::Task_, &TaskReportAck::Attempt_,
+                           &TaskReportAck::Phase_);
   }
 };
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -606,6 +606,7 @@
   Failing_.clear();
   AbandonedKeys_.clear();
   Unverified_.clear();
+  FinishReported_.clear();
   MeanWork_ = {};
   for (const auto &Each : state().jobs()) {
     MeanWork_.record(Each.second);
@@ -634,6 +635,18 @@
   updateIndex(*Job, Record.Task_);
   if (Record.State_ == TaskState::Failed)
     Failing_.erase(Record.Task_.Job_);
+  const auto Finished = FinishReported_.erase(Record.Task_) != 0 ||
+                        ReportedEnd == TaskPhase::Finished;
+  const auto &Status = Job->task(Record.Task_);
+  const auto Open =
+      Status.State_ == TaskState::Pending || Status.State_ == TaskState::Bound;
+  const auto Closing = Cancelling_.count(Record.Task_.Job_) != 0 ||
+                       Failing_.count(Record.Task_.Job_) != 0;
+  if (Finished && Open && !Closing && !Job->stepOf(Record.Task_).LongRunning_) {
+    propose(Record.Task_,
+            makeChange(Status, TaskState::Finished, ErrorKind::None, Now));
+    return;
+  }
   auto *BoundTo = Context_.Targets_.findAgent(Record.Agent_);
   if (Record.State_ == TaskState::Bound) {
     ++Context_.Counters_.TasksBound_;
@@ -654,8 +667,9 @@
       Job->task(Record.Task_).State_ == TaskState::Pending &&
       !Job->stepOf(Record.Task_).LongRunning_;
   if (BoundTo != nullptr && isEnded(ReportedEnd) && !Unrecorded)
-    Out.push_back(SendToAgent{BoundTo->Session_,
-                              TaskReportAck{Record.Task_, Record.Attempt_}});
+    Out.push_back(
+        SendToAgent{BoundTo->Session_,
+                    TaskReportAck{Record.Task_, Record.Attempt_, ReportedEnd}});
   // An earlier attempt has finished.
   if (BoundTo != nullptr && WasBound && !isEnded(ReportedEnd) &&
       Record.State_ == TaskState::Finished)
@@ -1092,16 +1106,23 @@
   const auto Verified =
       (Task != nullptr && Report.Attempt_ <= Task->Attempt_) ||
       isVerifiedSince(Report);
+  // The end of the job, which is being committed, cancels a pending task.
+  const auto Closing =
+      Cancelling_.count(Id.Job_) != 0 || Failing_.count(Id.Job_) != 0;
   const auto Action = chooseStaleReportAction(
       Task, Report, Task != nullptr && Job->stepOf(Id).LongRunning_,
-      Proposed_.count(Id) != 0 && !(Verified && withdrawBinding(Report)),
+      Closing ||
+          (Proposed_.count(Id) != 0 && !(Verified && withdrawBinding(Report))),
       Verified);
   if (Action == StaleReportAction::RecordFinish) {
     propose(Id, makeChange(*Task, TaskState::Finished, ErrorKind::None, Now));
     Ledger_.advance();
+  } else if (Action == StaleReportAction::Wait &&
+             Report.Phase_ == TaskPhase::Finished) {
+    FinishReported_.insert(Id);
   } else if (Action == StaleReportAction::Acknowledge) {
-    Out.push_back(
-        SendToAgent{From.Session_, TaskReportAck{Id, Report.Attempt_}});
+    Out.push_back(SendToAgent{
+        From.Session_, TaskReportAck{Id, Report.Attempt_, Report.Phase_}});
   } else if (Action == StaleReportAction::Stop) {
     Out.push_back(SendToAgent{From.Session_, StopTask{Shard_, Ledger_.epoch(),
                                                       Id, Report.Attempt_,
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -380,6 +380,9 @@
   /// The verification of ownership that has to succeed before a report of an
   /// attempt which the ledger doesn't have counts.
   std::map<std::pair<TaskId, AttemptNumber>, std::uint64_t> Unverified_;
+  /// Tasks of which an earlier attempt was reported as finished while a change
+  /// of the task was being committed.
+  std::set<TaskId> FinishReported_;
   /// Jobs whose cancellation is not committed yet.
   std::set<JobId> Cancelling_;
   /// Jobs that will fail once a proposed change of one of their tasks is
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -139,6 +139,9 @@
     return sendRequest(Index, Request);
   }
 
+  auto cancel(std::size_t Index, const std::string &Job) -> void {
+    sendRequest(Index, CancelInQueue{{"portal.example", "/jobs/" + Job}});
+  }
   auto owner() const -> std::size_t {
     for (std::size_t Index = 0; Index < EntryCount; ++Index)
       if (Entries_[Index] && Entries_[Index]->ownedShards() == 1)
@@ -168,6 +171,13 @@
   std::vector<BindTask> Binds_;
   std::vector<TaskReportAck> Acks_;
   std::vector<StopTask> Stops_;
+  auto boundAttempts() const -> std::vector<AttemptNumber> {
+    std::vector<AttemptNumber> Attempts;
+    for (const auto &Each : Binds_)
+      Attempts.push_back(Each.Attempt_);
+    return Attempts;
+  }
+  int Claims_ = 0;
   /// What the agent lists when it confirms an owner.
   std::vector<TaskReport> HeldTasks_;
   /// Addresses of the entries in the last list that the agent got.
@@ -251,6 +261,8 @@
       Stops_.push_back(*Stop);
     if (const auto *KnownList = std::get_if<KnownEntries>(&Send.Message_))
       KnownAddresses_ = KnownList->Addresses_;
+    if (std::holds_alternative<ClaimOwnership>(Send.Message_))
+      ++Claims_;
     if (const auto *Claim = std::get_if<ClaimOwnership>(&Send.Message_))
       sendFromAgent(From, ConfirmOwnership{Claim->Shard_, Claim->Epoch_,
                                            Worker_, HeldTasks_});
@@ -632,4 +644,108 @@
               Fixture.taskStatus("a")->State_ == TaskState::Pending));
 }
 
+BOOST_AUTO_TEST_CASE(
+    NoAttemptStartsIfAFinishWasReportedWhileItsBindingIsWritten) {
+  EntryFixture Fixture;
+  Fixture.killEntry(1 - Fixture.owner());
+  Fixture.advance(Millis{3000});
+  const auto Owner = Fixture.owner();
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{1000});
+  Fixture.leave();
+  Fixture.advance(Millis{8000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->State_ == TaskState::Pending);
+  Fixture.Binds_.clear();
+  Fixture.connectAgent(1);
+  Fixture.StoreUnreachable_[Owner] = true;
+  Fixture.advance(Millis{1300});
+  Fixture.report("a", 1, TaskPhase::Finished);
+  Fixture.StoreUnreachable_[Owner] = false;
+  for (int Repeat = 0; Repeat < 3; ++Repeat) {
+    Fixture.advance(Millis{1000});
+    Fixture.report("a", 1, TaskPhase::Finished);
+  }
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Finished));
+  BOOST_TEST(Fixture.boundAttempts() == std::vector<AttemptNumber>{},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(
+    NoAttemptStartsBetweenAPutBackAndTheNextReportOfItsFinish) {
+  EntryFixture Fixture;
+  Fixture.killEntry(1 - Fixture.owner());
+  Fixture.advance(Millis{3000});
+  const auto Owner = Fixture.owner();
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{1000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->State_ == TaskState::Bound);
+  Fixture.Binds_.clear();
+  // The agent reports the attempt as not started, then, while the change is
+  // being committed, as finished.
+  Fixture.StoreUnreachable_[Owner] = true;
+  Fixture.report("a", 1, TaskPhase::NotStarted);
+  Fixture.advance(Millis{100});
+  Fixture.report("a", 1, TaskPhase::Finished);
+  Fixture.StoreUnreachable_[Owner] = false;
+  Fixture.advance(Millis{1000});
+  Fixture.report("a", 1, TaskPhase::Finished);
+  Fixture.advance(Millis{1000});
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Finished));
+  BOOST_TEST(Fixture.boundAttempts() == std::vector<AttemptNumber>{},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(AnEndIsAcknowledgedThoughNothingIsBoundToItsAgent) {
+  EntryFixture Fixture;
+  Fixture.HeldTasks_ = {taskReport("gone", 1, TaskPhase::Finished)};
+  Fixture.connectAgent(1);
+  for (int Repeat = 0; Repeat < 10; ++Repeat) {
+    Fixture.advance(Millis{1000});
+    // An agent without a known owner sends no reports.
+    if (Fixture.Claims_ != 0)
+      Fixture.report("gone", 1, TaskPhase::Finished);
+  }
+  BOOST_TEST(Fixture.acknowledged("gone", 1));
+}
+
+BOOST_AUTO_TEST_CASE(TasksOfALaterWorkerAreNotLostOnceAnEarlierOneIsAnnounced) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(2);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->Attempt_ == 1U);
+  Fixture.leave();
+  // The agent has adopted a late answer of the worker's earlier life.
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1500});
+  BOOST_TEST(Fixture.taskStatus("a")->Attempt_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AFinishReportedWhileItsJobIsCancelledDoesNotEndTheOwner) {
+  EntryFixture Fixture;
+  Fixture.killEntry(1 - Fixture.owner());
+  Fixture.advance(Millis{3000});
+  const auto Owner = Fixture.owner();
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{1000});
+  Fixture.leave();
+  Fixture.advance(Millis{8000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->State_ == TaskState::Pending);
+  Fixture.HeldTasks_ = {taskReport("a", 1, TaskPhase::Finished)};
+  Fixture.StoreUnreachable_[Owner] = true;
+  Fixture.cancel(Owner, "a");
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{600});
+  Fixture.report("a", 1, TaskPhase::Finished);
+  Fixture.StoreUnreachable_[Owner] = false;
+  BOOST_CHECK_NO_THROW(Fixture.advance(Millis{1000}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
