--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -222,9 +222,11 @@
                                   AgentOutbox &Out) -> void {
   UnansweredPolls_ = 0;
   if (!InventoryReceived_) {
-    Tasks_.adopt(isMutationActive(Mutation::ForgetRunningTasks)
+    Tasks_.adopt(Now.Steady_,
+                 isMutationActive(Mutation::ForgetRunningTasks)
                      ? WorkerInventory{Inventory.Worker_, Inventory.Clock_, {}}
-                     : Inventory);
+                     : Inventory,
+                 Now.Steady_ + Identity_.LongestLease_);
     InventoryReceived_ = true;
     becomeReady(Out);
   }
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -46,10 +46,14 @@
           Held.Checkpoint_,  Held.Reason_,     Held.NeedsBinding_};
 }
 
-auto TaskManager::adopt(const WorkerInventory &Inventory) -> void {
+auto TaskManager::adopt(TimePoint Now, const WorkerInventory &Inventory,
+                        TimePoint LeasesUntil) -> void {
   Worker_ = Inventory.Worker_;
-  for (const auto &Task : Inventory.Tasks_)
+  for (const auto &Task : Inventory.Tasks_) {
     adoptTask(Task);
+    if (!isEnded(Task.Phase_))
+      recordLease(Now, LeasesUntil);
+  }
 }
 
 auto TaskManager::adoptTask(const WorkerTask &Task) -> void {
@@ -87,8 +91,10 @@
     const auto Found = Observed.find(keyOf(Held.Bind_));
     if (Found != Observed.end())
       NewlyEnded |= updateTask(Held, *Found->second, Out);
-    else
+    else {
+      Held.RunsAfterEnd_ = false;
       resolveMissing(Held, Inventory, Out);
+    }
   }
   handleUnheldAttempts(Inventory, Out);
   return NewlyEnded;
@@ -188,7 +194,8 @@
     Each = Listed.count(*Each) == 0 ? AcknowledgedEnds_.erase(Each)
                                     : std::next(Each);
   for (const auto &Key : AcknowledgedEnds_)
-    Listed.erase(Key);
+    if (isEnded(Listed.at(Key).Phase_))
+      Listed.erase(Key);
   UnheldAttempts_ = std::move(Listed);
 }
 
@@ -211,6 +218,7 @@
                              AgentOutbox &Out) -> bool {
   Held.Checkpoint_ = Observed.Checkpoint_;
   if (isEnded(Held.Phase_)) {
+    Held.RunsAfterEnd_ = !isEnded(Observed.Phase_);
     correctEnd(Held, Observed, Out);
     return false;
   }
@@ -408,11 +416,19 @@
     // The owner gave the earlier attempt up while this agent couldn't be
     // reached. The binding is taken when the owner repeats it after that
     // attempt has ended.
+    if (Found->second.RunsAfterEnd_)
+      return;
     if (!isEnded(Found->second.Phase_)) {
       stopHeld(Found->second, ErrorKind::StaleEpoch, Out);
       return;
     }
   }
+  // An earlier attempt that was given up still runs and is being stopped.
+  const auto Runs = [&](const auto &Each) {
+    return Each.first.first == Bind.Task_ && !isEnded(Each.second.Phase_);
+  };
+  if (std::any_of(UnheldAttempts_.begin(), UnheldAttempts_.end(), Runs))
+    return;
   // The owner doesn't know yet that the task is done.
   if (const auto Finished = finishedAttempt(Bind)) {
     sendReport(*Finished, Out);
@@ -479,6 +495,14 @@
   const AttemptKey Key{Ack.Task_, Ack.Attempt_};
   const auto Held = Tasks_.find(Ack.Task_);
   const auto Unheld = UnheldAttempts_.find(Key);
+  // The owner has recorded another end, and hears of the finish next.
+  const auto Unrecorded = [&](TaskPhase Phase) {
+    return Phase == TaskPhase::Finished && Ack.Phase_ != Phase;
+  };
+  if ((Held != Tasks_.end() && keyOf(Held->second.Bind_) == Key &&
+       Unrecorded(Held->second.Phase_)) ||
+      (Unheld != UnheldAttempts_.end() && Unrecorded(Unheld->second.Phase_)))
+    return;
   if (Held != Tasks_.end() && keyOf(Held->second.Bind_) == Key &&
       isEnded(Held->second.Phase_))
     Tasks_.erase(Held);
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -20,7 +20,10 @@
   explicit TaskManager(const Resources &Capacity) : Ledger_(Capacity) {}
 
   /// Adopts the tasks that are on the worker when the agent process starts.
-  auto adopt(const WorkerInventory &Inventory) -> void;
+  /// \param LeasesUntil when all leases that the worker got before have
+  /// expired.
+  auto adopt(TimePoint Now, const WorkerInventory &Inventory,
+             TimePoint LeasesUntil) -> void;
   /// Updates the tasks from the worker's inventory.
   /// \returns whether the inventory shows tasks that have newly ended.
   auto update(TimePoint Now, const WorkerInventory &Inventory, AgentOutbox &Out)
@@ -123,6 +126,9 @@
     /// Whether the worker was told to stop the task. While the start is
     /// unanswered, the phase stays Starting.
     bool StopRequested_ = false;
+    /// Whether the worker lists the attempt as running although it was reported
+    /// as ended.
+    bool RunsAfterEnd_ = false;
     /// Whether it was logged that the worker lists another end than the one
     /// reported.
     bool ConflictLogged_ = false;
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -449,4 +449,69 @@
   BOOST_TEST(Fixture.lastReport("a")->Attempt_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(AnAdoptedTaskMayRunUntilTheLongestLeaseHasExpired) {
+  AgentOutbox Out;
+  Moment Now{TimePoint(Seconds{100}), {}};
+  AgentIdentity Identity;
+  Identity.Agent_ = {"agent"};
+  Identity.Capacity_ = {4000, 8000, 0};
+  AgentCore Core(Identity);
+  Core.openSession(Now, OwnerSession, Out);
+  WorkerInventory Inventory;
+  Inventory.Worker_ = 7;
+  Inventory.Clock_ = Seconds{100};
+  WorkerTask Task;
+  Task.IdOnly_ = true;
+  Task.Bind_.Task_ = {{"a"}, 0};
+  Task.Bind_.Attempt_ = 1;
+  Inventory.Tasks_ = {Task};
+  Core.inventoryReceived(Now, Inventory, Out);
+  // The worker is silent, and the earlier process of the agent renewed its
+  // lease last.
+  for (int Ticks = 0; Ticks < 80; ++Ticks) {
+    Now = Now.after(Millis{50});
+    Core.tick(Now, Out);
+  }
+  Out.clear();
+  Core.receive(Now, OwnerSession, ClaimOwnership{0, 1}, Out);
+  for (const auto &Each : Out)
+    if (const auto *Send = std::get_if<SendToEntry>(&Each))
+      if (const auto *Confirm = std::get_if<ConfirmOwnership>(&Send->Message_))
+        for (const auto &Report : Confirm->HeldTasks_)
+          BOOST_TEST(!isEnded(Report.Phase_));
+}
+
+BOOST_AUTO_TEST_CASE(AnAcknowledgementOfAnotherEndDoesNotDiscardAFinish) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                              StartOutcome::Refused, Fixture.Out_);
+  BOOST_REQUIRE((Fixture.lastReport("a")->Phase_ == TaskPhase::NotStarted));
+  Fixture.Core_.inventoryReceived(
+      Fixture.Now_, Fixture.inventoryWithFinished("a"), Fixture.Out_);
+  BOOST_REQUIRE((Fixture.lastReport("a")->Phase_ == TaskPhase::Finished));
+  Fixture.clear();
+  // The owner sent this before the report of the finish arrived.
+  Fixture.receive(TaskReportAck{{{"a"}, 0}, 1, TaskPhase::NotStarted});
+  BOOST_TEST(Fixture.countOutputs<ForgetOnWorker>() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(
+    ALaterAttemptDoesNotStartBesideAnEarlierOneThatWasGivenUp) {
+  for (const auto Acknowledged : {false, true}) {
+    AgentFixture Fixture;
+    Fixture.bind("a", 1000);
+    Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                                StartOutcome::Refused, Fixture.Out_);
+    if (Acknowledged)
+      Fixture.receive(TaskReportAck{{{"a"}, 0}, 1});
+    // Another copy of the start command was carried out.
+    Fixture.Core_.inventoryReceived(Fixture.Now_, Fixture.inventoryOf({"a"}),
+                                    Fixture.Out_);
+    Fixture.clear();
+    Fixture.bind("a", 1000, 2);
+    BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
