Agent: a refused start is followed by a stop

Found by review, by reading: libcurl sends a call again by itself when a reused connection breaks before the answer, so a start that counts as sent once may have a second copy. If that one is refused, the task is reported not started and bound elsewhere, while the first copy may still be carried out. The worker refuses an attempt that was stopped, so the stop makes the report true. Agent/ARefusedStartCannotTakeEffectLater failed before (0 stops). A dedicated connection for each start was ruled out: connections to workers are scarce.

--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -282,6 +282,9 @@
     return;
   }
   if (Outcome == StartOutcome::Refused) {
+    // The HTTP client may have sent a copy that is carried out later; after a
+    // stop the worker refuses it.
+    Out.push_back(StopOnWorker{Task, Attempt});
     end(Held, TaskPhase::NotStarted, ErrorKind::WorkerGone, Out);
     return;
   }
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -514,4 +514,13 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ARefusedStartCannotTakeEffectLater) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.clear();
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                              StartOutcome::Refused, Fixture.Out_);
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
