Agent: a worker that runs more than its capacity doesn't end the agent

Callers saw: an agent that restarts beside a worker whose capacity has shrunk below what runs there ends with "invariant broken", again after each restart, until the tasks' leases expire; all tasks of the worker are lost.

Cause: the ledger of resources asserts that reservations never exceed the capacity. That holds for admission, but running tasks are adopted with the same call: when the owner completes the binding of an adopted task, and when a native worker lists full bindings after the agent's settings were reduced.

Ruled out: the admission of queued tasks. It compares with what is free, which may be negative, so nothing starts beyond a shrunk capacity; a task that is stopping and a start without an answer keep their reservation until their end is listed. Tests for these pass on the code before.

Evidence: two of the new tests failed before with signal SIGABRT, "reservations exceed the worker's capacity: 3000 millicores ... of 2000": ARestartedAgentSurvivesAWorkerThatRunsMoreThanItsCapacity and AnAgentAdoptsTasksThatExceedItsSmallerNewCapacity. All 134 tests pass now.

Why it works: admission keeps its assertion; what already runs is recorded without one and counts in full, so nothing more is admitted until enough of it has ended.

--- a/core/Resources.cpp
+++ b/core/Resources.cpp
@@ -32,13 +32,19 @@
 auto ResourceLedger::reserve(const TaskId &Task, const Resources &Amount)
     -> void {
   SKYLARK_ASSERT(Reserved_.count(Task) == 0, "task reserved twice:", Task);
-  Used_ += Amount;
-  Reserved_[Task] = Amount;
+  adopt(Task, Amount);
   SKYLARK_ASSERT(Capacity_.holds(Used_),
                  "reservations exceed the worker's capacity:", Used_, "of",
                  Capacity_, "after", Task);
 }
 
+auto ResourceLedger::adopt(const TaskId &Task, const Resources &Amount)
+    -> void {
+  release(Task);
+  Used_ += Amount;
+  Reserved_[Task] = Amount;
+}
+
 auto ResourceLedger::release(const TaskId &Task) -> void {
   const auto Found = Reserved_.find(Task);
   if (Found == Reserved_.end())
--- a/core/Resources.h
+++ b/core/Resources.h
@@ -42,18 +42,20 @@
 
 auto operator<<(std::ostream &Out, const Resources &Amount) -> std::ostream &;
 
-/// The exact record of what tasks have reserved on one worker. Asserts that
-/// reservations never exceed the capacity.
+/// The exact record of what tasks have reserved on one worker. Nothing is
+/// admitted beyond the capacity; the reservations exceed it only if it shrinks.
 class ResourceLedger {
 public:
   explicit ResourceLedger(const Resources &Capacity) : Capacity_(Capacity) {}
 
-  /// Replaces the capacity, for a worker that reports it only after the ledger
-  /// was created.
+  /// Replaces the capacity, which may become less than what is reserved.
   auto resize(const Resources &Capacity) -> void { Capacity_ = Capacity; }
   /// Reserves `Amount` for `Task`, which must have no reservation. The caller
   /// has checked fits().
   auto reserve(const TaskId &Task, const Resources &Amount) -> void;
+  /// Records what `Task`, which already runs, uses, in place of any earlier
+  /// reservation. It may exceed the capacity.
+  auto adopt(const TaskId &Task, const Resources &Amount) -> void;
   /// Releases the reservation of `Task`; no effect if it has none.
   auto release(const TaskId &Task) -> void;
 
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -69,7 +69,7 @@
   auto &Owner = Owners_[Held.Bind_.Shard_];
   Owner.Epoch_ = std::max(Owner.Epoch_, Held.Bind_.Epoch_);
   if (!isEnded(Held.Phase_))
-    Ledger_.reserve(Held.Bind_.Task_, Held.Bind_.Resources_);
+    Ledger_.adopt(Held.Bind_.Task_, Held.Bind_.Resources_);
 }
 
 auto TaskManager::update(TimePoint Now, const WorkerInventory &Inventory,
@@ -439,10 +439,8 @@
     return;
   Held.NeedsBinding_ = false;
   Held.Bind_ = Bind;
-  if (isEnded(Held.Phase_))
-    return;
-  Ledger_.release(Bind.Task_);
-  Ledger_.reserve(Bind.Task_, Bind.Resources_);
+  if (!isEnded(Held.Phase_))
+    Ledger_.adopt(Bind.Task_, Bind.Resources_);
 }
 
 auto TaskManager::stop(const StopTask &Stop, AgentOutbox &Out) -> void {
