Heartbeats state the worker's present capacity

A worker announces its capacity in each heartbeat and may change it while it runs, but an agent told the entries of it only once, in its Hello. Heartbeat gets the capacity as its last field, and a change is reported at once instead of with the next heartbeat. Nothing uses the field yet.

Rolling updates: decoders already ignore additional fields, so an entry of the previous version reads the new heartbeat. The capacity is optional, so that the heartbeat of an older agent isn't taken for a worker without any.

Evidence: FieldsThatAnOlderVersionDoesNotWriteKeepTheirDefaults decodes a heartbeat of six fields and rejects one of five. AChangedCapacityIsReportedAtOnce failed before the second part: 'critical check Sent.has_value() has failed'.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -89,6 +89,7 @@
   Message.Revision_ = CurrentConfiguration_.Head_.Revision_;
   Message.InForceRevision_ = Tasks_.revisionInForce(Message.Revision_);
   Message.Load_ = load();
+  Message.Capacity_ = Identity_.Capacity_;
   Message.Leaving_ = leaving();
   Message.OtherEntryViewFresh_ = Permits_.isOtherEntryViewFresh(
       Now.Steady_, Number,
@@ -258,6 +259,7 @@
     return;
   }
   AnnouncedIncarnation_ = Announcement.Worker_;
+  const auto CapacityChanged = !(Identity_.Capacity_ == Announcement.Capacity_);
   Identity_.Capacity_ = Announcement.Capacity_;
   Identity_.Rack_ = Announcement.Rack_;
   Identity_.Labels_ = Announcement.Labels_;
@@ -268,13 +270,16 @@
   if (Announcement.Exited_ && WorkerExitDeadline_ == TimePoint::max())
     WorkerExitDeadline_ = Now.Steady_ + WorkerExitTimeout;
   const auto Leaving = Announcement.Leaving_ || Announcement.Exited_;
-  if (Leaving == WorkerLeaving_)
+  if (Leaving != WorkerLeaving_) {
+    WorkerLeaving_ = Leaving;
+    Requests_.refuseNew(refusalReason());
+    Out.push_back(LogDecision{
+        Leaving ? "worker-leaving" : "worker-stays", Identity_.Agent_.Value_,
+        CurrentConfiguration_.Head_.Revision_, ErrorKind::None, ""});
+  } else if (!CapacityChanged) {
     return;
-  WorkerLeaving_ = Leaving;
-  Requests_.refuseNew(refusalReason());
-  Out.push_back(LogDecision{
-      Leaving ? "worker-leaving" : "worker-stays", Identity_.Agent_.Value_,
-      CurrentConfiguration_.Head_.Revision_, ErrorKind::None, ""});
+  }
+  // The owner must not bind any task to a worker for its earlier capacity.
   if (Ready_)
     sendHeartbeats(Now, Out);
 }
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -206,12 +206,15 @@
   /// True if an entry other than the receiver has a fresh view of the store. A
   /// receiver that can't read the store then knows that others can.
   bool OtherEntryViewFresh_ = false;
+  /// The worker's present capacity; agents of earlier versions don't send it.
+  std::optional<Resources> Capacity_;
 
+  static constexpr std::size_t RequiredFields = 6;
   static constexpr auto fields() {
-    return std::make_tuple(&Heartbeat::Sequence_, &Heartbeat::Revision_,
-                           &Heartbeat::InForceRevision_, &Heartbeat::Load_,
-                           &Heartbeat::Leaving_,
-                           &Heartbeat::OtherEntryViewFresh_);
+    return std::make_tuple(
+        &Heartbeat::Sequence_, &Heartbeat::Revision_,
+        &Heartbeat::InForceRevision_, &Heartbeat::Load_, &Heartbeat::Leaving_,
+        &Heartbeat::OtherEntryViewFresh_, &Heartbeat::Capacity_);
   }
 };
 
--- a/test/correctness/CapacityTest.cpp
+++ b/test/correctness/CapacityTest.cpp
@@ -200,4 +200,15 @@
   BOOST_TEST(Core.ready());
 }
 
+BOOST_AUTO_TEST_CASE(AChangedCapacityIsReportedAtOnce) {
+  CapacityFixture Fixture;
+  Fixture.announce(2000);
+  const auto Sent = Fixture.lastMessage<Heartbeat>();
+  BOOST_REQUIRE(Sent.has_value());
+  BOOST_TEST(Sent->Capacity_.value_or(Resources{}).MilliCores_ == 2000);
+  Fixture.Out_.clear();
+  Fixture.announce(2000);
+  BOOST_TEST(!Fixture.lastMessage<Heartbeat>().has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -55,4 +55,32 @@
   BOOST_TEST(decodeAgentMessage(Bytes).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(FieldsThatAnOlderVersionDoesNotWriteKeepTheirDefaults) {
+  Heartbeat Message;
+  Message.Leaving_ = true;
+  // The fields are an array of seven (0x87), of which the last is null and the
+  // one before it a boolean, one byte each.
+  auto Bytes = encode(AgentMessage{Message});
+  const auto FieldArray = Bytes.find(static_cast<char>(0x87));
+  BOOST_REQUIRE(FieldArray != std::string::npos);
+  BOOST_REQUIRE(decodeAgentMessage(Bytes).has_value());
+  Bytes[FieldArray] = static_cast<char>(0x86);
+  Bytes.pop_back();
+  const auto Older = decodeAgentMessage(Bytes);
+  BOOST_REQUIRE(Older.has_value());
+  BOOST_TEST(std::get<Heartbeat>(*Older).Leaving_);
+  BOOST_TEST(!std::get<Heartbeat>(*Older).Capacity_.has_value());
+  Bytes[FieldArray] = static_cast<char>(0x85);
+  Bytes.pop_back();
+  BOOST_TEST(!decodeAgentMessage(Bytes).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AHeartbeatCarriesTheCapacity) {
+  Heartbeat Message;
+  Message.Capacity_ = Resources{4000, 8000, 1};
+  const auto Decoded = decodeAgentMessage(encode(AgentMessage{Message}));
+  BOOST_REQUIRE(Decoded.has_value());
+  BOOST_TEST((std::get<Heartbeat>(*Decoded).Capacity_ == Message.Capacity_));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
