Owner: binds tasks by the worker's present capacity

Callers saw: after a worker's capacity had shrunk, the owner went on binding tasks to it. Its agent refused them as never-fits, at once and again with each new attempt, or kept them waiting while other workers were idle. After the capacity had grown, the additional part stayed unused.

Cause: the owner computes what is free from the capacity in the agent's Hello, the first message on a connection, and no later message changed it.

Ruled out: the agent's own check. It follows the announcements and starts nothing beyond the capacity (CapacityTest).

Evidence: before, NoTaskIsBoundToAWorkerWhoseCapacityHasShrunk failed with 'check Fixture.Binds_.empty() has failed', and TasksAreBoundToAWorkerWhoseCapacityHasGrown with 'Binds_.size() == 6U has failed [4 != 6]'. Both pass, with all others.

Why it works: the capacity is part of the owner's view of a worker and follows the newest heartbeat, as the leaving flag does: an older heartbeat that arrives late doesn't change it, and one without a capacity leaves it as it was. So after a shrink there is no loop of bindings and refusals: the heartbeat precedes the refusal on the same connection.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -741,7 +741,7 @@
     -> PlacementCandidate {
   const auto &Status = Job.task(Task);
   PlacementCandidate Place;
-  Place.Capacity_ = Candidate.Hello_.Capacity_;
+  Place.Capacity_ = Candidate.Capacity_;
   Place.HeadroomMilliCores_ = ShortDemand_.headroomAt(
       Place.Capacity_.MilliCores_, Context_.Targets_.size());
   Place.Rack_ = Candidate.Hello_.Rack_;
--- a/core/TargetTable.cpp
+++ b/core/TargetTable.cpp
@@ -41,6 +41,7 @@
   auto New = std::make_unique<Target>();
   New->Hello_ = Message;
   New->Session_ = Session;
+  New->Capacity_ = Message.Capacity_;
   New->LastSeenAt_ = Now.Steady_;
   New->Revision_ = Message.Revision_;
   Agents_[Message.Agent_] = Session;
@@ -75,6 +76,7 @@
   if (Report.Sequence_ > Registered->HeartbeatSequence_) {
     Registered->HeartbeatSequence_ = Report.Sequence_;
     Registered->Leaving_ = Report.Leaving_;
+    Registered->Capacity_ = Report.Capacity_.value_or(Registered->Capacity_);
   }
   Registered->Revision_ = std::max(Registered->Revision_, Report.Revision_);
   Registered->InForceRevision_ =
--- a/core/TargetTable.h
+++ b/core/TargetTable.h
@@ -17,6 +17,8 @@
   Hello Hello_;
   SessionNumber Session_ = 0;
   AgentLoad Load_;
+  /// The worker's capacity, which may change while it runs.
+  Resources Capacity_;
   Revision Revision_ = 0;
   Revision InForceRevision_ = 0;
   TimePoint LastSeenAt_{};
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -170,6 +170,8 @@
   std::vector<StopTask> Stops_;
   /// What the agent lists when it confirms an owner.
   std::vector<TaskReport> HeldTasks_;
+  /// The worker's capacity as the agent's heartbeats state it.
+  std::optional<Resources> Capacity_;
   /// Addresses of the entries in the last list that the agent got.
   std::vector<std::string> KnownAddresses_;
   Moment Now_{TimePoint(Seconds{100}), WallTime(Seconds{1000})};
@@ -214,6 +216,7 @@
     Message.Sequence_ = static_cast<std::uint64_t>(Ticks_);
     Message.Revision_ = 1;
     Message.Load_.Free_ = {4000, 8000, 0};
+    Message.Capacity_ = Capacity_;
     for (std::size_t Index = 0; Index < EntryCount; ++Index)
       sendFromAgent(Index, Message);
   }
@@ -561,4 +564,28 @@
   BOOST_TEST(Fixture.taskStatus("a")->Attempt_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(NoTaskIsBoundToAWorkerWhoseCapacityHasShrunk) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(7);
+  Fixture.advance(Millis{2000});
+  Fixture.Capacity_ = Resources{500, 8000, 0};
+  Fixture.advance(Millis{600});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.Binds_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TasksAreBoundToAWorkerWhoseCapacityHasGrown) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(7);
+  Fixture.advance(Millis{2000});
+  for (const auto *Job : {"a", "b", "c", "d", "e", "f"})
+    Fixture.submit(0, Job);
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.Binds_.size() == 4U);
+  Fixture.Capacity_ = Resources{6000, 8000, 0};
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.Binds_.size() == 6U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/TargetTableTest.cpp
+++ b/test/correctness/TargetTableTest.cpp
@@ -16,6 +16,7 @@
   TableFixture() {
     Hello Message;
     Message.Agent_ = {"agent"};
+    Message.Capacity_ = {4000, 8000, 0};
     Table_.add(Now_, Session, Message);
   }
 
@@ -28,6 +29,16 @@
     return Table_.find(Session)->Leaving_;
   }
 
+  /// \returns the target's processors, in thousandths, after the heartbeat.
+  auto sendCapacity(std::uint64_t Sequence,
+                    const std::optional<Resources> &Capacity) -> std::int64_t {
+    Heartbeat Received;
+    Received.Sequence_ = Sequence;
+    Received.Capacity_ = Capacity;
+    Table_.update(Now_, Session, Received);
+    return Table_.find(Session)->Capacity_.MilliCores_;
+  }
+
 private:
   TargetTable Table_;
   Moment Now_{TimePoint(Seconds{100}), {}};
@@ -50,4 +61,12 @@
   BOOST_TEST(Fixture.sendHeartbeat(1, false));
 }
 
+BOOST_AUTO_TEST_CASE(TheCapacityIsThatOfTheNewestHeartbeat) {
+  TableFixture Fixture;
+  BOOST_TEST(Fixture.sendCapacity(1, std::nullopt) == 4000);
+  BOOST_TEST(Fixture.sendCapacity(3, Resources{2000, 8000, 0}) == 2000);
+  BOOST_TEST(Fixture.sendCapacity(2, Resources{4000, 8000, 0}) == 2000);
+  BOOST_TEST(Fixture.sendCapacity(4, std::nullopt) == 2000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
