Agent: a shrunk capacity returns the queued tasks that lost their room

Callers saw: tasks that had been bound to a worker before its capacity shrank waited at its agent until something ended there or their leases expired, while other workers were idle.

Cause: queued tasks that don't fit are skipped, on the assumption that the owner bound them with regard to the same capacity.

Evidence: before, QueuedTasksWithoutRoomAreReturnedWhenTheCapacityShrinks and ABindingMadeForTheEarlierCapacityIsReturned failed, both with 'check (Fixture.reportedPhase("b") == TaskPhase::NotStarted) has failed'. TasksWaitForRoomWhereTheCapacityIsSteadyOrGrows passed before and passes now.

Why it works: the agent returns them at once, in the order in which they would start, and for one second also the bindings that the owner made before it learned of the smaller capacity. The heartbeat with the new capacity is sent before, on the same connection, so the owner doesn't choose this worker again. Running tasks are left running. Where the capacity is steady or grows, tasks wait as before.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -264,7 +264,7 @@
   Identity_.Rack_ = Announcement.Rack_;
   Identity_.Labels_ = Announcement.Labels_;
   Identity_.Services_ = {Announcement.Service_};
-  Tasks_.resize(Announcement.Capacity_);
+  Tasks_.resize(Now.Steady_, Announcement.Capacity_);
   CapacityKnown_ = true;
   becomeReady(Out);
   if (Announcement.Exited_ && WorkerExitDeadline_ == TimePoint::max())
@@ -279,9 +279,11 @@
   } else if (!CapacityChanged) {
     return;
   }
-  // The owner must not bind any task to a worker for its earlier capacity.
+  // The heartbeat precedes the returned tasks, or the owner would bind them to
+  // this worker again.
   if (Ready_)
     sendHeartbeats(Now, Out);
+  Tasks_.returnUnplaceable(Now.Steady_, Out);
 }
 
 auto AgentCore::startAnswered(Moment Now, const TaskId &Task,
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -14,6 +14,9 @@
 /// How long a best-effort task waits for latency headroom before it is returned
 /// to its owner.
 constexpr Millis HeadroomTimeout{700};
+/// How long after a shrink of the worker's capacity bindings may arrive that
+/// its owner made for the larger one.
+constexpr Millis StaleBindingPeriod{1000};
 
 auto keyOf(const BindTask &Bind) -> std::pair<TaskId, AttemptNumber> {
   return {Bind.Task_, Bind.Attempt_};
@@ -94,6 +97,25 @@
   return NewlyEnded;
 }
 
+auto TaskManager::resize(TimePoint Now, const Resources &Capacity) -> void {
+  if (!Capacity.holds(Ledger_.capacity()))
+    StaleBindingsUntil_ = Now + StaleBindingPeriod;
+  Ledger_.resize(Capacity);
+}
+
+auto TaskManager::returnUnplaceable(TimePoint Now, AgentOutbox &Out) -> void {
+  if (Now >= StaleBindingsUntil_)
+    return;
+  auto Free = Ledger_.free();
+  for (auto *Held : startOrder()) {
+    const auto &Need = Held->Bind_.Resources_;
+    if (Free.holds(Need))
+      Free -= Need;
+    else
+      end(*Held, TaskPhase::NotStarted, ErrorKind::NeverFits, Out);
+  }
+}
+
 auto TaskManager::anyOwnerSession() const -> SessionNumber {
   for (const auto &[Shard, Owner] : Owners_)
     if (Owner.Session_ != 0)
@@ -423,7 +445,9 @@
   Held.Bind_ = Bind;
   Held.Checkpoint_ = Bind.Checkpoint_;
   Held.LeaseUntil_ = runUntil(Held, Permits);
-  if (!Ledger_.capacity().holds(Bind.Resources_))
+  const auto MadeForLargerCapacity =
+      Now < StaleBindingsUntil_ && !Ledger_.fits(Bind.Resources_);
+  if (!Ledger_.capacity().holds(Bind.Resources_) || MadeForLargerCapacity)
     end(Held, TaskPhase::NotStarted, ErrorKind::NeverFits, Out);
   else if (Held.LeaseUntil_ <= Now)
     // The message was delayed for so long that the owner may have bound the
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -26,8 +26,12 @@
   auto update(TimePoint Now, const WorkerInventory &Inventory, AgentOutbox &Out)
       -> bool;
 
-  /// Sets the worker's capacity, once it is announced.
-  auto resize(const Resources &Capacity) -> void { Ledger_.resize(Capacity); }
+  /// Sets the worker's capacity as announced. After it has shrunk, bindings
+  /// that the owner made for the larger one may arrive for some time.
+  auto resize(TimePoint Now, const Resources &Capacity) -> void;
+  /// Returns the queued tasks for which a shrunk capacity has left no room to
+  /// their owners, which can place them on other workers.
+  auto returnUnplaceable(TimePoint Now, AgentOutbox &Out) -> void;
   /// Handles the outcome of a start command, which may be unknown.
   auto startAnswered(TimePoint Now, const TaskId &Task, AttemptNumber Attempt,
                      StartOutcome Outcome, const StartPermits &Permits,
@@ -195,6 +199,8 @@
   auto anyOwnerSession() const -> SessionNumber;
 
   ResourceLedger Ledger_;
+  /// Until this time the owner may be unaware that the capacity has shrunk.
+  TimePoint StaleBindingsUntil_{};
   InterferenceController InterferenceController_;
   /// Includes a lease that is given to the worker in latestLeaseEnd().
   auto recordLease(TimePoint Now, TimePoint Until) -> void;
--- a/test/correctness/CapacityTest.cpp
+++ b/test/correctness/CapacityTest.cpp
@@ -105,6 +105,16 @@
           Last = *Found;
     return Last;
   }
+  /// Phase of the first task of a job in the last report of it.
+  auto reportedPhase(const std::string &Job) const -> std::optional<TaskPhase> {
+    std::optional<TaskPhase> Last;
+    for (const auto &Each : Out_)
+      if (const auto *Send = std::get_if<SendToEntry>(&Each))
+        if (const auto *Report = std::get_if<TaskReport>(&Send->Message_))
+          if (Report->Task_ == taskOf(Job))
+            Last = Report->Phase_;
+    return Last;
+  }
   static auto taskOf(const std::string &Job) -> TaskId { return {{Job}, 0}; }
 
   AgentOutbox Out_;
@@ -211,4 +221,36 @@
   BOOST_TEST(!Fixture.lastMessage<Heartbeat>().has_value());
 }
 
+BOOST_AUTO_TEST_CASE(QueuedTasksWithoutRoomAreReturnedWhenTheCapacityShrinks) {
+  CapacityFixture Fixture;
+  Fixture.bind("a", 2500);
+  Fixture.bind("b", 1800);
+  Fixture.bind("c", 3000);
+  Fixture.Out_.clear();
+  Fixture.announce(2500);
+  BOOST_TEST((Fixture.reportedPhase("b") == TaskPhase::NotStarted));
+  BOOST_TEST((Fixture.reportedPhase("c") == TaskPhase::NotStarted));
+  BOOST_TEST(!Fixture.reportedPhase("a").has_value());
+  // The owner would bind the returned tasks to the same worker again.
+  const auto *First = std::get_if<SendToEntry>(&Fixture.Out_.front());
+  BOOST_REQUIRE(First != nullptr);
+  BOOST_TEST(std::holds_alternative<Heartbeat>(First->Message_));
+}
+
+BOOST_AUTO_TEST_CASE(ABindingMadeForTheEarlierCapacityIsReturned) {
+  CapacityFixture Fixture;
+  Fixture.bind("a", 2500);
+  Fixture.announce(3000);
+  Fixture.bind("b", 1000);
+  BOOST_TEST((Fixture.reportedPhase("b") == TaskPhase::NotStarted));
+}
+
+BOOST_AUTO_TEST_CASE(TasksWaitForRoomWhereTheCapacityIsSteadyOrGrows) {
+  CapacityFixture Fixture;
+  Fixture.bind("a", 2500);
+  Fixture.bind("b", 2500);
+  Fixture.announce(4500);
+  BOOST_TEST((Fixture.reportedPhase("b") == TaskPhase::Queued));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
