Agent: running attempts without a reservation count until they have ended

Callers saw: a start could bring a worker over its capacity while an attempt ran there that its agent didn't hold or had reported as ended.

Cause: the agent orders such attempts to be stopped, but their resources are in no reservation: those of an attempt that was reported ended are released, those of an unknown attempt were never recorded. What is being stopped still counts until its end is listed.

Ruled out: tasks that the agent holds. A task that is stopping, and one whose start is unanswered, keep their reservation (CapacityTest).

Evidence: before, AnAttemptThatTheAgentDoesNotHoldCountsUntilItEnds and AnAttemptThatWasReportedEndedCountsWhileItRuns failed with 'check Fixture.countOutputs<StartOnWorker>() == 0U has failed [1 != 0]'.

Why it works: the size of such an attempt is unknown, so nothing starts while the worker's last inventory lists one, as for adopted tasks that await their binding. It has been ordered to stop, so this lasts as long as a stop takes.

--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -94,9 +94,20 @@
       resolveMissing(Held, Inventory, Out);
   }
   handleUnheldAttempts(Inventory, Out);
+  RunsUnreserved_ = std::any_of(
+      Inventory.Tasks_.begin(), Inventory.Tasks_.end(), [&](const auto &Task) {
+        return !isEnded(Task.Phase_) && !isReserved(Task.Bind_);
+      });
   return NewlyEnded;
 }
 
+auto TaskManager::isReserved(const BindTask &Bind) const -> bool {
+  const auto Found = Tasks_.find(Bind.Task_);
+  return Found != Tasks_.end() &&
+         Found->second.Bind_.Attempt_ == Bind.Attempt_ &&
+         !isEnded(Found->second.Phase_);
+}
+
 auto TaskManager::resize(TimePoint Now, const Resources &Capacity) -> void {
   if (!Capacity.holds(Ledger_.capacity()))
     StaleBindingsUntil_ = Now + StaleBindingPeriod;
@@ -558,7 +569,7 @@
 auto TaskManager::startQueued(TimePoint Now, const StartPermits &Permits,
                               Revision Observed, AgentOutbox &Out) -> void {
   const auto StartUntil = Permits.startUntil(Observed);
-  if (StartUntil <= Now || WorkerClock_ == Micros{0})
+  if (StartUntil <= Now || WorkerClock_ == Micros{0} || RunsUnreserved_)
     return;
   // The resources of an adopted task are unknown until it is bound again.
   for (const auto &Each : Tasks_)
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -144,6 +144,8 @@
   auto acceptOwner(ShardNumber Shard, Epoch Epoch, SessionNumber Session)
       -> bool;
   auto adoptTask(const WorkerTask &Task) -> void;
+  /// Whether resources are reserved for the attempt.
+  auto isReserved(const BindTask &Bind) const -> bool;
   /// \returns whether the task has newly ended.
   auto updateTask(HeldTask &Held, const WorkerTask &Observed, AgentOutbox &Out)
       -> bool;
@@ -209,6 +211,9 @@
   Incarnation Worker_ = 0;
   Micros WorkerClock_{0};
   TimePoint WorkerClockAt_{};
+  /// Whether the worker's last inventory lists running attempts for which
+  /// nothing is reserved.
+  bool RunsUnreserved_ = false;
   /// By task. A new attempt replaces an earlier one that has ended.
   std::map<TaskId, HeldTask> Tasks_;
   /// Attempts in the worker's last inventory that the agent doesn't hold and
--- a/test/correctness/CapacityTest.cpp
+++ b/test/correctness/CapacityTest.cpp
@@ -253,4 +253,28 @@
   BOOST_TEST((Fixture.reportedPhase("b") == TaskPhase::Queued));
 }
 
+BOOST_AUTO_TEST_CASE(AnAttemptThatTheAgentDoesNotHoldCountsUntilItEnds) {
+  CapacityFixture Fixture;
+  Fixture.poll({"unknown"});
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+  Fixture.bind("a", 3000);
+  Fixture.tick(Millis{50});
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+  Fixture.poll({});
+  Fixture.tick(Millis{50});
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAttemptThatWasReportedEndedCountsWhileItRuns) {
+  CapacityFixture Fixture;
+  Fixture.bind("a", 3000);
+  Fixture.Core_.startAnswered(Fixture.Now_, Fixture.taskOf("a"), 1,
+                              StartOutcome::Refused, Fixture.Out_);
+  Fixture.tick(Millis{50});
+  Fixture.poll({"a"});
+  Fixture.Out_.clear();
+  Fixture.bind("b", 3000);
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
