Agent: a late deregistration ends no task of a live worker

Callers saw: all tasks of a live worker were given up one second after a message that it had exited, and again on every tick from then on; their next attempts ran beside the first ones, which went on under their leases.

Cause: a worker may start again under the id that it had, and the message of its exit names only that id: on the platform its body is empty. A message of the earlier incarnation that arrives late was applied to the present one. The time at which the tasks count as ended was never reset, even if the worker went on announcing that it was ready.

Ruled out: comparing 'born'.

Evidence: before, ALateDeregistrationEndsNoTaskOfALiveWorker failed with 'check (Fixture.reportedPhase("a") == TaskPhase::Running) has failed', and the running task was ordered to stop. TheTasksOfAWorkerThatHasExitedEnd passed before and passes now.

Why it works: a worker announces that it is leaving before it exits, so the message is ignored from one that hasn't. From one that has, its tasks end only if it no longer answers polls when the time for its exit has passed. If a true exit is ignored, its tasks end with their leases, as after a crash.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -237,6 +237,7 @@
     Out.push_back(RestartAgent{});
     return;
   }
+  LastInventoryAt_ = Now.Steady_;
   if (Tasks_.update(Now.Steady_, Inventory, Out))
     startQueued(Now, Out);
   scheduleNextPoll(Now, Out);
@@ -267,9 +268,11 @@
   Tasks_.resize(Now.Steady_, Announcement.Capacity_);
   CapacityKnown_ = true;
   becomeReady(Out);
-  if (Announcement.Exited_ && WorkerExitDeadline_ == TimePoint::max())
-    WorkerExitDeadline_ = Now.Steady_ + WorkerExitTimeout;
-  const auto Leaving = Announcement.Leaving_ || Announcement.Exited_;
+  if (Announcement.Exited_) {
+    workerDeregistered(Now, Out);
+    return;
+  }
+  const auto Leaving = Announcement.Leaving_;
   if (Leaving != WorkerLeaving_) {
     WorkerLeaving_ = Leaving;
     Requests_.refuseNew(refusalReason());
@@ -286,6 +289,16 @@
   Tasks_.returnUnplaceable(Now.Steady_, Out);
 }
 
+auto AgentCore::workerDeregistered(Moment Now, AgentOutbox &Out) -> void {
+  // A worker announces that it is leaving before it exits.
+  if (!WorkerLeaving_)
+    Out.push_back(LogDecision{"deregistration-ignored", Identity_.Agent_.Value_,
+                              CurrentConfiguration_.Head_.Revision_,
+                              ErrorKind::StaleIncarnation, ""});
+  else if (WorkerExitDeadline_ == TimePoint::max())
+    WorkerExitDeadline_ = Now.Steady_ + WorkerExitTimeout;
+}
+
 auto AgentCore::startAnswered(Moment Now, const TaskId &Task,
                               AttemptNumber Attempt, StartOutcome Outcome,
                               AgentOutbox &Out) -> void {
@@ -328,6 +341,10 @@
                               ErrorKind::None, ""});
     sendHeartbeats(Now, Out);
   }
+  const auto StillAnswers =
+      LastInventoryAt_ + WorkerExitTimeout / 2 > WorkerExitDeadline_;
+  if (Now.Steady_ >= WorkerExitDeadline_ && StillAnswers)
+    WorkerExitDeadline_ = TimePoint::max();
   // An unreachable worker stops every task by itself when its lease expires.
   const auto LeasesExpired =
       WorkerUnresponsive_ && Now.Steady_ > Tasks_.latestLeaseEnd();
--- a/core/AgentCore.h
+++ b/core/AgentCore.h
@@ -83,6 +83,9 @@
   /// records the message's sequence number.
   auto isDuplicate(SessionNumber Number, std::uint64_t Sequence) -> bool;
   auto checkWorkerLiveness(Moment Now, AgentOutbox &Out) -> void;
+  /// Handles the announcement that the worker has exited, which may have been
+  /// sent late, by an earlier incarnation with the same id.
+  auto workerDeregistered(Moment Now, AgentOutbox &Out) -> void;
   auto becomeReady(AgentOutbox &Out) -> void;
   /// Starts queued tasks. Where nothing may start here, returns them to their
   /// owners instead, and stops the running tasks if they may not run to their
@@ -132,7 +135,9 @@
   bool WorkerUnresponsive_ = false;
   /// Polls sent since the worker last answered one.
   int UnansweredPolls_ = 0;
-  /// When all tasks of a worker that announced its exit count as ended.
+  TimePoint LastInventoryAt_{};
+  /// When all tasks of a worker that announced its exit count as ended, unless
+  /// it still answers polls.
   TimePoint WorkerExitDeadline_ = TimePoint::max();
   Incarnation AnnouncedIncarnation_ = 0;
   bool Leaving_ = false;
--- a/test/correctness/CapacityTest.cpp
+++ b/test/correctness/CapacityTest.cpp
@@ -42,6 +42,14 @@
     Core_.announcementReceived(Now_, announcement(MilliCores), Out_);
   }
 
+  /// The worker announces that it has exited.
+  auto deregister() -> void {
+    WorkerAnnouncement Announcement;
+    Announcement.Worker_ = Worker;
+    Announcement.Exited_ = true;
+    Core_.announcementReceived(Now_, Announcement, Out_);
+  }
+
   auto bind(const std::string &Job, std::int64_t MilliCores) -> void {
     BindTask Bind;
     Bind.Sequence_ = ++Sequence_;
@@ -277,4 +285,37 @@
   BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(ALateDeregistrationEndsNoTaskOfALiveWorker) {
+  for (const auto Leaving : {false, true}) {
+    CapacityFixture Fixture;
+    Fixture.bind("a", 1000);
+    Fixture.poll({"a"});
+    auto Announcement = Fixture.announcement(4000);
+    Announcement.Leaving_ = Leaving;
+    Fixture.Core_.announcementReceived(Fixture.Now_, Announcement,
+                                       Fixture.Out_);
+    Fixture.deregister();
+    for (int Poll = 0; Poll < 4; ++Poll) {
+      Fixture.tick(Millis{400});
+      Fixture.poll({"a"});
+    }
+    BOOST_TEST((Fixture.reportedPhase("a") == TaskPhase::Running));
+    BOOST_TEST((Leaving || Fixture.countOutputs<StopOnWorker>() == 0U));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheTasksOfAWorkerThatHasExitedEnd) {
+  CapacityFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.poll({"a"});
+  auto Announcement = Fixture.announcement(4000);
+  Announcement.Leaving_ = true;
+  Fixture.Core_.announcementReceived(Fixture.Now_, Announcement, Fixture.Out_);
+  Fixture.deregister();
+  Fixture.poll({"a"});
+  for (int Tick = 0; Tick < 3; ++Tick)
+    Fixture.tick(Millis{400});
+  BOOST_TEST((Fixture.reportedPhase("a") == TaskPhase::Stopped));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
