Agent: a deregistration keeps what the worker announced of itself

Callers saw: after a deregistration the agent's messages named a worker without capacity, labels and service. After one that was late, nothing was bound to a live worker until its next heartbeat.

Cause: the message of an exit was handled like any announcement, and its unset fields replaced what the worker had announced.

Evidence: before, ADeregistrationKeepsWhatTheWorkerAnnounced failed with 'check Sent->Capacity_.MilliCores_ == 4000 has failed [0 != 4000]', likewise for the service and the labels.

Why it works: an exit is handled before anything is taken from the message.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -259,6 +259,10 @@
     Out.push_back(RestartAgent{});
     return;
   }
+  if (Announcement.Exited_) {
+    workerDeregistered(Now, Out);
+    return;
+  }
   AnnouncedIncarnation_ = Announcement.Worker_;
   const auto CapacityChanged = !(Identity_.Capacity_ == Announcement.Capacity_);
   Identity_.Capacity_ = Announcement.Capacity_;
@@ -268,10 +272,6 @@
   Tasks_.resize(Now.Steady_, Announcement.Capacity_);
   CapacityKnown_ = true;
   becomeReady(Out);
-  if (Announcement.Exited_) {
-    workerDeregistered(Now, Out);
-    return;
-  }
   const auto Leaving = Announcement.Leaving_;
   if (Leaving != WorkerLeaving_) {
     WorkerLeaving_ = Leaving;
--- a/test/correctness/CapacityTest.cpp
+++ b/test/correctness/CapacityTest.cpp
@@ -318,4 +318,15 @@
   BOOST_TEST((Fixture.reportedPhase("a") == TaskPhase::Stopped));
 }
 
+BOOST_AUTO_TEST_CASE(ADeregistrationKeepsWhatTheWorkerAnnounced) {
+  CapacityFixture Fixture;
+  Fixture.deregister();
+  Fixture.Core_.openSession(Fixture.Now_, OwnerSession + 1, Fixture.Out_);
+  const auto Sent = Fixture.lastMessage<Hello>();
+  BOOST_REQUIRE(Sent.has_value());
+  BOOST_TEST(Sent->Capacity_.MilliCores_ == 4000);
+  BOOST_TEST((Sent->Services_ == std::vector<ServiceName>{{"portal"}}));
+  BOOST_TEST(Sent->Labels_.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
