Jobs count as waiting until an attempt has begun

Cause: a job counted as started once a task had been bound (Attempt_ > 0). A binding is no start: the task may wait at its agent, its start may be refused or stay without an answer, or its worker may be lost before; it then waits again, and the job went on counting as started for good.

Evidence: before, AJobWaitsUntilAnAttemptHasBegun, ANewOwnerKnowsWhichJobsHaveBegun and AJobIsQueuedUntilATaskIsKnownToHaveBegun failed, e.g. 'check Fixture.unstartedJobs() == 1U has failed [0 != 1]' for a task that is queued at its agent, starting, returned unstarted, or bound again.

Why it works: a task has started once its agent reports an attempt as running or as ended on the worker. The end of an attempt whose worker is gone proves no start. The owner keeps this with the task's state and stores it with the task's next change; a new owner also learns it from the agents' confirmations. For values of earlier versions, which end before the new field, a finished task, a failure or a checkpoint prove a start, and otherwise the job counts as waiting. The state that callers get for a single job follows the same rule.

--- a/core/Job.cpp
+++ b/core/Job.cpp
@@ -53,6 +53,11 @@
   return tasksPerOccurrence() * std::max<std::size_t>(Occurrences_, 1);
 }
 
+auto TaskStatus::hasStarted() const -> bool {
+  return Started_ || State_ == TaskState::Finished || Failures_ > 0 ||
+         !Checkpoint_.empty();
+}
+
 auto Job::positionOf(const TaskId &Task) const -> std::size_t {
   const auto &Steps = Declaration_.Steps_;
   if (Task.Step_ >= Steps.size() || Task.Index_ >= Steps[Task.Step_].TaskCount_)
@@ -124,7 +129,7 @@
     return JobState::Completed;
   const auto Started =
       std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
-                  [](const TaskStatus &Task) { return Task.Attempt_ > 0; });
+                  [](const TaskStatus &Task) { return Task.hasStarted(); });
   return Started ? JobState::Running : JobState::Queued;
 }
 
--- a/core/Job.h
+++ b/core/Job.h
@@ -155,13 +155,19 @@
   /// How often the task has failed.
   std::uint32_t Failures_ = 0;
   std::vector<AttemptRecord> History_;
+  /// Whether an attempt is known to have begun on a worker.
+  bool Started_ = false;
 
+  static constexpr std::size_t RequiredFields = 7;
   static constexpr auto fields() {
     return std::make_tuple(&TaskStatus::State_, &TaskStatus::Attempt_,
                            &TaskStatus::Agent_, &TaskStatus::Worker_,
                            &TaskStatus::Checkpoint_, &TaskStatus::Failures_,
-                           &TaskStatus::History_);
+                           &TaskStatus::History_, &TaskStatus::Started_);
   }
+  /// True if an attempt is known to have begun, also where the record of it is
+  /// of a version that didn't store Started_.
+  auto hasStarted() const -> bool;
 };
 
 struct Job {
--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -74,6 +74,8 @@
   auto idle() const -> bool { return Phase_ == Phase::Idle; }
   auto epoch() const -> Epoch { return Head_.Epoch_; }
   auto state() const -> const ShardState & { return State_; }
+  /// Records in the state that an attempt of the task has begun.
+  auto recordStart(const TaskId &Task) -> void { State_.recordStart(Task); }
   /// Returns the time until which earlier owners may still extend task leases.
   auto oldGrantsUntil() const -> TimePoint { return OldGrantsUntil_; }
   /// Number of records that are not committed yet.
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -115,6 +115,9 @@
   }
 };
 
+/// Whether the report shows that the attempt has begun on its worker.
+auto hasBegun(const TaskReport &Report) -> bool;
+
 struct TaskReportAck {
   TaskId Task_;
   AttemptNumber Attempt_ = 0;
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -111,6 +111,7 @@
   Change.Worker_ = Task.Worker_;
   Change.Checkpoint_ = Task.Checkpoint_;
   Change.Failures_ = Task.Failures_;
+  Change.Started_ = Task.Started_;
   Change.Reason_ = Reason;
   Change.At_ = Now.Wall_;
   if (!Task.History_.empty())
@@ -1053,6 +1054,8 @@
     -> void {
   if (!owning())
     return;
+  if (hasBegun(Report))
+    Ledger_.recordStart(Report.Task_);
   const auto *Task = state().findTask(Report.Task_);
   const auto Current = Task != nullptr && Task->State_ == TaskState::Bound &&
                        Task->Attempt_ == Report.Attempt_ &&
--- a/core/ShardState.cpp
+++ b/core/ShardState.cpp
@@ -74,6 +74,7 @@
   Task.Worker_ = Record.Worker_;
   Task.Checkpoint_ = Record.Checkpoint_;
   Task.Failures_ = Record.Failures_;
+  Task.Started_ |= Record.Started_;
   addToHistory(Task, {Record.Attempt_, Record.State_, Record.Agent_,
                       Record.DataCentre_, Record.At_, Record.Reason_});
   if (Record.State_ == TaskState::Failed) {
@@ -115,6 +116,15 @@
   Claims_.erase(Record.Key_);
 }
 
+auto ShardState::recordStart(const TaskId &Id) -> void {
+  const auto Found = Jobs_.find(Id.Job_);
+  if (Found == Jobs_.end())
+    return;
+  const auto Position = Found->second.positionOf(Id);
+  if (Position < Found->second.Tasks_.size())
+    Found->second.Tasks_[Position].Started_ = true;
+}
+
 auto ShardState::snapshot() const -> std::vector<LedgerRecord> {
   std::vector<LedgerRecord> Records;
   Records.reserve(Jobs_.size() + 2 * Claims_.size());
--- a/core/ShardState.h
+++ b/core/ShardState.h
@@ -41,13 +41,16 @@
   std::uint32_t Failures_ = 0;
   ErrorKind Reason_ = ErrorKind::None;
   WallTime At_{};
+  /// Whether an attempt of the task is known to have begun.
+  bool Started_ = false;
 
+  static constexpr std::size_t RequiredFields = 10;
   static constexpr auto fields() {
-    return std::make_tuple(&TaskChanged::Task_, &TaskChanged::State_,
-                           &TaskChanged::Attempt_, &TaskChanged::Agent_,
-                           &TaskChanged::DataCentre_, &TaskChanged::Worker_,
-                           &TaskChanged::Checkpoint_, &TaskChanged::Failures_,
-                           &TaskChanged::Reason_, &TaskChanged::At_);
+    return std::make_tuple(
+        &TaskChanged::Task_, &TaskChanged::State_, &TaskChanged::Attempt_,
+        &TaskChanged::Agent_, &TaskChanged::DataCentre_, &TaskChanged::Worker_,
+        &TaskChanged::Checkpoint_, &TaskChanged::Failures_,
+        &TaskChanged::Reason_, &TaskChanged::At_, &TaskChanged::Started_);
   }
 };
 
@@ -120,6 +123,9 @@
   /// Applies one committed record. Asserts that no attempt number decreases and
   /// that no task leaves a terminal state.
   auto apply(const LedgerRecord &Record) -> void;
+  /// Records that an attempt of the task has begun. This is stored with the
+  /// task's next change; an owner before that learns it from the task's agent.
+  auto recordStart(const TaskId &Id) -> void;
   /// Returns records that result in this state when applied in order to an
   /// empty one, for compaction.
   auto snapshot() const -> std::vector<LedgerRecord>;
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -44,6 +44,20 @@
   return Texts[static_cast<std::size_t>(Phase)];
 }
 
+auto hasBegun(const TaskReport &Report) -> bool {
+  switch (Report.Phase_) {
+  case TaskPhase::Queued:
+  case TaskPhase::Starting:
+  case TaskPhase::NotStarted:
+    return false;
+  case TaskPhase::Stopped:
+    // If the worker is gone, its start may have had no effect.
+    return Report.Reason_ != ErrorKind::WorkerGone;
+  default:
+    return true;
+  }
+}
+
 auto TaskManager::reportOf(const HeldTask &Held) -> TaskReport {
   return {Held.Bind_.Shard_, Held.Bind_.Task_, Held.Bind_.Attempt_, Held.Phase_,
           Held.Checkpoint_,  Held.Reason_,     Held.NeedsBinding_};
--- a/test/correctness/JobTest.cpp
+++ b/test/correctness/JobTest.cpp
@@ -88,6 +88,22 @@
   BOOST_TEST((jobState(TestedJob) == JobState::Running));
 }
 
+BOOST_AUTO_TEST_CASE(AJobIsQueuedUntilATaskIsKnownToHaveBegun) {
+  auto TestedJob = twoStepJob();
+  auto &Task = TestedJob.Tasks_.front();
+  Task.State_ = TaskState::Bound;
+  Task.Attempt_ = 2;
+  BOOST_TEST((jobState(TestedJob) == JobState::Queued));
+  Task.Failures_ = 1;
+  BOOST_TEST((jobState(TestedJob) == JobState::Running));
+  Task.Failures_ = 0;
+  Task.Checkpoint_ = {"c"};
+  BOOST_TEST((jobState(TestedJob) == JobState::Running));
+  Task.Checkpoint_ = {};
+  Task.State_ = TaskState::Finished;
+  BOOST_TEST((jobState(TestedJob) == JobState::Running));
+}
+
 BOOST_AUTO_TEST_CASE(AFailedTaskCancelsThePendingTasksOfItsJob) {
   ShardState State;
   State.apply(LedgerRecord{JobAdded{twoStepJob()}});
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -115,6 +115,13 @@
       return Each.Task_ == TaskId{{Job}, 0} && Each.Attempt_ == Attempt;
     });
   }
+  /// The number of the queue's jobs that the owner says haven't started.
+  auto unstartedJobs() -> std::uint64_t {
+    const auto *Reply =
+        replyOf(sendRequest(owner(), ReadQueue{{"portal.example", "/jobs/"}}));
+    return Reply == nullptr ? ~std::uint64_t{0}
+                            : std::get<UnstartedJobsReply>(*Reply).Count_;
+  }
   /// Closes the agent's sessions.
   auto leave() -> void {
     Worker_ = 0;
@@ -588,4 +595,42 @@
   BOOST_TEST(Fixture.Binds_.size() == 6U);
 }
 
+BOOST_AUTO_TEST_CASE(AJobWaitsUntilAnAttemptHasBegun) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->Attempt_ == 1U);
+  for (const auto Phase :
+       {TaskPhase::Queued, TaskPhase::Starting, TaskPhase::NotStarted}) {
+    Fixture.report("a", 1, Phase);
+    BOOST_TEST(Fixture.unstartedJobs() == 1U);
+  }
+  Fixture.advance(Millis{1000});
+  BOOST_REQUIRE(Fixture.taskStatus("a")->Attempt_ == 2U);
+  BOOST_TEST(Fixture.unstartedJobs() == 1U);
+  Fixture.report("a", 2, TaskPhase::Running);
+  BOOST_TEST(Fixture.unstartedJobs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ANewOwnerKnowsWhichJobsHaveBegun) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  for (const auto *Job : {"evicted", "running", "waiting"})
+    Fixture.submit(0, Job);
+  Fixture.advance(Millis{1000});
+  Fixture.report("evicted", 1, TaskPhase::Running);
+  Fixture.report("evicted", 1, TaskPhase::Stopped);
+  Fixture.report("running", 1, TaskPhase::Running);
+  Fixture.advance(Millis{200});
+  BOOST_TEST(Fixture.unstartedJobs() == 1U);
+  Fixture.HeldTasks_ = {taskReport("running", 1, TaskPhase::Running)};
+  Fixture.killEntry(Fixture.owner());
+  Fixture.advance(Millis{5000});
+  BOOST_REQUIRE(Fixture.owner() < EntryCount);
+  BOOST_TEST(Fixture.unstartedJobs() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -5,6 +5,7 @@
 #include "wire/Cbor.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -83,4 +84,28 @@
   BOOST_TEST((std::get<Heartbeat>(*Decoded).Capacity_ == Message.Capacity_));
 }
 
+BOOST_AUTO_TEST_CASE(LedgerValuesOfAnOlderVersionAreRead) {
+  using nlohmann::json;
+  Job Stored;
+  Stored.Tasks_.resize(1);
+  ShardSegment Segment;
+  Segment.Records_ = {JobAdded{Stored}, TaskChanged{}};
+  auto Value = json::from_cbor(encode(StoreValue{Segment}));
+  const auto Decodes = [&] {
+    const auto Bytes = json::to_cbor(Value);
+    return decodeStoreValue({Bytes.begin(), Bytes.end()}).has_value();
+  };
+  // Values are stored as [type, [fields...]]; a job's tasks are its last field.
+  auto &Records = Value[1][1];
+  auto &Status = Records[0][1][0].back()[0];
+  auto &Change = Records[1][1];
+  const auto EraseLast = [](json &Fields) { Fields.erase(Fields.size() - 1); };
+  BOOST_TEST(Decodes());
+  EraseLast(Status);
+  EraseLast(Change);
+  BOOST_TEST(Decodes());
+  EraseLast(Change);
+  BOOST_TEST(!Decodes());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
