Platform: heartbeats with impossible numbers are ignored

Callers saw: a heartbeat with a negative capacity was taken for the worker's, and nothing started there until the next one. One with a huge or negative sequence number had all later heartbeats ignored, so that a worker's leaving and its capacity were no longer seen.

Cause: fields were read into integers without a check of their range, and so wrapped around; a floating-point number out of range is undefined behaviour.

Ruled out: unreadable bytes, missing fields and fields of another type. These were rejected before, without an end of the process; they are in the test now.

A fraction is rounded down, as a shrunk capacity may be one.

--- a/test/correctness/PlatformTest.cpp
+++ b/test/correctness/PlatformTest.cpp
@@ -3,6 +3,7 @@
 /// of the scheduler.
 
 #include "platform/ConfigurationParser.h"
+#include "platform/HeartbeatParser.h"
 #include "platform/QueueApi.h"
 
 #include <boost/test/unit_test.hpp>
@@ -20,6 +21,18 @@
   return Request;
 }
 
+/// A heartbeat in which the given field, if any, replaces the valid one: of
+/// fields with the same name, the last counts.
+auto heartbeatWith(const std::string &Field) -> std::string {
+  const std::string Valid =
+      R"({"service":"s","address":"10.1.0.22:8786","zone":"z","version":"v1",
+          "slots":8,"state":"ready","seq":4,"cold_remaining_ms":0,
+          "born":1788277008666,
+          "capacity":{"cpu":32000,"mem_mb":128000,"gpu":0},
+          "labels":["a","r1-1"])";
+  return Valid + (Field.empty() ? "" : "," + Field) + "}";
+}
+
 auto errorAnswer(const std::string &Method, ErrorKind Kind)
     -> HttpServerAnswer {
   return Platform::renderAnswer(Method, ErrorReply{Kind, "", {}});
@@ -107,4 +120,52 @@
     BOOST_TEST(!Platform::parseConfiguration(Text, {}).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(ParsesAHeartbeat) {
+  const auto Parsed = Platform::parseHeartbeat(heartbeatWith(""));
+  BOOST_REQUIRE(Parsed.has_value());
+  BOOST_TEST(Parsed->Sequence_ == 4U);
+  BOOST_TEST(Parsed->Announcement_.Worker_ == 1788277008666U);
+  BOOST_TEST((Parsed->Announcement_.Capacity_ == Resources{32000, 128000, 0}));
+  BOOST_TEST(Parsed->Announcement_.Rack_ == "r1-1");
+  BOOST_TEST(!Parsed->Announcement_.Leaving_);
+}
+
+BOOST_AUTO_TEST_CASE(ACapacityMayBeAFraction) {
+  const auto Parsed = Platform::parseHeartbeat(
+      heartbeatWith(R"("capacity":{"cpu":19200.5,"mem_mb":76800.0})"));
+  BOOST_REQUIRE(Parsed.has_value());
+  BOOST_TEST((Parsed->Announcement_.Capacity_ == Resources{19200, 76800, 0}));
+}
+
+BOOST_AUTO_TEST_CASE(RejectsHeartbeatsWithMissingOrImpossibleFields) {
+  BOOST_TEST(!Platform::parseHeartbeat("").has_value());
+  BOOST_TEST(!Platform::parseHeartbeat("[]").has_value());
+  BOOST_TEST(!Platform::parseHeartbeat("\xff\xfe").has_value());
+  for (const auto *Field :
+       {R"("capacity":{"cpu":-1,"mem_mb":9})",
+        R"("capacity":{"cpu":9,"mem_mb":-9})",
+        R"("capacity":{"cpu":9,"mem_mb":9,"gpu":-1})",
+        R"("capacity":{"cpu":1e300,"mem_mb":9})",
+        R"("capacity":{"cpu":18446744073709551615,"mem_mb":9})",
+        R"("capacity":{"cpu":"9","mem_mb":9})",
+        R"("capacity":{"cpu":true,"mem_mb":9})",
+        R"("capacity":{"cpu":9})",
+        R"("capacity":null)",
+        R"("capacity":[9,9])",
+        R"("seq":-1)",
+        R"("seq":1e300)",
+        R"("seq":"5")",
+        R"("seq":null)",
+        R"("born":null)",
+        R"("born":-5)",
+        R"("born":"1")",
+        R"("state":"asleep")",
+        R"("service":7)",
+        R"("labels":"a")",
+        R"("labels":[1])",
+        R"("slots":-1)"})
+    BOOST_TEST(!Platform::parseHeartbeat(heartbeatWith(Field)).has_value(),
+               Field);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
