--- a/test/correctness/PlatformTest.cpp
+++ b/test/correctness/PlatformTest.cpp
@@ -168,4 +168,11 @@
                Field);
 }
 
+BOOST_AUTO_TEST_CASE(RejectsAHeartbeatThatDoesNotNameItsIncarnation) {
+  BOOST_TEST(!Platform::parseHeartbeat(
+                  R"({"service":"s","state":"ready","seq":4,"labels":["a"],
+               "capacity":{"cpu":9,"mem_mb":9}})")
+                  .has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
