Randomised runs: workers whose capacity shrinks and grows

--changing-capacity: every 9 seconds a worker halves or restores its capacity, as its announcements say. The checker holds a start against the smaller capacity from 4.1 seconds after the announcement, and allows the larger one at once. Without the option, the runs are as before.

--- a/test/fuzz/FakeWorker.h
+++ b/test/fuzz/FakeWorker.h
@@ -46,6 +46,9 @@
 
   /// Sets whether running tasks fail at the next advance().
   auto setFailing(bool Value) -> void { Failing_ = Value; }
+  auto setCapacity(const Resources &Capacity) -> void {
+    Config_.Capacity_ = Capacity;
+  }
   auto config() const -> const WorkerConfig & { return Config_; }
 
 private:
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -27,6 +27,12 @@
 constexpr Seconds SteadyStart{1000};
 const WallTime WallStart{Seconds{1796000000}};
 const Resources WorkerCapacity{4000, 8000, 1};
+const Resources ShrunkCapacity{2000, 4000, 1};
+/// How long a worker has the same capacity, if it changes.
+constexpr Seconds CapacityPeriod{9};
+constexpr Millis AnnouncementInterval{1100};
+/// How long after its announcement a smaller capacity must be observed.
+constexpr Millis CapacityTolerance{4100};
 
 /// Thrown by a failed assertion, so that it ends its run and not the process.
 struct InvariantViolation {
@@ -177,7 +183,7 @@
   Identity.Incarnation_ = ++LastIncarnation_;
   Identity.DataCentre_ = {DataCentres[Index % DataCentres.size()]};
   Identity.Rack_ = "rack";
-  Identity.Capacity_ = WorkerCapacity;
+  Identity.Capacity_ = describeWorker(Index);
   Identity.Limits_ = {4, 16};
   Identity.Services_ = {{"check"}, {"lodge"}};
   Node.Incarnation_ = Identity.Incarnation_;
@@ -192,6 +198,45 @@
     connect(Index, Entry);
 }
 
+auto Simulation::capacityOf(std::size_t Index) const -> Resources {
+  const auto Period = Now_ / CapacityPeriod + static_cast<std::int64_t>(Index);
+  const auto Shrunk =
+      Config_.ChangingCapacity_ && Now_ < Config_.Busy_ && Period % 2 != 0;
+  return Shrunk ? ShrunkCapacity : WorkerCapacity;
+}
+
+auto Simulation::describeWorker(std::size_t Index) -> Resources {
+  const auto Capacity = capacityOf(Index);
+  if (Capacity.holds(WorkerCapacity))
+    Agents_[Index]->Worker_->setCapacity(Capacity);
+  return Capacity;
+}
+
+auto Simulation::announceWorker(std::size_t Index) -> void {
+  scheduleAfter(AnnouncementInterval, [this, Index] { announceWorker(Index); });
+  auto &Node = *Agents_[Index];
+  if (!Node.Worker_)
+    return;
+  WorkerAnnouncement Announcement;
+  Announcement.Worker_ = Node.Worker_->config().Incarnation_;
+  Announcement.Capacity_ = describeWorker(Index);
+  Announcement.Rack_ = "rack";
+  Announcement.Service_ = {"check"};
+  // A smaller capacity counts once its announcement has had time to arrive.
+  const auto Generation = Node.WorkerGeneration_;
+  scheduleAfter(CapacityTolerance, [this, Index, Generation,
+                                    Capacity = Announcement.Capacity_] {
+    auto &Each = *Agents_[Index];
+    const auto StillShrunk = !capacityOf(Index).holds(WorkerCapacity);
+    if (Each.Worker_ && Each.WorkerGeneration_ == Generation && StillShrunk)
+      Each.Worker_->setCapacity(Capacity);
+  });
+  callAgent(Index,
+            [Announcement](AgentCore &Core, Moment Then, AgentOutbox &Out) {
+              Core.announcementReceived(Then, Announcement, Out);
+            });
+}
+
 auto Simulation::startInstance(std::size_t Index) -> void {
   auto &Node = *Agents_[Index];
   WorkerConfig Config;
@@ -1104,6 +1149,9 @@
       startEntry(Index);
     for (std::size_t Index = 0; Index < Agents_.size(); ++Index)
       startInstance(Index);
+    for (std::size_t Index = 0;
+         Config_.ChangingCapacity_ && Index < Agents_.size(); ++Index)
+      announceWorker(Index);
     std::function<void()> AdvanceWorkers = [&] {
       constexpr Millis Step{50};
       for (const auto &Node : Agents_)
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -96,6 +96,8 @@
   /// As on the users' platform: workers list only the ids of their attempts,
   /// answers to start commands may be lost, and there is one shard.
   bool MinimalWorkers_ = false;
+  /// Whether workers announce capacities that shrink and grow while they run.
+  bool ChangingCapacity_ = false;
   /// Whether to print the decisions that the processes log.
   bool Trace_ = false;
 };
@@ -143,6 +145,13 @@
   auto startAgent(std::size_t Index) -> void;
   /// Starts a new instance: a worker and its agent.
   auto startInstance(std::size_t Index) -> void;
+  /// The capacity that the worker has now.
+  auto capacityOf(std::size_t Index) const -> Resources;
+  /// The capacity that the worker states now. A larger one than before may be
+  /// used at once.
+  auto describeWorker(std::size_t Index) -> Resources;
+  /// Sends the worker's announcement to its agent, and schedules the next one.
+  auto announceWorker(std::size_t Index) -> void;
   auto killEntry(std::size_t Index) -> void;
   auto killAgent(std::size_t Index) -> void;
   /// The present time on a clock that runs at `ClockRate` times the true rate.
