--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -89,6 +89,7 @@
   Message.Revision_ = CurrentConfiguration_.Head_.Revision_;
   Message.InForceRevision_ = Tasks_.revisionInForce(Message.Revision_);
   Message.Load_ = load();
+  Message.Capacity_ = Identity_.Capacity_;
   Message.Leaving_ = leaving();
   Message.OtherEntryViewFresh_ = Permits_.isOtherEntryViewFresh(
       Now.Steady_, Number,
@@ -238,6 +239,7 @@
     Out.push_back(RestartAgent{});
     return;
   }
+  LastInventoryAt_ = Now.Steady_;
   if (Tasks_.update(Now.Steady_, Inventory, Out))
     startQueued(Now, Out);
   scheduleNextPoll(Now, Out);
@@ -259,26 +261,44 @@
     Out.push_back(RestartAgent{});
     return;
   }
+  if (Announcement.Exited_) {
+    workerDeregistered(Now, Out);
+    return;
+  }
   AnnouncedIncarnation_ = Announcement.Worker_;
+  const auto CapacityChanged = !(Identity_.Capacity_ == Announcement.Capacity_);
   Identity_.Capacity_ = Announcement.Capacity_;
   Identity_.Rack_ = Announcement.Rack_;
   Identity_.Labels_ = Announcement.Labels_;
   Identity_.Services_ = {Announcement.Service_};
-  Tasks_.resize(Announcement.Capacity_);
+  Tasks_.resize(Now.Steady_, Announcement.Capacity_);
   CapacityKnown_ = true;
   becomeReady(Out);
-  if (Announcement.Exited_ && WorkerExitDeadline_ == TimePoint::max())
-    WorkerExitDeadline_ = Now.Steady_ + WorkerExitTimeout;
-  const auto Leaving = Announcement.Leaving_ || Announcement.Exited_;
-  if (Leaving == WorkerLeaving_)
+  const auto Leaving = Announcement.Leaving_;
+  if (Leaving != WorkerLeaving_) {
+    WorkerLeaving_ = Leaving;
+    Requests_.refuseNew(refusalReason());
+    Out.push_back(LogDecision{
+        Leaving ? "worker-leaving" : "worker-stays", Identity_.Agent_.Value_,
+        CurrentConfiguration_.Head_.Revision_, ErrorKind::None, ""});
+  } else if (!CapacityChanged) {
     return;
-  WorkerLeaving_ = Leaving;
-  Requests_.refuseNew(refusalReason());
-  Out.push_back(LogDecision{
-      Leaving ? "worker-leaving" : "worker-stays", Identity_.Agent_.Value_,
-      CurrentConfiguration_.Head_.Revision_, ErrorKind::None, ""});
+  }
+  // The heartbeat precedes the returned tasks, or the owner would bind them to
+  // this worker again.
   if (Ready_)
     sendHeartbeats(Now, Out);
+  Tasks_.returnUnplaceable(Now.Steady_, Out);
+}
+
+auto AgentCore::workerDeregistered(Moment Now, AgentOutbox &Out) -> void {
+  // A worker announces that it is leaving before it exits.
+  if (!WorkerLeaving_)
+    Out.push_back(LogDecision{"deregistration-ignored", Identity_.Agent_.Value_,
+                              CurrentConfiguration_.Head_.Revision_,
+                              ErrorKind::StaleIncarnation, ""});
+  else if (WorkerExitDeadline_ == TimePoint::max())
+    WorkerExitDeadline_ = Now.Steady_ + WorkerExitTimeout;
 }
 
 auto AgentCore::startAnswered(Moment Now, const TaskId &Task,
@@ -323,6 +343,10 @@
                               ErrorKind::None, ""});
     sendHeartbeats(Now, Out);
   }
+  const auto StillAnswers =
+      LastInventoryAt_ + WorkerExitTimeout / 2 > WorkerExitDeadline_;
+  if (Now.Steady_ >= WorkerExitDeadline_ && StillAnswers)
+    WorkerExitDeadline_ = TimePoint::max();
   // An unreachable worker stops every task by itself when its lease expires.
   const auto LeasesExpired =
       WorkerUnresponsive_ && Now.Steady_ > Tasks_.latestLeaseEnd();
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -115,12 +115,16 @@
   }
 };
 
+/// Whether the report shows that the attempt has begun on its worker.
+auto hasBegun(const TaskReport &Report) -> bool;
+
 struct TaskReportAck {
   TaskId Task_;
   AttemptNumber Attempt_ = 0;
   /// The end that was reported.
   TaskPhase Phase_ = TaskPhase::Finished;
 
+  static constexpr std::size_t RequiredFields = 2;
   static constexpr auto fields() {
     return std::make_tuple(&TaskReportAck::Task_, &TaskReportAck::Attempt_,
                            &TaskReportAck::Phase_);
@@ -209,12 +213,15 @@
   /// True if an entry other than the receiver has a fresh view of the store. A
   /// receiver that can't read the store then knows that others can.
   bool OtherEntryViewFresh_ = false;
+  /// The worker's present capacity; agents of earlier versions don't send it.
+  std::optional<Resources> Capacity_;
 
+  static constexpr std::size_t RequiredFields = 6;
   static constexpr auto fields() {
-    return std::make_tuple(&Heartbeat::Sequence_, &Heartbeat::Revision_,
-                           &Heartbeat::InForceRevision_, &Heartbeat::Load_,
-                           &Heartbeat::Leaving_,
-                           &Heartbeat::OtherEntryViewFresh_);
+    return std::make_tuple(
+        &Heartbeat::Sequence_, &Heartbeat::Revision_,
+        &Heartbeat::InForceRevision_, &Heartbeat::Load_, &Heartbeat::Leaving_,
+        &Heartbeat::OtherEntryViewFresh_, &Heartbeat::Capacity_);
   }
 };
 
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -14,6 +14,9 @@
 /// How long a best-effort task waits for latency headroom before it is returned
 /// to its owner.
 constexpr Millis HeadroomTimeout{700};
+/// How long after a shrink of the worker's capacity bindings may arrive that
+/// its owner made for the larger one.
+constexpr Millis StaleBindingPeriod{1000};
 
 auto keyOf(const BindTask &Bind) -> std::pair<TaskId, AttemptNumber> {
   return {Bind.Task_, Bind.Attempt_};
@@ -41,6 +44,20 @@
   return Texts[static_cast<std::size_t>(Phase)];
 }
 
+auto hasBegun(const TaskReport &Report) -> bool {
+  switch (Report.Phase_) {
+  case TaskPhase::Queued:
+  case TaskPhase::Starting:
+  case TaskPhase::NotStarted:
+    return false;
+  case TaskPhase::Stopped:
+    // If the worker is gone, its start may have had no effect.
+    return Report.Reason_ != ErrorKind::WorkerGone;
+  default:
+    return true;
+  }
+}
+
 auto TaskManager::reportOf(const HeldTask &Held) -> TaskReport {
   return {Held.Bind_.Shard_, Held.Bind_.Task_, Held.Bind_.Attempt_, Held.Phase_,
           Held.Checkpoint_,  Held.Reason_,     Held.NeedsBinding_};
@@ -73,7 +90,7 @@
   auto &Owner = Owners_[Held.Bind_.Shard_];
   Owner.Epoch_ = std::max(Owner.Epoch_, Held.Bind_.Epoch_);
   if (!isEnded(Held.Phase_))
-    Ledger_.reserve(Held.Bind_.Task_, Held.Bind_.Resources_);
+    Ledger_.adopt(Held.Bind_.Task_, Held.Bind_.Resources_);
 }
 
 auto TaskManager::update(TimePoint Now, const WorkerInventory &Inventory,
@@ -97,9 +114,39 @@
     }
   }
   handleUnheldAttempts(Inventory, Out);
+  RunsUnreserved_ = std::any_of(
+      Inventory.Tasks_.begin(), Inventory.Tasks_.end(), [&](const auto &Task) {
+        return !isEnded(Task.Phase_) && !isReserved(Task.Bind_);
+      });
   return NewlyEnded;
 }
 
+auto TaskManager::isReserved(const BindTask &Bind) const -> bool {
+  const auto Found = Tasks_.find(Bind.Task_);
+  return Found != Tasks_.end() &&
+         Found->second.Bind_.Attempt_ == Bind.Attempt_ &&
+         !isEnded(Found->second.Phase_);
+}
+
+auto TaskManager::resize(TimePoint Now, const Resources &Capacity) -> void {
+  if (!Capacity.holds(Ledger_.capacity()))
+    StaleBindingsUntil_ = Now + StaleBindingPeriod;
+  Ledger_.resize(Capacity);
+}
+
+auto TaskManager::returnUnplaceable(TimePoint Now, AgentOutbox &Out) -> void {
+  if (Now >= StaleBindingsUntil_)
+    return;
+  auto Free = Ledger_.free();
+  for (auto *Held : startOrder()) {
+    const auto &Need = Held->Bind_.Resources_;
+    if (Free.holds(Need))
+      Free -= Need;
+    else
+      end(*Held, TaskPhase::NotStarted, ErrorKind::NeverFits, Out);
+  }
+}
+
 auto TaskManager::anyOwnerSession() const -> SessionNumber {
   for (const auto &[Shard, Owner] : Owners_)
     if (Owner.Session_ != 0)
@@ -442,7 +489,9 @@
   Held.Bind_ = Bind;
   Held.Checkpoint_ = Bind.Checkpoint_;
   Held.LeaseUntil_ = runUntil(Held, Permits);
-  if (!Ledger_.capacity().holds(Bind.Resources_))
+  const auto MadeForLargerCapacity =
+      Now < StaleBindingsUntil_ && !Ledger_.fits(Bind.Resources_);
+  if (!Ledger_.capacity().holds(Bind.Resources_) || MadeForLargerCapacity)
     end(Held, TaskPhase::NotStarted, ErrorKind::NeverFits, Out);
   else if (Held.LeaseUntil_ <= Now)
     // The message was delayed for so long that the owner may have bound the
@@ -458,10 +507,8 @@
     return;
   Held.NeedsBinding_ = false;
   Held.Bind_ = Bind;
-  if (isEnded(Held.Phase_))
-    return;
-  Ledger_.release(Bind.Task_);
-  Ledger_.reserve(Bind.Task_, Bind.Resources_);
+  if (!isEnded(Held.Phase_))
+    Ledger_.adopt(Bind.Task_, Bind.Resources_);
 }
 
 auto TaskManager::stop(const StopTask &Stop, AgentOutbox &Out) -> void {
@@ -563,7 +610,7 @@
 auto TaskManager::startQueued(TimePoint Now, const StartPermits &Permits,
                               Revision Observed, AgentOutbox &Out) -> void {
   const auto StartUntil = Permits.startUntil(Observed);
-  if (StartUntil <= Now || WorkerClock_ == Micros{0})
+  if (StartUntil <= Now || WorkerClock_ == Micros{0} || RunsUnreserved_)
     return;
   // The resources of an adopted task are unknown until it is bound again.
   for (const auto &Each : Tasks_)
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -29,8 +29,12 @@
   auto update(TimePoint Now, const WorkerInventory &Inventory, AgentOutbox &Out)
       -> bool;
 
-  /// Sets the worker's capacity, once it is announced.
-  auto resize(const Resources &Capacity) -> void { Ledger_.resize(Capacity); }
+  /// Sets the worker's capacity as announced. After it has shrunk, bindings
+  /// that the owner made for the larger one may arrive for some time.
+  auto resize(TimePoint Now, const Resources &Capacity) -> void;
+  /// Returns the queued tasks for which a shrunk capacity has left no room to
+  /// their owners, which can place them on other workers.
+  auto returnUnplaceable(TimePoint Now, AgentOutbox &Out) -> void;
   /// Handles the outcome of a start command, which may be unknown.
   auto startAnswered(TimePoint Now, const TaskId &Task, AttemptNumber Attempt,
                      StartOutcome Outcome, const StartPermits &Permits,
@@ -146,6 +150,8 @@
   auto acceptOwner(ShardNumber Shard, Epoch Epoch, SessionNumber Session)
       -> bool;
   auto adoptTask(const WorkerTask &Task) -> void;
+  /// Whether resources are reserved for the attempt.
+  auto isReserved(const BindTask &Bind) const -> bool;
   /// \returns whether the task has newly ended.
   auto updateTask(HeldTask &Held, const WorkerTask &Observed, AgentOutbox &Out)
       -> bool;
@@ -201,6 +207,8 @@
   auto anyOwnerSession() const -> SessionNumber;
 
   ResourceLedger Ledger_;
+  /// Until this time the owner may be unaware that the capacity has shrunk.
+  TimePoint StaleBindingsUntil_{};
   InterferenceController InterferenceController_;
   /// Includes a lease that is given to the worker in latestLeaseEnd().
   auto recordLease(TimePoint Now, TimePoint Until) -> void;
@@ -209,6 +217,9 @@
   Incarnation Worker_ = 0;
   Micros WorkerClock_{0};
   TimePoint WorkerClockAt_{};
+  /// Whether the worker's last inventory lists running attempts for which
+  /// nothing is reserved.
+  bool RunsUnreserved_ = false;
   /// By task. A new attempt replaces an earlier one that has ended.
   std::map<TaskId, HeldTask> Tasks_;
   /// Attempts in the worker's last inventory that the agent doesn't hold and
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -5,6 +5,7 @@
 #include "wire/Cbor.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -55,4 +56,56 @@
   BOOST_TEST(decodeAgentMessage(Bytes).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(FieldsThatAnOlderVersionDoesNotWriteKeepTheirDefaults) {
+  Heartbeat Message;
+  Message.Leaving_ = true;
+  // The fields are an array of seven (0x87), of which the last is null and the
+  // one before it a boolean, one byte each.
+  auto Bytes = encode(AgentMessage{Message});
+  const auto FieldArray = Bytes.find(static_cast<char>(0x87));
+  BOOST_REQUIRE(FieldArray != std::string::npos);
+  BOOST_REQUIRE(decodeAgentMessage(Bytes).has_value());
+  Bytes[FieldArray] = static_cast<char>(0x86);
+  Bytes.pop_back();
+  const auto Older = decodeAgentMessage(Bytes);
+  BOOST_REQUIRE(Older.has_value());
+  BOOST_TEST(std::get<Heartbeat>(*Older).Leaving_);
+  BOOST_TEST(!std::get<Heartbeat>(*Older).Capacity_.has_value());
+  Bytes[FieldArray] = static_cast<char>(0x85);
+  Bytes.pop_back();
+  BOOST_TEST(!decodeAgentMessage(Bytes).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AHeartbeatCarriesTheCapacity) {
+  Heartbeat Message;
+  Message.Capacity_ = Resources{4000, 8000, 1};
+  const auto Decoded = decodeAgentMessage(encode(AgentMessage{Message}));
+  BOOST_REQUIRE(Decoded.has_value());
+  BOOST_TEST((std::get<Heartbeat>(*Decoded).Capacity_ == Message.Capacity_));
+}
+
+BOOST_AUTO_TEST_CASE(LedgerValuesOfAnOlderVersionAreRead) {
+  using nlohmann::json;
+  Job Stored;
+  Stored.Tasks_.resize(1);
+  ShardSegment Segment;
+  Segment.Records_ = {JobAdded{Stored}, TaskChanged{}};
+  auto Value = json::from_cbor(encode(StoreValue{Segment}));
+  const auto Decodes = [&] {
+    const auto Bytes = json::to_cbor(Value);
+    return decodeStoreValue({Bytes.begin(), Bytes.end()}).has_value();
+  };
+  // Values are stored as [type, [fields...]]; a job's tasks are its last field.
+  auto &Records = Value[1][1];
+  auto &Status = Records[0][1][0].back()[0];
+  auto &Change = Records[1][1];
+  const auto EraseLast = [](json &Fields) { Fields.erase(Fields.size() - 1); };
+  BOOST_TEST(Decodes());
+  EraseLast(Status);
+  EraseLast(Change);
+  BOOST_TEST(Decodes());
+  EraseLast(Change);
+  BOOST_TEST(!Decodes());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
