--- a/test/correctness/PlatformTest.cpp
+++ b/test/correctness/PlatformTest.cpp
@@ -175,4 +175,19 @@
                   .has_value());
 }
 
+BOOST_AUTO_TEST_CASE(RejectsJobsWithImpossibleNumbers) {
+  for (const auto *Field :
+       {R"("count":-1)", R"("count":1e300)", R"("count":4294967295)",
+        R"("cpu":-500)", R"("mem_mb":-1)", R"("gpu":-1)",
+        R"("cpu":18446744073709551615)", R"("cpu":1e300)",
+        R"("estimate_ms":-1)", R"("estimate_ms":1e300)", R"("target_ms":1e300)",
+        R"("max_per_server":-1)", R"("max_missing":-1)"})
+    BOOST_TEST(
+        !Platform::parseRequest(
+             requestWith("POST", std::string(R"({"steps":[{"count":1,)") +
+                                     Field + "}]}"))
+             .has_value(),
+        Field);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
