--- a/test/correctness/PlatformTest.cpp
+++ b/test/correctness/PlatformTest.cpp
@@ -190,4 +190,13 @@
         Field);
 }
 
+BOOST_AUTO_TEST_CASE(RejectsIdsThatCanNotBeWrittenAsJson) {
+  for (const auto *Method : {"POST", "GET", "DELETE"}) {
+    auto Request = requestWith(Method, R"({"steps":[{"count":1}]})");
+    BOOST_TEST(Platform::parseRequest(Request).has_value());
+    Request.Path_ = "/jobs/\xff\xfe";
+    BOOST_TEST(!Platform::parseRequest(Request).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
