Tasks that crash their workers are given up

Cause: handleLostTask made a task pending again without recording that its worker had crashed, so nothing limited how often that happened, and all tasks of the worker were bound to its next incarnation together. Ruled out: a count that a takeover loses (there was none), and losses that aren't recognised (all of them arrive as a newer incarnation).

A crash counts once the agent has a newer incarnation of the worker. Blame goes to the tasks that had just started (CrashBlame, no network, no clock); it is kept in the ledger in the same record that makes the task pending. A suspect is tried on a worker without another suspect, and the task is given up at the limit: after two crashes if it was alone in one, after three if it was twice among the suspects, after five in any case. A loss by silence counts only if a newer incarnation shows up before the worker answers again.

TaskStatus and TaskChanged have two more fields. Values without them are still read: a struct names the number of its required fields.

Tests: on the code before, ATaskThatCrashesEachWorkerIsGivenUp, AnInnocentTaskOnCrashingWorkers- GoesOn and CrashesAreCountedAcrossATakeover fail with "critical check Worker <= 3U has failed" (the last with 5U), ACrashThatIsProvedAfterASilentLossCountsOnce with "State_ == Failed has failed".

--- a/core/Counters.h
+++ b/core/Counters.h
@@ -35,6 +35,10 @@
   std::uint64_t TasksBound_ = 0;
   std::uint64_t TasksFinished_ = 0;
   std::uint64_t Evictions_ = 0;
+  /// Tasks that were blamed for a crash of their worker.
+  std::uint64_t CrashesBlamed_ = 0;
+  /// Tasks that failed since their workers crashed.
+  std::uint64_t TasksGivenUp_ = 0;
   std::uint64_t StoreCalls_ = 0;
   std::uint64_t StoreFailures_ = 0;
 
--- a/core/Ids.h
+++ b/core/Ids.h
@@ -59,6 +59,17 @@
 /// Identifies one run of an entry or agent process, or of a worker.
 using Incarnation = std::uint64_t;
 
+/// Identifies one incarnation of an agent's worker.
+struct WorkerKey {
+  AgentId Agent_;
+  Incarnation Worker_ = 0;
+
+  friend auto operator<(const WorkerKey &Left, const WorkerKey &Right) -> bool {
+    return std::tie(Left.Agent_, Left.Worker_) <
+           std::tie(Right.Agent_, Right.Worker_);
+  }
+};
+
 /// Identifies a task: the Index_-th task of a step, in one occurrence of a
 /// recurring job.
 struct TaskId {
--- a/core/Job.h
+++ b/core/Job.h
@@ -143,6 +143,20 @@
   }
 };
 
+/// The loss of an attempt whose worker fell silent. It counts once the agent
+/// has a newer worker; if the same one answers again, it was no crash.
+struct SilentLoss {
+  AgentId Agent_;
+  Incarnation Worker_ = 0;
+  /// The task's blame if the worker has crashed.
+  std::uint32_t Blame_ = 0;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&SilentLoss::Agent_, &SilentLoss::Worker_,
+                           &SilentLoss::Blame_);
+  }
+};
+
 /// The persistent state of one task.
 struct TaskStatus {
   TaskState State_ = TaskState::Pending;
@@ -155,12 +169,17 @@
   /// How often the task has failed.
   std::uint32_t Failures_ = 0;
   std::vector<AttemptRecord> History_;
+  /// Blame for crashes of the workers on which the task ran; see CrashBlame.
+  std::uint32_t CrashBlame_ = 0;
+  std::vector<SilentLoss> SilentLosses_;
 
+  static constexpr std::size_t RequiredFields = 7;
   static constexpr auto fields() {
     return std::make_tuple(&TaskStatus::State_, &TaskStatus::Attempt_,
                            &TaskStatus::Agent_, &TaskStatus::Worker_,
                            &TaskStatus::Checkpoint_, &TaskStatus::Failures_,
-                           &TaskStatus::History_);
+                           &TaskStatus::History_, &TaskStatus::CrashBlame_,
+                           &TaskStatus::SilentLosses_);
   }
 };
 
--- a/core/Placement.h
+++ b/core/Placement.h
@@ -38,8 +38,11 @@
   bool AcceptsAnyWorker_ = false;
   /// Number of tasks of the same step and occurrence here.
   std::uint32_t TasksOfStep_ = 0;
-  /// Whether recent attempts here failed or stalled.
-  bool Suspect_ = false;
+  /// Whether a task that may crash its worker is being tried here.
+  bool Trial_ = false;
+  /// Number of tasks here that would be lost if a suspect crashed the worker; 0
+  /// unless the task to be placed is a suspect.
+  std::uint32_t TasksAtRisk_ = 0;
   /// Whether the last attempt of this task failed here.
   bool FailedHere_ = false;
 };
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -24,6 +24,9 @@
 /// Maximum number of workers considered for one task.
 constexpr std::size_t MaxCandidates = 24;
 constexpr std::uint32_t MaxTasksQueuedAtAgent = 4;
+/// Number of suspects without a worker after which a binding pass considers no
+/// others.
+constexpr int MaxFailedTrials = 8;
 constexpr Millis ResendInterval{2000};
 /// How long a best-effort task waits for a worker where it causes no harmful
 /// interference. Must be below three seconds, after which a task that isn't
@@ -101,6 +104,10 @@
   return JobReply{Each};
 }
 
+auto isSuspect(const TaskStatus &Task) -> bool {
+  return Task.CrashBlame_ >= Blame::Suspect;
+}
+
 auto makeChange(const TaskStatus &Task, TaskState State, ErrorKind Reason,
                 Moment Now) -> TaskChanged {
   TaskChanged Change;
@@ -110,6 +117,8 @@
   Change.Worker_ = Task.Worker_;
   Change.Checkpoint_ = Task.Checkpoint_;
   Change.Failures_ = Task.Failures_;
+  Change.CrashBlame_ = Task.CrashBlame_;
+  Change.SilentLosses_ = Task.SilentLosses_;
   Change.Reason_ = Reason;
   Change.At_ = Now.Wall_;
   if (!Task.History_.empty())
@@ -552,7 +561,10 @@
   if (Task.State_ == TaskState::Bound) {
     Usage_.hold(Job, Id, Task.Agent_);
     Bound_.try_emplace(Id);
+    if (isSuspect(Task))
+      Crashes_.startTrial({Task.Agent_, Task.Worker_}, Id);
   } else {
+    Crashes_.endTrial(Task.Agent_, Id);
     Usage_.release(Job, Id);
     Bound_.erase(Id);
   }
@@ -598,6 +610,8 @@
   Pending_.clear();
   Bound_.clear();
   Usage_.clear();
+  Crashes_.clear();
+  Returned_.clear();
   Proposed_.clear();
   UnplacedSince_.clear();
   Closing_.clear();
@@ -734,9 +748,13 @@
   Place.Free_ = Context_.OnlyShard_ ? Place.Capacity_ : Candidate.free();
   Place.FailedHere_ =
       Status.Failures_ > 0 && Status.Agent_ == Candidate.agent();
+  Place.Trial_ = Crashes_.isTrialAt(Candidate.agent(), Now.Steady_);
   const auto *Usage = Usage_.at(Candidate.agent());
   if (Usage == nullptr)
     return Place;
+  if (isSuspect(Status))
+    for (const auto &Each : Usage->TasksOfStep_)
+      Place.TasksAtRisk_ += Each.second;
   if (Context_.OnlyShard_)
     Place.Free_ -= Usage->Allocated_;
   Place.BestEffortMilliCores_ = Usage->BestEffortMilliCores_;
@@ -755,6 +773,7 @@
     return nullptr;
   const auto &Step = Job.stepOf(Task);
   const auto AcceptsAny = recordWait(Now, Step, Task);
+  const auto Suspect = isSuspect(Job.task(Task));
   std::vector<PlacementCandidate> Places;
   std::vector<Target *> Candidates;
   const auto FirstIndex =
@@ -762,7 +781,8 @@
   for (std::size_t Offset = 0;
        Offset < All.size() && Candidates.size() < MaxCandidates; ++Offset) {
     auto *Each = All[(FirstIndex + Offset) % All.size()];
-    if (!mayHost(Now, *Each, Job, Step))
+    if (!mayHost(Now, *Each, Job, Step) ||
+        (Suspect && Crashes_.isTrialAt(Each->agent(), Now.Steady_)))
       continue;
     sendOwnershipClaim(Now, *Each, Out);
     if (Each->GrantedShards_.count(Shard_) == 0)
@@ -812,6 +832,11 @@
 auto ShardOwner::tryBind(Moment Now, const PendingRank &Rank, BindPass &Pass,
                          Random &Generator, EntryOutbox &Out) -> bool {
   const auto &Job = *state().findJob(Rank.Task_.Job_);
+  const auto &Status = Job.task(Rank.Task_);
+  if (settlePending(Now, Rank.Task_, Out))
+    return false;
+  if (isSuspect(Status) && Pass.FailedTrials_ >= MaxFailedTrials)
+    return false;
   const auto Need = Job.stepOf(Rank.Task_).reserved();
   if (!withinQuota(Job.Declaration_, Need))
     return false;
@@ -829,6 +854,11 @@
       Pass.UnplaceableImages_.count(Step.Image_) != 0)
     return false;
   auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Out);
+  if (Chosen == nullptr && isSuspect(Status)) {
+    // Other tasks may run beside a trial.
+    ++Pass.FailedTrials_;
+    return false;
+  }
   if (Chosen == nullptr) {
     ++Pass.FailedPlacements_;
     Pass.UnplaceableStep_ = stepKeyOf(Rank.Task_);
@@ -842,8 +872,7 @@
   }
   Chosen->Reserved_ += Need;
   Chosen->ReservedAt_ = Now.Steady_;
-  auto Change =
-      makeChange(Job.task(Rank.Task_), TaskState::Bound, ErrorKind::None, Now);
+  auto Change = makeChange(Status, TaskState::Bound, ErrorKind::None, Now);
   ++Change.Attempt_;
   Change.Agent_ = Chosen->agent();
   Change.DataCentre_ = Chosen->dataCentre();
@@ -851,6 +880,8 @@
   // The task counts towards the quota and the worker's capacity at once, before
   // its commit, so that the rest of the pass doesn't exceed them.
   Usage_.hold(Job, Rank.Task_, Chosen->agent());
+  if (isSuspect(Status))
+    Crashes_.startTrial({Change.Agent_, Change.Worker_}, Rank.Task_);
   propose(Rank.Task_, std::move(Change));
   return true;
 }
@@ -1048,6 +1079,7 @@
   auto &Delivery = Bound_[Report.Task_];
   Delivery.Sent_ = true;
   Delivery.Reported_ = true;
+  recordForBlame(Now, {From.agent(), Task->Worker_}, Report, *Task);
   if (Report.NeedsBinding_ && !isEnded(Report.Phase_))
     sendBind(Now, Report.Task_, From, Out);
   if (!isEnded(Report.Phase_) || Proposed_.count(Report.Task_) != 0)
@@ -1128,11 +1160,14 @@
   const auto &Task = Job.task(Id);
   if (Task.State_ != TaskState::Bound || Proposed_.count(Id) != 0)
     return;
+  noteReturned(Task.SilentLosses_);
   auto *BoundTo = Context_.Targets_.findAgent(Task.Agent_);
   const auto Present = BoundTo != nullptr &&
                        BoundTo->Hello_.Worker_ == Task.Worker_ &&
                        BoundTo->ConfirmedShards_.count(Shard_) != 0;
   if (Present) {
+    if (!BoundTo->Leaving_)
+      Crashes_.responsive({Task.Agent_, Task.Worker_}, BoundTo->LastSeenAt_);
     if (!Delivery.Reported_ && Delivery.SentAt_ + ResendInterval < Now.Steady_)
       sendBind(Now, Id, *BoundTo, Out);
     // A stop request may be lost, or reach the agent while the task is starting
@@ -1155,7 +1190,7 @@
   // The agent has confirmed this owner and has a newer worker: the one that the
   // task was bound to has ended, and its tasks with it.
   if (BoundTo != nullptr && BoundTo->ConfirmedShards_.count(Shard_) != 0) {
-    handleLostTask(Now, Id, {});
+    handleCrashedTask(Now, Id, Out);
     return;
   }
   if (BoundTo != nullptr)
@@ -1172,18 +1207,118 @@
     handleLostTask(Now, Id, {});
 }
 
-auto ShardOwner::handleLostTask(Moment Now, const TaskId &Id,
-                                const CheckpointId &NewerCheckpoint) -> void {
+auto ShardOwner::makeLossChange(Moment Now, const TaskId &Id) -> TaskChanged {
   const auto &Job = *state().findJob(Id.Job_);
   const auto &Task = Job.task(Id);
-  if (Job.Declaration_.RerunWhenLost_ || Job.stepOf(Id).LongRunning_) {
-    requeue(Now, Id, ErrorKind::WorkerGone,
-            NewerCheckpoint.empty() ? Task.Checkpoint_ : NewerCheckpoint,
-            false);
+  if (!Job.Declaration_.RerunWhenLost_ && !Job.stepOf(Id).LongRunning_)
+    return makeChange(Task, TaskState::Failed, ErrorKind::OutcomeUnknown, Now);
+  return makeChange(Task,
+                    Job.isClosed() ? TaskState::Cancelled : TaskState::Pending,
+                    ErrorKind::WorkerGone, Now);
+}
+
+auto ShardOwner::handleLostTask(Moment Now, const TaskId &Id,
+                                const CheckpointId &NewerCheckpoint) -> void {
+  const auto &Task = *state().findTask(Id);
+  auto Change = makeLossChange(Now, Id);
+  if (!NewerCheckpoint.empty())
+    Change.Checkpoint_ = NewerCheckpoint;
+  const auto Amount =
+      Crashes_.blameFor({Task.Agent_, Task.Worker_}, Id,
+                        state().findJob(Id.Job_)->stepOf(Id).LongRunning_);
+  if (Amount > 0)
+    Change.SilentLosses_.push_back({Task.Agent_, Task.Worker_, Amount});
+  propose(Id, std::move(Change));
+}
+
+auto ShardOwner::handleCrashedTask(Moment Now, const TaskId &Id,
+                                   EntryOutbox &Out) -> void {
+  const auto &Task = *state().findTask(Id);
+  const WorkerKey Worker{Task.Agent_, Task.Worker_};
+  auto Change = makeLossChange(Now, Id);
+  settleSilentLosses(Id, Change, Out);
+  blame(Id, Worker,
+        Crashes_.blameFor(Worker, Id,
+                          state().findJob(Id.Job_)->stepOf(Id).LongRunning_),
+        Change, Out);
+  propose(Id, std::move(Change));
+}
+
+auto ShardOwner::blame(const TaskId &Id, const WorkerKey &Worker,
+                       std::uint32_t Amount, TaskChanged &Change,
+                       EntryOutbox &Out) -> void {
+  if (Amount == 0)
     return;
+  ++Context_.Counters_.CrashesBlamed_;
+  Change.CrashBlame_ += Amount;
+  const auto GivenUp = Change.CrashBlame_ >= Blame::Limit &&
+                       (Change.State_ == TaskState::Pending ||
+                        Change.State_ == TaskState::Bound);
+  log(GivenUp ? "task-given-up" : "crash-blamed", Id.text(),
+      ErrorKind::WorkerGone,
+      "attempt " + std::to_string(Change.Attempt_) + ", worker " +
+          std::to_string(Worker.Worker_) + " at " + Worker.Agent_.Value_ +
+          ", blame " + std::to_string(Amount) + ", in all " +
+          std::to_string(Change.CrashBlame_) + " of " +
+          std::to_string(Blame::Limit),
+      Out);
+  if (!GivenUp)
+    return;
+  ++Context_.Counters_.TasksGivenUp_;
+  Change.State_ = TaskState::Failed;
+  Change.Reason_ = ErrorKind::WorkerGone;
+}
+
+auto ShardOwner::settleSilentLosses(const TaskId &Id, TaskChanged &Change,
+                                    EntryOutbox &Out) -> void {
+  noteReturned(Change.SilentLosses_);
+  auto &Losses = Change.SilentLosses_;
+  for (auto Each = Losses.begin(); Each != Losses.end();) {
+    const auto *Agent = Context_.Targets_.findAgent(Each->Agent_);
+    const auto Confirmed =
+        Agent != nullptr && Agent->ConfirmedShards_.count(Shard_) != 0;
+    const WorkerKey Worker{Each->Agent_, Each->Worker_};
+    const auto Returned = Returned_.count(Worker) != 0;
+    const auto Crashed =
+        !Returned && Confirmed && Agent->Hello_.Worker_ > Each->Worker_;
+    if (Crashed)
+      blame(Id, Worker, Each->Blame_, Change, Out);
+    Each = Crashed || Returned ? Losses.erase(Each) : std::next(Each);
+  }
+}
+
+auto ShardOwner::noteReturned(const std::vector<SilentLoss> &Losses) -> void {
+  for (const auto &Each : Losses) {
+    const auto *Agent = Context_.Targets_.findAgent(Each.Agent_);
+    const auto Answers = Agent != nullptr && Agent->HeartbeatSequence_ != 0 &&
+                         Agent->Hello_.Worker_ == Each.Worker_ &&
+                         !Agent->Leaving_;
+    if (Answers)
+      Returned_.insert({Each.Agent_, Each.Worker_});
   }
-  propose(Id,
-          makeChange(Task, TaskState::Failed, ErrorKind::OutcomeUnknown, Now));
+}
+
+auto ShardOwner::settlePending(Moment Now, const TaskId &Id, EntryOutbox &Out)
+    -> bool {
+  const auto &Task = *state().findTask(Id);
+  if (Task.SilentLosses_.empty())
+    return false;
+  auto Change =
+      makeChange(Task, TaskState::Pending, ErrorKind::WorkerGone, Now);
+  settleSilentLosses(Id, Change, Out);
+  if (Change.CrashBlame_ == Task.CrashBlame_)
+    return false;
+  propose(Id, std::move(Change));
+  return true;
+}
+
+auto ShardOwner::recordForBlame(Moment Now, const WorkerKey &Worker,
+                                const TaskReport &Report,
+                                const TaskStatus &Task) -> void {
+  if (Report.Phase_ == TaskPhase::Running)
+    Crashes_.running(Worker, Report.Task_, Now.Steady_, Task.CrashBlame_);
+  else if (isEnded(Report.Phase_) && Report.Reason_ != ErrorKind::WorkerGone)
+    Crashes_.ended(Worker, Report.Task_);
 }
 
 auto ShardOwner::checkBoundTasks(Moment Now, EntryOutbox &Out) -> void {
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -3,6 +3,7 @@
 /// jobs, the binding of tasks to workers and the reports of agents.
 #pragma once
 
+#include "core/CrashBlame.h"
 #include "core/DeadlineFeasibility.h"
 #include "core/LedgerWriter.h"
 #include "core/Placement.h"
@@ -14,17 +15,6 @@
 
 namespace skylark {
 
-/// Identifies one incarnation of an agent's worker.
-struct WorkerKey {
-  AgentId Agent_;
-  Incarnation Worker_ = 0;
-
-  friend auto operator<(const WorkerKey &Left, const WorkerKey &Right) -> bool {
-    return std::tie(Left.Agent_, Left.Worker_) <
-           std::tie(Right.Agent_, Right.Worker_);
-  }
-};
-
 /// Records until when this entry's grants allow each worker to run tasks.
 class RunGrants {
 public:
@@ -204,6 +194,8 @@
     StepKey UnplaceableStep_;
     /// Best-effort images that no worker can take without harmful interference.
     std::set<std::string> UnplaceableImages_;
+    /// Number of suspects for which no worker without a trial was found.
+    int FailedTrials_ = 0;
   };
   /// A caller who is answered once a job's record is committed.
   struct WaitingCaller {
@@ -239,6 +231,28 @@
   /// is known.
   auto handleLostTask(Moment Now, const TaskId &Task,
                       const CheckpointId &NewerCheckpoint) -> void;
+  /// Handles a task whose worker has certainly crashed, since its agent has a
+  /// newer one. A task that is blamed for too many crashes is given up.
+  auto handleCrashedTask(Moment Now, const TaskId &Task, EntryOutbox &Out)
+      -> void;
+  /// Returns the change that makes a lost task pending again, or ends it if it
+  /// may not be rerun.
+  auto makeLossChange(Moment Now, const TaskId &Task) -> TaskChanged;
+  /// Records for later findings which attempts run on a worker.
+  auto recordForBlame(Moment Now, const WorkerKey &Worker,
+                      const TaskReport &Report, const TaskStatus &Task) -> void;
+  /// Adds blame to a task; it fails once it has reached the limit.
+  auto blame(const TaskId &Task, const WorkerKey &Worker, std::uint32_t Amount,
+             TaskChanged &Change, EntryOutbox &Out) -> void;
+  /// Counts the silent losses that have turned out to be crashes, and removes
+  /// those of workers that answer again.
+  auto settleSilentLosses(const TaskId &Task, TaskChanged &Change,
+                          EntryOutbox &Out) -> void;
+  /// Proposes the blame of a pending task for silent losses that have turned
+  /// out to be crashes. \returns false if there is none.
+  auto settlePending(Moment Now, const TaskId &Task, EntryOutbox &Out) -> bool;
+  /// Records which workers of these losses answer again.
+  auto noteReturned(const std::vector<SilentLoss> &Losses) -> void;
   /// Rebuilds the index from the ledger's state.
   auto reindex() -> void;
   auto indexJob(const Job &Job) -> void;
@@ -353,6 +367,10 @@
   std::map<TaskId, TimePoint> UnplacedSince_;
   /// Resources held by tasks that are bound or proposed to be bound.
   ShardUsage Usage_;
+  CrashBlame Crashes_;
+  /// Workers that answered again after a silent loss; a newer incarnation then
+  /// doesn't show that the loss was a crash.
+  std::set<WorkerKey> Returned_;
   MeanWork MeanWork_;
   ShortTaskDemand ShortDemand_;
   std::map<IdempotencyKey, PendingClaim> PendingClaims_;
--- a/core/ShardState.cpp
+++ b/core/ShardState.cpp
@@ -74,6 +74,8 @@
   Task.Worker_ = Record.Worker_;
   Task.Checkpoint_ = Record.Checkpoint_;
   Task.Failures_ = Record.Failures_;
+  Task.CrashBlame_ = Record.CrashBlame_;
+  Task.SilentLosses_ = Record.SilentLosses_;
   addToHistory(Task, {Record.Attempt_, Record.State_, Record.Agent_,
                       Record.DataCentre_, Record.At_, Record.Reason_});
   if (Record.State_ == TaskState::Failed) {
--- a/core/ShardState.h
+++ b/core/ShardState.h
@@ -41,13 +41,17 @@
   std::uint32_t Failures_ = 0;
   ErrorKind Reason_ = ErrorKind::None;
   WallTime At_{};
+  std::uint32_t CrashBlame_ = 0;
+  std::vector<SilentLoss> SilentLosses_;
 
+  static constexpr std::size_t RequiredFields = 10;
   static constexpr auto fields() {
-    return std::make_tuple(&TaskChanged::Task_, &TaskChanged::State_,
-                           &TaskChanged::Attempt_, &TaskChanged::Agent_,
-                           &TaskChanged::DataCentre_, &TaskChanged::Worker_,
-                           &TaskChanged::Checkpoint_, &TaskChanged::Failures_,
-                           &TaskChanged::Reason_, &TaskChanged::At_);
+    return std::make_tuple(
+        &TaskChanged::Task_, &TaskChanged::State_, &TaskChanged::Attempt_,
+        &TaskChanged::Agent_, &TaskChanged::DataCentre_, &TaskChanged::Worker_,
+        &TaskChanged::Checkpoint_, &TaskChanged::Failures_,
+        &TaskChanged::Reason_, &TaskChanged::At_, &TaskChanged::CrashBlame_,
+        &TaskChanged::SilentLosses_);
   }
 };
 
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -25,6 +25,8 @@
     {"skylark_tasks_bound_total", &Counters::TasksBound_},
     {"skylark_tasks_finished_total", &Counters::TasksFinished_},
     {"skylark_evictions_total", &Counters::Evictions_},
+    {"skylark_crashes_blamed_total", &Counters::CrashesBlamed_},
+    {"skylark_tasks_given_up_total", &Counters::TasksGivenUp_},
     {"skylark_store_calls_total", &Counters::StoreCalls_},
     {"skylark_store_failures_total", &Counters::StoreFailures_},
 };
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -104,6 +104,23 @@
         });
   }
 
+  /// Reports a phase of the task's current attempt to every entry.
+  auto report(const std::string &Job, TaskPhase Phase,
+              ErrorKind Reason = ErrorKind::None) -> void {
+    TaskReport Message;
+    Message.Task_ = {{Job}, 0};
+    Message.Attempt_ = taskStatus(Job)->Attempt_;
+    Message.Phase_ = Phase;
+    Message.Reason_ = Reason;
+    for (std::size_t Index = 0; Index < EntryCount; ++Index)
+      sendFromAgent(Index, Message);
+  }
+  auto isBoundTo(const std::string &Job, Incarnation Worker) const -> bool {
+    const auto *Task = taskStatus(Job);
+    return Task != nullptr && Task->State_ == TaskState::Bound &&
+           Task->Worker_ == Worker;
+  }
+
   auto sendRequest(std::size_t Index, CallerRequest Request) -> CallerToken {
     const auto Token = ++LastToken_;
     runOn(Index, [&](EntryCore &Core, EntryOutbox &Out) {
@@ -463,4 +480,110 @@
               ErrorKind::UnknownJob));
 }
 
+BOOST_AUTO_TEST_CASE(ATaskThatCrashesEachWorkerIsGivenUp) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  for (Incarnation Worker = 1; Fixture.isBoundTo("a", Worker);) {
+    BOOST_REQUIRE(Worker <= 3U);
+    Fixture.report("a", TaskPhase::Running);
+    Fixture.leave();
+    Fixture.advance(Millis{3000});
+    Fixture.connectAgent(++Worker);
+    Fixture.advance(Millis{2000});
+  }
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(AnInnocentTaskOnCrashingWorkersGoesOn) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "long");
+  Fixture.advance(Millis{1000});
+  Fixture.report("long", TaskPhase::Running);
+  Fixture.advance(Millis{3000});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  Incarnation Worker = 1;
+  while (Fixture.isBoundTo("a", Worker)) {
+    BOOST_REQUIRE(Worker <= 3U);
+    BOOST_TEST(Fixture.isBoundTo("long", Worker));
+    Fixture.report("long", TaskPhase::Running);
+    Fixture.report("a", TaskPhase::Running);
+    Fixture.leave();
+    Fixture.advance(Millis{3000});
+    Fixture.connectAgent(++Worker);
+    Fixture.advance(Millis{2000});
+  }
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Failed));
+  BOOST_TEST(Fixture.isBoundTo("long", Worker));
+}
+
+BOOST_AUTO_TEST_CASE(CrashesAreCountedAcrossATakeover) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  Incarnation Worker = 1;
+  while (Fixture.isBoundTo("a", Worker)) {
+    BOOST_REQUIRE(Worker <= 5U);
+    Fixture.report("a", TaskPhase::Running);
+    Fixture.leave();
+    const auto OldOwner = Fixture.owner();
+    Fixture.killEntry(OldOwner);
+    Fixture.advance(Millis{5000});
+    Fixture.startEntry(OldOwner);
+    Fixture.connectAgent(++Worker);
+    Fixture.advance(Millis{3000});
+  }
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatWasOnlySilentHasNotCrashed) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  for (int Silences = 0; Silences < 8; ++Silences) {
+    Fixture.advance(Millis{1500});
+    BOOST_REQUIRE(Fixture.isBoundTo("a", 1));
+    Fixture.report("a", TaskPhase::Running);
+    Fixture.report("a", TaskPhase::Stopped, ErrorKind::WorkerGone);
+  }
+  Fixture.advance(Millis{1500});
+  BOOST_TEST(Fixture.taskStatus("a")->CrashBlame_ == 0U);
+  // A later crash doesn't turn the silences before it into crashes.
+  Fixture.leave();
+  Fixture.connectAgent(2);
+  Fixture.advance(Millis{2000});
+  BOOST_TEST(Fixture.isBoundTo("a", 2));
+}
+
+BOOST_AUTO_TEST_CASE(ACrashThatIsProvedAfterASilentLossCountsOnce) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  Fixture.report("a", TaskPhase::Running);
+  Fixture.report("a", TaskPhase::Stopped, ErrorKind::WorkerGone);
+  Fixture.leave();
+  Fixture.advance(Millis{3000});
+  BOOST_TEST(Fixture.taskStatus("a")->CrashBlame_ == 0U);
+  Fixture.connectAgent(2);
+  Fixture.advance(Millis{2000});
+  BOOST_TEST(Fixture.isBoundTo("a", 2));
+  BOOST_TEST(Fixture.taskStatus("a")->CrashBlame_ == Blame::Sole);
+  Fixture.report("a", TaskPhase::Running);
+  Fixture.report("a", TaskPhase::Stopped, ErrorKind::WorkerGone);
+  Fixture.leave();
+  Fixture.connectAgent(3);
+  Fixture.advance(Millis{2000});
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Failed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -55,4 +55,34 @@
   BOOST_TEST(decodeAgentMessage(Bytes).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(RecordsStoredBeforeAFieldWasAddedAreStillRead) {
+  TaskChanged Change;
+  Change.Task_ = {{"job"}, 3};
+  Change.Attempt_ = 7;
+  ShardSegment Segment;
+  Segment.Records_ = {Change};
+  const auto Bytes = encode(StoreValue{Segment});
+  // The record has twelve fields (0x8c) and ends with no blame (0x00) and no
+  // silent losses (0x80); it had ten (0x8a).
+  const std::string AddedFields{'\x00', '\x80'};
+  const auto FieldArray = Bytes.find('\x8c');
+  const auto Added = Bytes.rfind(AddedFields);
+  BOOST_REQUIRE(FieldArray != std::string::npos);
+  BOOST_REQUIRE(Added != std::string::npos);
+  auto Old = Bytes;
+  Old.erase(Added, AddedFields.size());
+  Old[FieldArray] = '\x8a';
+  const auto Decoded = decodeStoreValue(Old);
+  BOOST_REQUIRE(Decoded);
+  const auto &Record =
+      std::get<TaskChanged>(std::get<ShardSegment>(*Decoded).Records_.front());
+  BOOST_TEST(Record.Attempt_ == 7U);
+  BOOST_TEST(Record.CrashBlame_ == 0U);
+  // One field fewer than the oldest version wrote.
+  auto Short = Bytes;
+  Short.erase(Added - 1, AddedFields.size() + 1);
+  Short[FieldArray] = '\x89';
+  BOOST_TEST(!decodeStoreValue(Short));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/wire/Cbor.h
+++ b/wire/Cbor.h
@@ -13,7 +13,7 @@
 /// Encodes a message or stored value as CBOR. A struct becomes an array of its
 /// fields, in the order of its fields(). Later versions may append fields,
 /// since decoding ignores unknown trailing ones, but must not reorder or remove
-/// any.
+/// any. A struct that is stored names as RequiredFields how many it had before.
 auto encode(const AgentMessage &Message) -> std::string;
 auto encode(const EntryMessage &Message) -> std::string;
 auto encode(const PeerMessage &Message) -> std::string;
--- a/wire/JsonCodec.h
+++ b/wire/JsonCodec.h
@@ -173,6 +173,15 @@
   }
 };
 
+/// The number of leading fields that a value must have. A struct that has got
+/// fields since values were first stored names it as RequiredFields; the others
+/// keep their initial values if they are missing.
+template <typename T, typename = void>
+struct RequiredFieldCount : std::tuple_size<decltype(T::fields())> {};
+template <typename T>
+struct RequiredFieldCount<T, std::void_t<decltype(T::RequiredFields)>>
+    : std::integral_constant<std::size_t, T::RequiredFields> {};
+
 template <typename T> struct Codec<T, std::void_t<decltype(T::fields())>> {
   static auto write(const T &Value) -> Json {
     auto Result = Json::array();
@@ -184,20 +193,25 @@
     return Result;
   }
   static auto read(const Json &Value) -> T {
-    constexpr auto Count = std::tuple_size_v<decltype(T::fields())>;
-    if (!Value.is_array() || Value.size() < Count)
+    if (!Value.is_array() || Value.size() < RequiredFieldCount<T>::value)
       throw DecodeError("fields missing");
     T Result;
     std::size_t Index = 0;
     std::apply(
         [&](auto... Members) {
-          ((Result.*Members = fromJson<std::decay_t<decltype(Result.*Members)>>(
-                Value[Index++])),
-           ...);
+          (readField(Value, Index++, Result.*Members), ...);
         },
         T::fields());
     return Result;
   }
+
+private:
+  template <typename Field>
+  static auto readField(const Json &Value, std::size_t Index, Field &Member)
+      -> void {
+    if (Index < Value.size())
+      Member = fromJson<Field>(Value[Index]);
+  }
 };
 
 } // namespace skylark::Internal
