Suspects of a crash are tried with nothing else starting beside them

Cause: other tasks kept starting beside a suspect on trial, so it was hardly ever alone in a crash, and tasks that started beside it were blamed for its crash.

Nothing else is bound to a worker while a suspect is tried there, and half of the workers at most are used for trials at once. A suspect that is the only one among the tasks that had just started gets the whole blame.

--- a/core/CrashBlame.cpp
+++ b/core/CrashBlame.cpp
@@ -83,11 +83,11 @@
     // A long-running task meets crashes by chance in the course of its life.
     return LongRunning ? 0 : Blame::Present;
   const auto Recent = countRecent(Record);
-  if (Recent.Tasks_ == 1)
-    return Blame::Sole;
-  const auto Suspected =
-      Recent.Suspects_ == 0 || Running->EarlierBlame_ >= Blame::Suspect;
-  return Suspected ? Blame::Shared : Blame::Present;
+  const auto Suspect = Running->EarlierBlame_ >= Blame::Suspect;
+  if (Recent.Suspects_ > 0 && !Suspect)
+    return Blame::Present;
+  const auto Candidates = Suspect ? Recent.Suspects_ : Recent.Tasks_;
+  return Candidates == 1 ? Blame::Sole : Blame::Shared;
 }
 
 auto CrashBlame::startTrial(const WorkerKey &Worker, const TaskId &Task)
--- a/core/CrashBlame.h
+++ b/core/CrashBlame.h
@@ -16,11 +16,13 @@
 namespace Blame {
 /// The task was on the worker, but not among those that had just started.
 constexpr std::uint32_t Present = 4;
-/// One of several tasks that had just started.
+/// One of several tasks that had just started, and none of the others was more
+/// suspect.
 constexpr std::uint32_t Shared = 9;
-/// The only task that had just started.
+/// The only task that had just started, or the only suspect among those.
 constexpr std::uint32_t Sole = 11;
-/// A task with this much blame is a suspect: it is tried apart from others.
+/// A task with this much blame is a suspect: nothing else starts on its worker
+/// until it has run there for a while.
 constexpr std::uint32_t Suspect = 9;
 /// A task with this much blame is given up.
 constexpr std::uint32_t Limit = 20;
--- a/core/Placement.cpp
+++ b/core/Placement.cpp
@@ -80,9 +80,9 @@
                         ? rankForServing(Step, Candidate)
                     : Step.BestEffort_ ? rankForBestEffort(Step, Candidate)
                                        : rankForShortTask(Step, Candidate);
-  return std::make_tuple(
-      !Candidate.Trial_, -static_cast<std::int64_t>(Candidate.TasksAtRisk_),
-      !Candidate.FailedHere_, NearData, Candidate.SlackOverrun_ <= 0, Rank);
+  return std::make_tuple(-static_cast<std::int64_t>(Candidate.TasksAtRisk_),
+                         !Candidate.FailedHere_, NearData,
+                         Candidate.SlackOverrun_ <= 0, Rank);
 }
 
 } // namespace
--- a/core/Placement.h
+++ b/core/Placement.h
@@ -38,8 +38,6 @@
   bool AcceptsAnyWorker_ = false;
   /// Number of tasks of the same step and occurrence here.
   std::uint32_t TasksOfStep_ = 0;
-  /// Whether a task that may crash its worker is being tried here.
-  bool Trial_ = false;
   /// Number of tasks here that would be lost if a suspect crashed the worker; 0
   /// unless the task to be placed is a suspect.
   std::uint32_t TasksAtRisk_ = 0;
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -24,9 +24,8 @@
 /// Maximum number of workers considered for one task.
 constexpr std::size_t MaxCandidates = 24;
 constexpr std::uint32_t MaxTasksQueuedAtAgent = 4;
-/// Number of suspects without a worker after which a binding pass considers no
-/// others.
-constexpr int MaxFailedTrials = 8;
+/// One of this many workers may be used for the trial of a suspect at once.
+constexpr int WorkersPerTrial = 2;
 constexpr Millis ResendInterval{2000};
 /// How long a best-effort task waits for a worker where it causes no harmful
 /// interference. Must be below three seconds, after which a task that isn't
@@ -748,7 +747,6 @@
   Place.Free_ = Context_.OnlyShard_ ? Place.Capacity_ : Candidate.free();
   Place.FailedHere_ =
       Status.Failures_ > 0 && Status.Agent_ == Candidate.agent();
-  Place.Trial_ = Crashes_.isTrialAt(Candidate.agent(), Now.Steady_);
   const auto *Usage = Usage_.at(Candidate.agent());
   if (Usage == nullptr)
     return Place;
@@ -773,7 +771,6 @@
     return nullptr;
   const auto &Step = Job.stepOf(Task);
   const auto AcceptsAny = recordWait(Now, Step, Task);
-  const auto Suspect = isSuspect(Job.task(Task));
   std::vector<PlacementCandidate> Places;
   std::vector<Target *> Candidates;
   const auto FirstIndex =
@@ -782,7 +779,7 @@
        Offset < All.size() && Candidates.size() < MaxCandidates; ++Offset) {
     auto *Each = All[(FirstIndex + Offset) % All.size()];
     if (!mayHost(Now, *Each, Job, Step) ||
-        (Suspect && Crashes_.isTrialAt(Each->agent(), Now.Steady_)))
+        Crashes_.isTrialAt(Each->agent(), Now.Steady_))
       continue;
     sendOwnershipClaim(Now, *Each, Out);
     if (Each->GrantedShards_.count(Shard_) == 0)
@@ -835,7 +832,7 @@
   const auto &Status = Job.task(Rank.Task_);
   if (settlePending(Now, Rank.Task_, Out))
     return false;
-  if (isSuspect(Status) && Pass.FailedTrials_ >= MaxFailedTrials)
+  if (isSuspect(Status) && Pass.TrialsLeft_ <= 0)
     return false;
   const auto Need = Job.stepOf(Rank.Task_).reserved();
   if (!withinQuota(Job.Declaration_, Need))
@@ -854,10 +851,11 @@
       Pass.UnplaceableImages_.count(Step.Image_) != 0)
     return false;
   auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Out);
-  if (Chosen == nullptr && isSuspect(Status)) {
-    // Other tasks may run beside a trial.
-    ++Pass.FailedTrials_;
-    return false;
+  if (isSuspect(Status)) {
+    --Pass.TrialsLeft_;
+    // Other tasks may find a worker that isn't used for a trial.
+    if (Chosen == nullptr)
+      return false;
   }
   if (Chosen == nullptr) {
     ++Pass.FailedPlacements_;
@@ -940,10 +938,23 @@
   ShortDemand_.record(Now.Steady_, MilliCores);
 }
 
+auto ShardOwner::countTrialsLeft(Moment Now) const -> int {
+  int Workers = 0;
+  int Trials = 0;
+  for (const auto *Each : Context_.Targets_.all()) {
+    if (!acceptsNewWork(*Each, Context_.Configuration_, Now.Steady_))
+      continue;
+    ++Workers;
+    Trials += Crashes_.isTrialAt(Each->agent(), Now.Steady_) ? 1 : 0;
+  }
+  return std::max(1, Workers / WorkersPerTrial) - Trials;
+}
+
 auto ShardOwner::bindPending(Moment Now, Random &Generator, EntryOutbox &Out)
     -> void {
   int Binds = 0;
   BindPass Pass;
+  Pass.TrialsLeft_ = countTrialsLeft(Now);
   const auto Order = bindOrder(Now);
   recordShortDemand(Now, Order);
   for (const auto &Ranked : Order) {
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -194,8 +194,8 @@
     StepKey UnplaceableStep_;
     /// Best-effort images that no worker can take without harmful interference.
     std::set<std::string> UnplaceableImages_;
-    /// Number of suspects for which no worker without a trial was found.
-    int FailedTrials_ = 0;
+    /// Number of suspects that may still be bound.
+    int TrialsLeft_ = 0;
   };
   /// A caller who is answered once a job's record is committed.
   struct WaitingCaller {
@@ -262,6 +262,9 @@
   /// Updates the index after one task has changed.
   auto updateIndex(const Job &Job, const TaskId &Changed) -> void;
   auto rankOf(const Job &Job, const TaskId &Task) const -> PendingRank;
+  /// Returns how many more suspects may be tried now, so that enough workers
+  /// remain for other tasks.
+  auto countTrialsLeft(Moment Now) const -> int;
   auto bindPending(Moment Now, Random &Generator, EntryOutbox &Out) -> void;
   /// Returns the tasks that may be bound now, in the order in which to bind
   /// them.
