A suspect that doesn't start doesn't keep its worker from others

What callers would see: a suspect that waits at its agent, for instance because the worker's capacity has shrunk, kept everything else from being bound there for as long as it waited.

A new owner starts without trials.

--- a/core/CrashBlame.cpp
+++ b/core/CrashBlame.cpp
@@ -7,6 +7,8 @@
 
 /// A task that has run for this long was not started just before a crash.
 constexpr Millis StartupPeriod{300};
+/// How long a worker is kept for a suspect that has not started there.
+constexpr Millis TrialStartTimeout{2000};
 /// How long a worker may have been silent before its agent reports it.
 constexpr Millis SilenceReportDelay{2500};
 
@@ -90,9 +92,9 @@
   return Candidates == 1 ? Blame::Sole : Blame::Shared;
 }
 
-auto CrashBlame::startTrial(const WorkerKey &Worker, const TaskId &Task)
-    -> void {
-  Trials_[Worker.Agent_] = {Worker, Task};
+auto CrashBlame::startTrial(const WorkerKey &Worker, const TaskId &Task,
+                            TimePoint Now) -> void {
+  Trials_[Worker.Agent_] = {Worker, Task, Now};
 }
 
 auto CrashBlame::endTrial(const AgentId &Agent, const TaskId &Task) -> void {
@@ -106,7 +108,8 @@
   if (Found == Trials_.end())
     return false;
   const auto *Running = findRunning(Found->second.Worker_, Found->second.Task_);
-  return Running == nullptr || Running->Since_ + StartupPeriod > Now;
+  return Running == nullptr ? Found->second.BoundAt_ + TrialStartTimeout > Now
+                            : Running->Since_ + StartupPeriod > Now;
 }
 
 auto CrashBlame::clear() -> void {
--- a/core/CrashBlame.h
+++ b/core/CrashBlame.h
@@ -56,11 +56,12 @@
                 bool LongRunning) const -> std::uint32_t;
 
   /// Records that a suspect was bound to the worker.
-  auto startTrial(const WorkerKey &Worker, const TaskId &Task) -> void;
+  auto startTrial(const WorkerKey &Worker, const TaskId &Task, TimePoint Now)
+      -> void;
   /// Records that a task is no longer bound to the agent's worker.
   auto endTrial(const AgentId &Agent, const TaskId &Task) -> void;
   /// Whether a suspect is bound to the agent's worker that has not yet run long
-  /// enough there to be cleared.
+  /// enough there to be cleared. A trial that doesn't begin is given up.
   auto isTrialAt(const AgentId &Agent, TimePoint Now) const -> bool;
 
   auto clear() -> void;
@@ -79,6 +80,7 @@
   struct Trial {
     WorkerKey Worker_;
     TaskId Task_;
+    TimePoint BoundAt_{};
   };
   struct RecentStarts {
     std::size_t Tasks_ = 0;
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -560,8 +560,6 @@
   if (Task.State_ == TaskState::Bound) {
     Usage_.hold(Job, Id, Task.Agent_);
     Bound_.try_emplace(Id);
-    if (isSuspect(Task))
-      Crashes_.startTrial({Task.Agent_, Task.Worker_}, Id);
   } else {
     Crashes_.endTrial(Task.Agent_, Id);
     Usage_.release(Job, Id);
@@ -879,7 +877,8 @@
   // its commit, so that the rest of the pass doesn't exceed them.
   Usage_.hold(Job, Rank.Task_, Chosen->agent());
   if (isSuspect(Status))
-    Crashes_.startTrial({Change.Agent_, Change.Worker_}, Rank.Task_);
+    Crashes_.startTrial({Change.Agent_, Change.Worker_}, Rank.Task_,
+                        Now.Steady_);
   propose(Rank.Task_, std::move(Change));
   return true;
 }
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -522,6 +522,25 @@
   BOOST_TEST(Fixture.isBoundTo("long", Worker));
 }
 
+BOOST_AUTO_TEST_CASE(NothingElseStartsBesideATrial) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  Fixture.report("a", TaskPhase::Running);
+  Fixture.leave();
+  Fixture.connectAgent(2);
+  Fixture.advance(Millis{1200});
+  BOOST_REQUIRE(Fixture.isBoundTo("a", 2));
+  Fixture.submit(0, "b");
+  Fixture.advance(Millis{400});
+  BOOST_TEST(!Fixture.isBoundTo("b", 2));
+  Fixture.report("a", TaskPhase::Running);
+  Fixture.advance(Millis{700});
+  BOOST_TEST(Fixture.isBoundTo("b", 2));
+}
+
 BOOST_AUTO_TEST_CASE(CrashesAreCountedAcrossATakeover) {
   EntryFixture Fixture;
   Fixture.connectAgent(1);
