Randomised runs with tasks that crash their workers, and what they found

What callers would have seen: an entry that ends ("task left its terminal state: cancelled to bound") once a task is given up in the binding pass that binds another task of the same job; and a task that crashes its workers before they answer started six times or more.

The checker's bound is the rule: no sixth start.

- A job that fails in a binding pass is skipped in the rest of the pass.
- Possible blame for silent losses makes a suspect too (it still never gives a task up), since workers may be back only after the task has been started elsewhere.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -103,8 +103,16 @@
   return JobReply{Each};
 }
 
+/// Returns a task's blame if all its silent losses were crashes.
+auto possibleBlame(const TaskStatus &Task) -> std::uint32_t {
+  auto Sum = Task.CrashBlame_;
+  for (const auto &Each : Task.SilentLosses_)
+    Sum += Each.Blame_;
+  return Sum;
+}
+
 auto isSuspect(const TaskStatus &Task) -> bool {
-  return Task.CrashBlame_ >= Blame::Suspect;
+  return possibleBlame(Task) >= Blame::Suspect;
 }
 
 auto makeChange(const TaskStatus &Task, TaskState State, ErrorKind Reason,
@@ -960,6 +968,9 @@
     if (Binds >= MaxBindsPerPass ||
         Pass.FailedPlacements_ >= MaxFailedPlacements)
       break;
+    // Another task of the job may have been given up in this pass.
+    if (Failing_.count(Ranked.Rank_.Task_.Job_) != 0)
+      continue;
     NotBefore_.erase(Ranked.Rank_.Task_);
     if (tryBind(Now, Ranked.Rank_, Pass, Generator, Out))
       ++Binds;
@@ -1326,7 +1337,7 @@
                                 const TaskReport &Report,
                                 const TaskStatus &Task) -> void {
   if (Report.Phase_ == TaskPhase::Running)
-    Crashes_.running(Worker, Report.Task_, Now.Steady_, Task.CrashBlame_);
+    Crashes_.running(Worker, Report.Task_, Now.Steady_, possibleBlame(Task));
   else if (isEnded(Report.Phase_) && Report.Reason_ != ErrorKind::WorkerGone)
     Crashes_.ended(Worker, Report.Task_);
 }
--- a/test/fuzz/Checker.cpp
+++ b/test/fuzz/Checker.cpp
@@ -40,6 +40,12 @@
     addViolation(concatenate("attempt number of task did not increase: ", Task,
                              " attempt ", Bind.Attempt_, " after ",
                              LastAttempt_[Task]));
+  // Three crashes, and three more starts after them, are too many.
+  constexpr int TooManyCrashes = 6;
+  if (Bind.Payload_ == CrashingPayload &&
+      ++CrashingStarts_[Task] == TooManyCrashes)
+    addViolation(concatenate("task that crashes its workers was started ",
+                             TooManyCrashes, " times: ", Task));
   // A finished task may run again only if its worker was lost before the end
   // was recorded, which takes a fault, and if its job allows reruns: the
   // payload "once" marks jobs that don't.
--- a/test/fuzz/Checker.h
+++ b/test/fuzz/Checker.h
@@ -17,6 +17,9 @@
 /// Time of the simulation itself, which no simulated process can read.
 using TrueTime = Micros;
 
+/// Payload of a task that crashes each worker that starts it.
+constexpr const char *CrashingPayload = "crashes";
+
 /// A caller's request, with what is known about its execution.
 struct RequestRecord {
   std::string Body_;
@@ -104,6 +107,8 @@
   std::map<DataCentreName, TrueTime> LatestStart_;
   /// The highest revision that an operator was told to be in force.
   Revision InForce_ = 0;
+  /// How often each task that crashes its workers was started.
+  std::map<TaskId, int> CrashingStarts_;
   int TaskStarts_ = 0;
   int Replies_ = 0;
   std::vector<std::string> Violations_;
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -110,7 +110,7 @@
 
 Simulation::Simulation(SimulationConfig Config)
     : Config_(std::move(Config)), Generator_(Config_.Seed_),
-      Checker_(!Config_.Faults_.empty()) {
+      Checker_(!Config_.Faults_.empty() || Config_.CrashingTasks_) {
   setAssertHandler(throwInvariantViolation);
 }
 
@@ -205,6 +205,23 @@
   startAgent(Index);
 }
 
+auto Simulation::crashWorker(std::size_t Index) -> void {
+  auto &Node = *Agents_[Index];
+  if (!Node.Worker_)
+    return;
+  Node.Worker_->terminate();
+  Node.Worker_.reset();
+  ++Node.WorkerGeneration_;
+  scheduleAfter(Millis{1000 + 1000 * static_cast<int>(randomBelow(7))},
+                [this, Index] {
+                  if (Agents_[Index]->Worker_)
+                    return;
+                  if (Agents_[Index]->Core_)
+                    killAgent(Index);
+                  startInstance(Index);
+                });
+}
+
 auto Simulation::killEntry(std::size_t Index) -> void {
   auto &Node = *Entries_[Index];
   ++Node.Generation_;
@@ -641,6 +658,14 @@
         localTime(Agents_[Agent]->WorkerClockRate_).Steady_.time_since_epoch());
     const auto Outcome =
         Worker.start(Now_, Clock, Start, AgentIncarnation, Revision);
+    if (Outcome == StartOutcome::Accepted &&
+        Start.Bind_.Payload_ == CrashingPayload)
+      scheduleAfter(
+          Millis{10},
+          [this, Agent, Generation = Agents_[Agent]->WorkerGeneration_] {
+            if (Agents_[Agent]->WorkerGeneration_ == Generation)
+              crashWorker(Agent);
+          });
     const auto AnswerLost = Config_.MinimalWorkers_ &&
                             ActiveUntil_[FaultKind::Reorder] > Now_ &&
                             chance(0.2);
@@ -824,6 +849,10 @@
   Job.Deadline_ = WallStart + Seconds{300};
   Job.RerunWhenLost_ = chance(0.5);
   Job.Payload_ = Job.RerunWhenLost_ ? "" : "once";
+  if (Config_.CrashingTasks_ && chance(0.05)) {
+    Job.RerunWhenLost_ = true;
+    Job.Payload_ = CrashingPayload;
+  }
   sendRequest(Request, "", true, [this](const CallerReply &Reply) {
     const auto *Submitted = std::get_if<JobReply>(&Reply);
     if (Submitted == nullptr)
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -96,6 +96,8 @@
   /// As on the users' platform: workers list only the ids of their attempts,
   /// answers to start commands may be lost, and there is one shard.
   bool MinimalWorkers_ = false;
+  /// Whether some tasks crash each worker that starts them.
+  bool CrashingTasks_ = false;
   /// Whether to print the decisions that the processes log.
   bool Trace_ = false;
 };
@@ -143,6 +145,9 @@
   auto startAgent(std::size_t Index) -> void;
   /// Starts a new instance: a worker and its agent.
   auto startInstance(std::size_t Index) -> void;
+  /// The worker crashes and is replaced some seconds later; its agent lives on
+  /// until then.
+  auto crashWorker(std::size_t Index) -> void;
   auto killEntry(std::size_t Index) -> void;
   auto killAgent(std::size_t Index) -> void;
   /// The present time on a clock that runs at `ClockRate` times the true rate.
--- a/test/fuzz/Soak.cpp
+++ b/test/fuzz/Soak.cpp
@@ -105,6 +105,7 @@
       "kinds", "kinds of faults to inject, separated by commas; all by default",
       cxxopts::value<std::vector<std::string>>())(
       "minimal-workers", "workers list only task ids and attempts; one shard")(
+      "crashing-tasks", "some tasks crash each worker that starts them")(
       "trace", "print what the processes log in a failed run, reduced to the "
                "necessary faults")("h,help", "print this text");
   const auto Parsed = Options.parse(Count, Arguments);
@@ -137,6 +138,7 @@
       auto Config = makeConfig(FirstSeed + static_cast<std::uint64_t>(Index),
                                Parsed["faults"].as<int>(), Kinds);
       Config.MinimalWorkers_ = Parsed.count("minimal-workers") != 0;
+      Config.CrashingTasks_ = Parsed.count("crashing-tasks") != 0;
       Config.Quiet_ = Seconds{Parsed["quiet"].as<int>()};
       Simulation Run(Config);
       const auto Violations = Run.run();
