--- a/core/Placement.cpp
+++ b/core/Placement.cpp
@@ -80,7 +80,8 @@
                         ? rankForServing(Step, Candidate)
                     : Step.BestEffort_ ? rankForBestEffort(Step, Candidate)
                                        : rankForShortTask(Step, Candidate);
-  return std::make_tuple(!Candidate.Suspect_, !Candidate.FailedHere_, NearData,
+  return std::make_tuple(-static_cast<std::int64_t>(Candidate.TasksAtRisk_),
+                         !Candidate.FailedHere_, NearData,
                          Candidate.SlackOverrun_ <= 0, Rank);
 }
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -25,6 +25,8 @@
 /// Maximum number of workers considered for one task.
 constexpr std::size_t MaxCandidates = 24;
 constexpr std::uint32_t MaxTasksQueuedAtAgent = 4;
+/// One of this many workers may be used for the trial of a suspect at once.
+constexpr int WorkersPerTrial = 2;
 constexpr Millis ResendInterval{2000};
 /// How long a best-effort task waits for a worker where it causes no harmful
 /// interference. Must be below three seconds, after which a task that isn't
@@ -102,6 +104,18 @@
   return JobReply{Each};
 }
 
+/// Returns a task's blame if all its silent losses were crashes.
+auto possibleBlame(const TaskStatus &Task) -> std::uint32_t {
+  auto Sum = Task.CrashBlame_;
+  for (const auto &Each : Task.SilentLosses_)
+    Sum += Each.Blame_;
+  return Sum;
+}
+
+auto isSuspect(const TaskStatus &Task) -> bool {
+  return possibleBlame(Task) >= Blame::Suspect;
+}
+
 auto makeChange(const TaskStatus &Task, TaskState State, ErrorKind Reason,
                 Moment Now) -> TaskChanged {
   TaskChanged Change;
@@ -112,6 +126,8 @@
   Change.Checkpoint_ = Task.Checkpoint_;
   Change.Failures_ = Task.Failures_;
   Change.Started_ = Task.Started_;
+  Change.CrashBlame_ = Task.CrashBlame_;
+  Change.SilentLosses_ = Task.SilentLosses_;
   Change.Reason_ = Reason;
   Change.At_ = Now.Wall_;
   if (!Task.History_.empty())
@@ -555,6 +571,7 @@
     Usage_.hold(Job, Id, Task.Agent_);
     Bound_.try_emplace(Id);
   } else {
+    Crashes_.endTrial(Task.Agent_, Id);
     Usage_.release(Job, Id);
     Bound_.erase(Id);
   }
@@ -600,6 +617,8 @@
   Pending_.clear();
   Bound_.clear();
   Usage_.clear();
+  Crashes_.clear();
+  Returned_.clear();
   Proposed_.clear();
   UnplacedSince_.clear();
   Closing_.clear();
@@ -770,6 +789,9 @@
   const auto *Usage = Usage_.at(Candidate.agent());
   if (Usage == nullptr)
     return Place;
+  if (isSuspect(Status))
+    for (const auto &Each : Usage->TasksOfStep_)
+      Place.TasksAtRisk_ += Each.second;
   if (Context_.OnlyShard_)
     Place.Free_ -= Usage->Allocated_;
   Place.BestEffortMilliCores_ = Usage->BestEffortMilliCores_;
@@ -795,7 +817,8 @@
   for (std::size_t Offset = 0;
        Offset < All.size() && Candidates.size() < MaxCandidates; ++Offset) {
     auto *Each = All[(FirstIndex + Offset) % All.size()];
-    if (!mayHost(Now, *Each, Job, Step))
+    if (!mayHost(Now, *Each, Job, Step) ||
+        Crashes_.isTrialAt(Each->agent(), Now.Steady_))
       continue;
     sendOwnershipClaim(Now, *Each, Out);
     if (Each->GrantedShards_.count(Shard_) == 0)
@@ -845,6 +868,11 @@
 auto ShardOwner::tryBind(Moment Now, const PendingRank &Rank, BindPass &Pass,
                          Random &Generator, EntryOutbox &Out) -> bool {
   const auto &Job = *state().findJob(Rank.Task_.Job_);
+  const auto &Status = Job.task(Rank.Task_);
+  if (settlePending(Now, Rank.Task_, Out))
+    return false;
+  if (isSuspect(Status) && Pass.TrialsLeft_ <= 0)
+    return false;
   const auto Need = Job.stepOf(Rank.Task_).reserved();
   if (!withinQuota(Job.Declaration_, Need))
     return false;
@@ -862,6 +890,12 @@
       Pass.UnplaceableImages_.count(Step.Image_) != 0)
     return false;
   auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Out);
+  if (isSuspect(Status)) {
+    --Pass.TrialsLeft_;
+    // Other tasks may find a worker that isn't used for a trial.
+    if (Chosen == nullptr)
+      return false;
+  }
   if (Chosen == nullptr) {
     ++Pass.FailedPlacements_;
     Pass.UnplaceableStep_ = stepKeyOf(Rank.Task_);
@@ -875,8 +909,7 @@
   }
   Chosen->Reserved_ += Need;
   Chosen->ReservedAt_ = Now.Steady_;
-  auto Change =
-      makeChange(Job.task(Rank.Task_), TaskState::Bound, ErrorKind::None, Now);
+  auto Change = makeChange(Status, TaskState::Bound, ErrorKind::None, Now);
   ++Change.Attempt_;
   Change.Agent_ = Chosen->agent();
   Change.DataCentre_ = Chosen->dataCentre();
@@ -884,6 +917,9 @@
   // The task counts towards the quota and the worker's capacity at once, before
   // its commit, so that the rest of the pass doesn't exceed them.
   Usage_.hold(Job, Rank.Task_, Chosen->agent());
+  if (isSuspect(Status))
+    Crashes_.startTrial({Change.Agent_, Change.Worker_}, Rank.Task_,
+                        Now.Steady_);
   propose(Rank.Task_, std::move(Change));
   return true;
 }
@@ -942,16 +978,32 @@
   ShortDemand_.record(Now.Steady_, MilliCores);
 }
 
+auto ShardOwner::countTrialsLeft(Moment Now) const -> int {
+  int Workers = 0;
+  int Trials = 0;
+  for (const auto *Each : Context_.Targets_.all()) {
+    if (!acceptsNewWork(*Each, Context_.Configuration_, Now.Steady_))
+      continue;
+    ++Workers;
+    Trials += Crashes_.isTrialAt(Each->agent(), Now.Steady_) ? 1 : 0;
+  }
+  return std::max(1, Workers / WorkersPerTrial) - Trials;
+}
+
 auto ShardOwner::bindPending(Moment Now, Random &Generator, EntryOutbox &Out)
     -> void {
   int Binds = 0;
   BindPass Pass;
+  Pass.TrialsLeft_ = countTrialsLeft(Now);
   const auto Order = bindOrder(Now);
   recordShortDemand(Now, Order);
   for (const auto &Ranked : Order) {
     if (Binds >= MaxBindsPerPass ||
         Pass.FailedPlacements_ >= MaxFailedPlacements)
       break;
+    // Another task of the job may have been given up in this pass.
+    if (Failing_.count(Ranked.Rank_.Task_.Job_) != 0)
+      continue;
     NotBefore_.erase(Ranked.Rank_.Task_);
     if (tryBind(Now, Ranked.Rank_, Pass, Generator, Out))
       ++Binds;
@@ -1081,6 +1133,7 @@
   Delivery.Worker_ = From.Hello_.Worker_;
   if (isEnded(Report.Phase_))
     Delivery.ReportedEnd_ = Report.Phase_;
+  recordForBlame(Now, {From.agent(), Delivery.Worker_}, Report, *Task);
   if (Report.NeedsBinding_ && !isEnded(Report.Phase_))
     sendBind(Now, Report.Task_, From, Out);
   if (!isEnded(Report.Phase_) || Proposed_.count(Report.Task_) != 0)
@@ -1209,11 +1262,14 @@
   const auto &Task = Job.task(Id);
   if (Task.State_ != TaskState::Bound || Proposed_.count(Id) != 0)
     return;
+  noteReturned(Task.SilentLosses_);
   auto *BoundTo = Context_.Targets_.findAgent(Task.Agent_);
   const auto Present = BoundTo != nullptr &&
                        BoundTo->Hello_.Worker_ == workerOf(Task, Delivery) &&
                        BoundTo->ConfirmedShards_.count(Shard_) != 0;
   if (Present) {
+    if (!BoundTo->Leaving_)
+      Crashes_.responsive({Task.Agent_, Task.Worker_}, BoundTo->LastSeenAt_);
     if (!Delivery.Reported_ && Delivery.SentAt_ + ResendInterval < Now.Steady_)
       sendBind(Now, Id, *BoundTo, Out);
     // A stop request may be lost, or reach the agent while the task is starting
@@ -1239,7 +1295,7 @@
   // task was bound to has ended, and its tasks with it.
   if (BoundTo != nullptr && BoundTo->Hello_.Worker_ > Worker &&
       BoundTo->ConfirmedShards_.count(Shard_) != 0) {
-    handleLostTask(Now, Id, {});
+    handleCrashedTask(Now, Id, Out);
     return;
   }
   if (BoundTo != nullptr)
@@ -1256,18 +1312,118 @@
     handleLostTask(Now, Id, {});
 }
 
-auto ShardOwner::handleLostTask(Moment Now, const TaskId &Id,
-                                const CheckpointId &NewerCheckpoint) -> void {
+auto ShardOwner::makeLossChange(Moment Now, const TaskId &Id) -> TaskChanged {
   const auto &Job = *state().findJob(Id.Job_);
   const auto &Task = Job.task(Id);
-  if (Job.Declaration_.RerunWhenLost_ || Job.stepOf(Id).LongRunning_) {
-    requeue(Now, Id, ErrorKind::WorkerGone,
-            NewerCheckpoint.empty() ? Task.Checkpoint_ : NewerCheckpoint,
-            false);
+  if (!Job.Declaration_.RerunWhenLost_ && !Job.stepOf(Id).LongRunning_)
+    return makeChange(Task, TaskState::Failed, ErrorKind::OutcomeUnknown, Now);
+  return makeChange(Task,
+                    Job.isClosed() ? TaskState::Cancelled : TaskState::Pending,
+                    ErrorKind::WorkerGone, Now);
+}
+
+auto ShardOwner::handleLostTask(Moment Now, const TaskId &Id,
+                                const CheckpointId &NewerCheckpoint) -> void {
+  const auto &Task = *state().findTask(Id);
+  auto Change = makeLossChange(Now, Id);
+  if (!NewerCheckpoint.empty())
+    Change.Checkpoint_ = NewerCheckpoint;
+  const auto Amount =
+      Crashes_.blameFor({Task.Agent_, workerOf(Task, Bound_[Id])}, Id,
+                        state().findJob(Id.Job_)->stepOf(Id).LongRunning_);
+  if (Amount > 0)
+    Change.SilentLosses_.push_back({Task.Agent_, Task.Worker_, Amount});
+  propose(Id, std::move(Change));
+}
+
+auto ShardOwner::handleCrashedTask(Moment Now, const TaskId &Id,
+                                   EntryOutbox &Out) -> void {
+  const auto &Task = *state().findTask(Id);
+  const WorkerKey Worker{Task.Agent_, workerOf(Task, Bound_[Id])};
+  auto Change = makeLossChange(Now, Id);
+  settleSilentLosses(Id, Change, Out);
+  blame(Id, Worker,
+        Crashes_.blameFor(Worker, Id,
+                          state().findJob(Id.Job_)->stepOf(Id).LongRunning_),
+        Change, Out);
+  propose(Id, std::move(Change));
+}
+
+auto ShardOwner::blame(const TaskId &Id, const WorkerKey &Worker,
+                       std::uint32_t Amount, TaskChanged &Change,
+                       EntryOutbox &Out) -> void {
+  if (Amount == 0)
     return;
+  ++Context_.Counters_.CrashesBlamed_;
+  Change.CrashBlame_ += Amount;
+  const auto GivenUp = Change.CrashBlame_ >= Blame::Limit &&
+                       (Change.State_ == TaskState::Pending ||
+                        Change.State_ == TaskState::Bound);
+  log(GivenUp ? "task-given-up" : "crash-blamed", Id.text(),
+      ErrorKind::WorkerGone,
+      "attempt " + std::to_string(Change.Attempt_) + ", worker " +
+          std::to_string(Worker.Worker_) + " at " + Worker.Agent_.Value_ +
+          ", blame " + std::to_string(Amount) + ", in all " +
+          std::to_string(Change.CrashBlame_) + " of " +
+          std::to_string(Blame::Limit),
+      Out);
+  if (!GivenUp)
+    return;
+  ++Context_.Counters_.TasksGivenUp_;
+  Change.State_ = TaskState::Failed;
+  Change.Reason_ = ErrorKind::WorkerGone;
+}
+
+auto ShardOwner::settleSilentLosses(const TaskId &Id, TaskChanged &Change,
+                                    EntryOutbox &Out) -> void {
+  noteReturned(Change.SilentLosses_);
+  auto &Losses = Change.SilentLosses_;
+  for (auto Each = Losses.begin(); Each != Losses.end();) {
+    const auto *Agent = Context_.Targets_.findAgent(Each->Agent_);
+    const auto Confirmed =
+        Agent != nullptr && Agent->ConfirmedShards_.count(Shard_) != 0;
+    const WorkerKey Worker{Each->Agent_, Each->Worker_};
+    const auto Returned = Returned_.count(Worker) != 0;
+    const auto Crashed =
+        !Returned && Confirmed && Agent->Hello_.Worker_ > Each->Worker_;
+    if (Crashed)
+      blame(Id, Worker, Each->Blame_, Change, Out);
+    Each = Crashed || Returned ? Losses.erase(Each) : std::next(Each);
+  }
+}
+
+auto ShardOwner::noteReturned(const std::vector<SilentLoss> &Losses) -> void {
+  for (const auto &Each : Losses) {
+    const auto *Agent = Context_.Targets_.findAgent(Each.Agent_);
+    const auto Answers = Agent != nullptr && Agent->HeartbeatSequence_ != 0 &&
+                         Agent->Hello_.Worker_ == Each.Worker_ &&
+                         !Agent->Leaving_;
+    if (Answers)
+      Returned_.insert({Each.Agent_, Each.Worker_});
   }
-  propose(Id,
-          makeChange(Task, TaskState::Failed, ErrorKind::OutcomeUnknown, Now));
+}
+
+auto ShardOwner::settlePending(Moment Now, const TaskId &Id, EntryOutbox &Out)
+    -> bool {
+  const auto &Task = *state().findTask(Id);
+  if (Task.SilentLosses_.empty())
+    return false;
+  auto Change =
+      makeChange(Task, TaskState::Pending, ErrorKind::WorkerGone, Now);
+  settleSilentLosses(Id, Change, Out);
+  if (Change.CrashBlame_ == Task.CrashBlame_)
+    return false;
+  propose(Id, std::move(Change));
+  return true;
+}
+
+auto ShardOwner::recordForBlame(Moment Now, const WorkerKey &Worker,
+                                const TaskReport &Report,
+                                const TaskStatus &Task) -> void {
+  if (Report.Phase_ == TaskPhase::Running)
+    Crashes_.running(Worker, Report.Task_, Now.Steady_, possibleBlame(Task));
+  else if (isEnded(Report.Phase_) && Report.Reason_ != ErrorKind::WorkerGone)
+    Crashes_.ended(Worker, Report.Task_);
 }
 
 auto ShardOwner::checkBoundTasks(Moment Now, EntryOutbox &Out) -> void {
--- a/core/ShardState.h
+++ b/core/ShardState.h
@@ -43,6 +43,8 @@
   WallTime At_{};
   /// Whether an attempt of the task is known to have begun.
   bool Started_ = false;
+  std::uint32_t CrashBlame_ = 0;
+  std::vector<SilentLoss> SilentLosses_;
 
   static constexpr std::size_t RequiredFields = 10;
   static constexpr auto fields() {
@@ -50,7 +52,8 @@
         &TaskChanged::Task_, &TaskChanged::State_, &TaskChanged::Attempt_,
         &TaskChanged::Agent_, &TaskChanged::DataCentre_, &TaskChanged::Worker_,
         &TaskChanged::Checkpoint_, &TaskChanged::Failures_,
-        &TaskChanged::Reason_, &TaskChanged::At_, &TaskChanged::Started_);
+        &TaskChanged::Reason_, &TaskChanged::At_, &TaskChanged::Started_,
+        &TaskChanged::CrashBlame_, &TaskChanged::SilentLosses_);
   }
 };
 
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -101,11 +101,44 @@
   auto &Change = Records[1][1];
   const auto EraseLast = [](json &Fields) { Fields.erase(Fields.size() - 1); };
   BOOST_TEST(Decodes());
-  EraseLast(Status);
-  EraseLast(Change);
-  BOOST_TEST(Decodes());
+  constexpr int AddedFieldCount = 3;
+  for (int Field = 0; Field < AddedFieldCount; ++Field) {
+    EraseLast(Status);
+    EraseLast(Change);
+    BOOST_TEST(Decodes());
+  }
   EraseLast(Change);
   BOOST_TEST(!Decodes());
 }
 
+BOOST_AUTO_TEST_CASE(RecordsStoredBeforeAFieldWasAddedAreStillRead) {
+  TaskChanged Change;
+  Change.Task_ = {{"job"}, 3};
+  Change.Attempt_ = 7;
+  ShardSegment Segment;
+  Segment.Records_ = {Change};
+  const auto Bytes = encode(StoreValue{Segment});
+  // The record has thirteen fields (0x8d) and ends with not started (0xf4), no
+  // blame (0x00) and no silent losses (0x80); it had ten (0x8a).
+  const std::string AddedFields{'\xf4', '\x00', '\x80'};
+  const auto FieldArray = Bytes.find('\x8d');
+  const auto Added = Bytes.rfind(AddedFields);
+  BOOST_REQUIRE(FieldArray != std::string::npos);
+  BOOST_REQUIRE(Added != std::string::npos);
+  auto Old = Bytes;
+  Old.erase(Added, AddedFields.size());
+  Old[FieldArray] = '\x8a';
+  const auto Decoded = decodeStoreValue(Old);
+  BOOST_REQUIRE(Decoded);
+  const auto &Record =
+      std::get<TaskChanged>(std::get<ShardSegment>(*Decoded).Records_.front());
+  BOOST_TEST(Record.Attempt_ == 7U);
+  BOOST_TEST(Record.CrashBlame_ == 0U);
+  // One field fewer than the oldest version wrote.
+  auto Short = Bytes;
+  Short.erase(Added - 1, AddedFields.size() + 1);
+  Short[FieldArray] = '\x89';
+  BOOST_TEST(!decodeStoreValue(Short));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -98,6 +98,8 @@
   bool MinimalWorkers_ = false;
   /// Whether workers announce capacities that shrink and grow while they run.
   bool ChangingCapacity_ = false;
+  /// Whether some tasks crash each worker that starts them.
+  bool CrashingTasks_ = false;
   /// Whether to print the decisions that the processes log.
   bool Trace_ = false;
 };
@@ -152,6 +154,9 @@
   auto describeWorker(std::size_t Index) -> Resources;
   /// Sends the worker's announcement to its agent, and schedules the next one.
   auto announceWorker(std::size_t Index) -> void;
+  /// The worker crashes and is replaced some seconds later; its agent lives on
+  /// until then.
+  auto crashWorker(std::size_t Index) -> void;
   auto killEntry(std::size_t Index) -> void;
   auto killAgent(std::size_t Index) -> void;
   /// The present time on a clock that runs at `ClockRate` times the true rate.
--- a/test/fuzz/Soak.cpp
+++ b/test/fuzz/Soak.cpp
@@ -106,6 +106,7 @@
       cxxopts::value<std::vector<std::string>>())(
       "minimal-workers", "workers list only task ids and attempts; one shard")(
       "changing-capacity", "workers' capacities shrink and grow")(
+      "crashing-tasks", "some tasks crash each worker that starts them")(
       "trace", "print what the processes log in a failed run, reduced to the "
                "necessary faults")("h,help", "print this text");
   const auto Parsed = Options.parse(Count, Arguments);
@@ -139,6 +140,7 @@
                                Parsed["faults"].as<int>(), Kinds);
       Config.MinimalWorkers_ = Parsed.count("minimal-workers") != 0;
       Config.ChangingCapacity_ = Parsed.count("changing-capacity") != 0;
+      Config.CrashingTasks_ = Parsed.count("crashing-tasks") != 0;
       Config.Quiet_ = Seconds{Parsed["quiet"].as<int>()};
       Simulation Run(Config);
       const auto Violations = Run.run();
