Owner: a task is given up early only if it was seen running before two crashes

A task that was bound to workers which crashed before it began was charged like one that ran: one crash that was seen and three losses before a start failed an innocent job, which callers could have had done. Ownership/ATaskThatWasSeenRunningInOneCrashOnlyIsNotGivenUp fails without the condition (given up at the fourth crash).

--- a/core/CrashBlame.cpp
+++ b/core/CrashBlame.cpp
@@ -14,6 +14,12 @@
 
 } // namespace
 
+auto isGivenUp(const CrashTally &Crashes) -> bool {
+  return Crashes.Blame_ >= Blame::Limit &&
+         (Crashes.SeenRunning_ >= Blame::SeenToGiveUp ||
+          Crashes.Crashes_ >= Blame::UnseenToGiveUp);
+}
+
 auto CrashBlame::running(const WorkerKey &Worker, const TaskId &Task,
                          TimePoint Now, std::uint32_t EarlierBlame) -> void {
   auto &Record = Workers_[Worker];
@@ -92,6 +98,12 @@
   return Candidates == 1 ? Blame::Sole : Blame::Shared;
 }
 
+auto CrashBlame::tallyFor(const WorkerKey &Worker, const TaskId &Task,
+                          bool LongRunning) const -> CrashTally {
+  const auto Seen = findRunning(Worker, Task) != nullptr;
+  return {blameFor(Worker, Task, LongRunning), 1, Seen ? 1U : 0U};
+}
+
 auto CrashBlame::startTrial(const WorkerKey &Worker, const TaskId &Task,
                             TimePoint Now) -> void {
   Trials_[Worker.Agent_] = {Worker, Task, Now};
--- a/core/CrashBlame.h
+++ b/core/CrashBlame.h
@@ -3,8 +3,7 @@
 /// crashes a task survives before it is given up.
 #pragma once
 
-#include "core/Ids.h"
-#include "core/Time.h"
+#include "core/Job.h"
 
 #include <map>
 #include <optional>
@@ -32,10 +31,18 @@
 static_assert(2 * Shared + Present >= Limit && 5 * Present >= Limit,
               "three crashes suffice if it was twice among the suspects, and "
               "five in any case");
+/// Crashes that a task survives if it was seen running before fewer than
+/// SeenToGiveUp of them: it may not have begun on those workers.
+constexpr std::uint32_t SeenToGiveUp = 2;
+constexpr std::uint32_t UnseenToGiveUp = 5;
+
 static_assert(2 * Present < Suspect,
               "a task that met two crashes by chance is no suspect");
 } // namespace Blame
 
+/// Whether a task with these crashes is given up.
+auto isGivenUp(const CrashTally &Crashes) -> bool;
+
 /// Records which tasks run on which worker and since when, to find the likely
 /// cause of a crash: a task that crashes its worker does so soon after its
 /// start, so those that started last are blamed most.
@@ -55,6 +62,10 @@
   auto blameFor(const WorkerKey &Worker, const TaskId &Task,
                 bool LongRunning) const -> std::uint32_t;
 
+  /// Returns what the crash of its worker counts for a task.
+  auto tallyFor(const WorkerKey &Worker, const TaskId &Task,
+                bool LongRunning) const -> CrashTally;
+
   /// Records that a suspect was bound to the worker.
   auto startTrial(const WorkerKey &Worker, const TaskId &Task, TimePoint Now)
       -> void;
--- a/core/Job.h
+++ b/core/Job.h
@@ -143,17 +143,37 @@
   }
 };
 
+/// The proved crashes of workers on which a task was.
+struct CrashTally {
+  /// The task's blame for them; see CrashBlame.
+  std::uint32_t Blame_ = 0;
+  std::uint32_t Crashes_ = 0;
+  /// The crashes before which the task was reported running.
+  std::uint32_t SeenRunning_ = 0;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&CrashTally::Blame_, &CrashTally::Crashes_,
+                           &CrashTally::SeenRunning_);
+  }
+  auto operator+=(const CrashTally &Other) -> CrashTally & {
+    Blame_ += Other.Blame_;
+    Crashes_ += Other.Crashes_;
+    SeenRunning_ += Other.SeenRunning_;
+    return *this;
+  }
+};
+
 /// The loss of an attempt whose worker fell silent. It counts once the agent
 /// has a newer worker; if the same one answers again, it was no crash.
 struct SilentLoss {
   AgentId Agent_;
   Incarnation Worker_ = 0;
-  /// The task's blame if the worker has crashed.
-  std::uint32_t Blame_ = 0;
+  /// What counts for the task if the worker has crashed.
+  CrashTally Crash_;
 
   static constexpr auto fields() {
     return std::make_tuple(&SilentLoss::Agent_, &SilentLoss::Worker_,
-                           &SilentLoss::Blame_);
+                           &SilentLoss::Crash_);
   }
 };
 
@@ -171,17 +191,16 @@
   std::vector<AttemptRecord> History_;
   /// Whether an attempt is known to have begun on a worker.
   bool Started_ = false;
-  /// Blame for crashes of the workers on which the task ran; see CrashBlame.
-  std::uint32_t CrashBlame_ = 0;
+  CrashTally Crashes_;
   std::vector<SilentLoss> SilentLosses_;
 
   static constexpr std::size_t RequiredFields = 7;
   static constexpr auto fields() {
-    return std::make_tuple(
-        &TaskStatus::State_, &TaskStatus::Attempt_, &TaskStatus::Agent_,
-        &TaskStatus::Worker_, &TaskStatus::Checkpoint_, &TaskStatus::Failures_,
-        &TaskStatus::History_, &TaskStatus::Started_, &TaskStatus::CrashBlame_,
-        &TaskStatus::SilentLosses_);
+    return std::make_tuple(&TaskStatus::State_, &TaskStatus::Attempt_,
+                           &TaskStatus::Agent_, &TaskStatus::Worker_,
+                           &TaskStatus::Checkpoint_, &TaskStatus::Failures_,
+                           &TaskStatus::History_, &TaskStatus::Started_,
+                           &TaskStatus::Crashes_, &TaskStatus::SilentLosses_);
   }
   /// True if an attempt is known to have begun, also where the record of it is
   /// of a version that didn't store Started_.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -106,9 +106,9 @@
 
 /// Returns a task's blame if all its silent losses were crashes.
 auto possibleBlame(const TaskStatus &Task) -> std::uint32_t {
-  auto Sum = Task.CrashBlame_;
+  auto Sum = Task.Crashes_.Blame_;
   for (const auto &Each : Task.SilentLosses_)
-    Sum += Each.Blame_;
+    Sum += Each.Crash_.Blame_;
   return Sum;
 }
 
@@ -126,7 +126,7 @@
   Change.Checkpoint_ = Task.Checkpoint_;
   Change.Failures_ = Task.Failures_;
   Change.Started_ = Task.Started_;
-  Change.CrashBlame_ = Task.CrashBlame_;
+  Change.Crashes_ = Task.Crashes_;
   Change.SilentLosses_ = Task.SilentLosses_;
   Change.Reason_ = Reason;
   Change.At_ = Now.Wall_;
@@ -1328,11 +1328,11 @@
   auto Change = makeLossChange(Now, Id);
   if (!NewerCheckpoint.empty())
     Change.Checkpoint_ = NewerCheckpoint;
-  const auto Amount =
-      Crashes_.blameFor({Task.Agent_, workerOf(Task, Bound_[Id])}, Id,
+  const auto Crash =
+      Crashes_.tallyFor({Task.Agent_, workerOf(Task, Bound_[Id])}, Id,
                         state().findJob(Id.Job_)->stepOf(Id).LongRunning_);
-  if (Amount > 0)
-    Change.SilentLosses_.push_back({Task.Agent_, Task.Worker_, Amount});
+  if (Crash.Blame_ > 0)
+    Change.SilentLosses_.push_back({Task.Agent_, Task.Worker_, Crash});
   propose(Id, std::move(Change));
 }
 
@@ -1343,29 +1343,31 @@
   auto Change = makeLossChange(Now, Id);
   settleSilentLosses(Id, Change, Out);
   blame(Id, Worker,
-        Crashes_.blameFor(Worker, Id,
+        Crashes_.tallyFor(Worker, Id,
                           state().findJob(Id.Job_)->stepOf(Id).LongRunning_),
         Change, Out);
   propose(Id, std::move(Change));
 }
 
 auto ShardOwner::blame(const TaskId &Id, const WorkerKey &Worker,
-                       std::uint32_t Amount, TaskChanged &Change,
+                       const CrashTally &Crash, TaskChanged &Change,
                        EntryOutbox &Out) -> void {
-  if (Amount == 0)
+  if (Crash.Blame_ == 0)
     return;
   ++Context_.Counters_.CrashesBlamed_;
-  Change.CrashBlame_ += Amount;
-  const auto GivenUp = Change.CrashBlame_ >= Blame::Limit &&
-                       (Change.State_ == TaskState::Pending ||
-                        Change.State_ == TaskState::Bound);
+  Change.Crashes_ += Crash;
+  const auto GivenUp =
+      isGivenUp(Change.Crashes_) && (Change.State_ == TaskState::Pending ||
+                                     Change.State_ == TaskState::Bound);
   log(GivenUp ? "task-given-up" : "crash-blamed", Id.text(),
       ErrorKind::WorkerGone,
       "attempt " + std::to_string(Change.Attempt_) + ", worker " +
           std::to_string(Worker.Worker_) + " at " + Worker.Agent_.Value_ +
-          ", blame " + std::to_string(Amount) + ", in all " +
-          std::to_string(Change.CrashBlame_) + " of " +
-          std::to_string(Blame::Limit),
+          ", blame " + std::to_string(Crash.Blame_) + ", in all " +
+          std::to_string(Change.Crashes_.Blame_) + " of " +
+          std::to_string(Blame::Limit) + " in " +
+          std::to_string(Change.Crashes_.Crashes_) + " crashes, running in " +
+          std::to_string(Change.Crashes_.SeenRunning_),
       Out);
   if (!GivenUp)
     return;
@@ -1387,7 +1389,7 @@
     const auto Crashed =
         !Returned && Confirmed && Agent->Hello_.Worker_ > Each->Worker_;
     if (Crashed)
-      blame(Id, Worker, Each->Blame_, Change, Out);
+      blame(Id, Worker, Each->Crash_, Change, Out);
     Each = Crashed || Returned ? Losses.erase(Each) : std::next(Each);
   }
 }
@@ -1411,7 +1413,7 @@
   auto Change =
       makeChange(Task, TaskState::Pending, ErrorKind::WorkerGone, Now);
   settleSilentLosses(Id, Change, Out);
-  if (Change.CrashBlame_ == Task.CrashBlame_)
+  if (Change.Crashes_.Crashes_ == Task.Crashes_.Crashes_)
     return false;
   propose(Id, std::move(Change));
   return true;
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -254,8 +254,9 @@
   auto recordForBlame(Moment Now, const WorkerKey &Worker,
                       const TaskReport &Report, const TaskStatus &Task) -> void;
   /// Adds blame to a task; it fails once it has reached the limit.
-  auto blame(const TaskId &Task, const WorkerKey &Worker, std::uint32_t Amount,
-             TaskChanged &Change, EntryOutbox &Out) -> void;
+  auto blame(const TaskId &Task, const WorkerKey &Worker,
+             const CrashTally &Crash, TaskChanged &Change, EntryOutbox &Out)
+      -> void;
   /// Counts the silent losses that have turned out to be crashes, and removes
   /// those of workers that answer again.
   auto settleSilentLosses(const TaskId &Task, TaskChanged &Change,
--- a/core/ShardState.cpp
+++ b/core/ShardState.cpp
@@ -75,7 +75,7 @@
   Task.Checkpoint_ = Record.Checkpoint_;
   Task.Failures_ = Record.Failures_;
   Task.Started_ |= Record.Started_;
-  Task.CrashBlame_ = Record.CrashBlame_;
+  Task.Crashes_ = Record.Crashes_;
   Task.SilentLosses_ = Record.SilentLosses_;
   addToHistory(Task, {Record.Attempt_, Record.State_, Record.Agent_,
                       Record.DataCentre_, Record.At_, Record.Reason_});
--- a/core/ShardState.h
+++ b/core/ShardState.h
@@ -43,7 +43,7 @@
   WallTime At_{};
   /// Whether an attempt of the task is known to have begun.
   bool Started_ = false;
-  std::uint32_t CrashBlame_ = 0;
+  CrashTally Crashes_;
   std::vector<SilentLoss> SilentLosses_;
 
   static constexpr std::size_t RequiredFields = 10;
@@ -53,7 +53,7 @@
         &TaskChanged::Agent_, &TaskChanged::DataCentre_, &TaskChanged::Worker_,
         &TaskChanged::Checkpoint_, &TaskChanged::Failures_,
         &TaskChanged::Reason_, &TaskChanged::At_, &TaskChanged::Started_,
-        &TaskChanged::CrashBlame_, &TaskChanged::SilentLosses_);
+        &TaskChanged::Crashes_, &TaskChanged::SilentLosses_);
   }
 };
 
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -931,7 +931,7 @@
     Fixture.report("a", TaskPhase::Stopped, ErrorKind::WorkerGone);
   }
   Fixture.advance(Millis{1500});
-  BOOST_TEST(Fixture.taskStatus("a")->CrashBlame_ == 0U);
+  BOOST_TEST(Fixture.taskStatus("a")->Crashes_.Blame_ == 0U);
   // A later crash doesn't turn the silences before it into crashes.
   Fixture.leave();
   Fixture.connectAgent(2);
@@ -949,11 +949,11 @@
   Fixture.report("a", TaskPhase::Stopped, ErrorKind::WorkerGone);
   Fixture.leave();
   Fixture.advance(Millis{3000});
-  BOOST_TEST(Fixture.taskStatus("a")->CrashBlame_ == 0U);
+  BOOST_TEST(Fixture.taskStatus("a")->Crashes_.Blame_ == 0U);
   Fixture.connectAgent(2);
   Fixture.advance(Millis{2000});
   BOOST_TEST(Fixture.isBoundTo("a", 2));
-  BOOST_TEST(Fixture.taskStatus("a")->CrashBlame_ == Blame::Sole);
+  BOOST_TEST(Fixture.taskStatus("a")->Crashes_.Blame_ == Blame::Sole);
   Fixture.report("a", TaskPhase::Running);
   Fixture.report("a", TaskPhase::Stopped, ErrorKind::WorkerGone);
   Fixture.leave();
@@ -962,4 +962,19 @@
   BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Failed));
 }
 
+BOOST_AUTO_TEST_CASE(ATaskThatWasSeenRunningInOneCrashOnlyIsNotGivenUp) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  Fixture.report("a", TaskPhase::Running);
+  for (Incarnation Worker = 2; Worker <= 5; ++Worker) {
+    Fixture.leave();
+    Fixture.connectAgent(Worker);
+    Fixture.advance(Millis{2500});
+    BOOST_TEST(Fixture.isBoundTo("a", Worker));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -119,8 +119,9 @@
   Segment.Records_ = {Change};
   const auto Bytes = encode(StoreValue{Segment});
   // The record has thirteen fields (0x8d) and ends with not started (0xf4), no
-  // blame (0x00) and no silent losses (0x80); it had ten (0x8a).
-  const std::string AddedFields{'\xf4', '\x00', '\x80'};
+  // crashes (0x83 and three zeros) and no silent losses (0x80); it had ten
+  // (0x8a).
+  const std::string AddedFields{'\xf4', '\x83', '\x00', '\x00', '\x00', '\x80'};
   const auto FieldArray = Bytes.find('\x8d');
   const auto Added = Bytes.rfind(AddedFields);
   BOOST_REQUIRE(FieldArray != std::string::npos);
@@ -133,7 +134,7 @@
   const auto &Record =
       std::get<TaskChanged>(std::get<ShardSegment>(*Decoded).Records_.front());
   BOOST_TEST(Record.Attempt_ == 7U);
-  BOOST_TEST(Record.CrashBlame_ == 0U);
+  BOOST_TEST(Record.Crashes_.Blame_ == 0U);
   // One field fewer than the oldest version wrote.
   auto Short = Bytes;
   Short.erase(Added - 1, AddedFields.size() + 1);
