Placement: best-effort tasks wait for unused processors at the owner

Cause: canPlace() bound a best-effort task to any worker with enough memory and little interference, however many processors were requested there already; choosePlacement() only ranked such workers last. The tasks then waited on the workers, paused or at a fraction of their speed, where they held slack and memory, instead of at the owner, which binds jobs that can still be in time first. The class: a queue beyond the point where order is decided.

Change: canPlace() refuses a best-effort task where the processors that the other tasks leave unused don't suffice, unless the task accepts any worker (the only bound task of its job, after 2.5 s), so that a job that is late goes on. job-ended and the metric count such a wait as room, not as interference.

New: AJobThatIsLateIsNotStarvedByJobsThatCanBeInTime, BestEffortTasksWaitForUnusedProcessors. BestEffortTasksNeedMemoryOnly required that a worker without any processors left is chosen, which is this fault. It is replaced by the exact bound of unused processors, and by BestEffortTasksThatAcceptAnyWorkerNeedMemoryOnly, which also checks that memory is still needed.

--- a/core/JobWaits.h
+++ b/core/JobWaits.h
@@ -23,7 +23,8 @@
   Turn,
   /// No worker accepts the task at all.
   Worker,
-  /// No worker that accepts the task has enough free resources.
+  /// No worker that accepts the task has enough free resources; for a
+  /// best-effort task, enough unused processors.
   Room,
   /// Every worker with enough resources has a serving task that would suffer.
   Interference,
--- a/core/Placement.cpp
+++ b/core/Placement.cpp
@@ -87,15 +87,21 @@
 
 } // namespace
 
+auto hasUnusedProcessors(const StepDeclaration &Step,
+                         const PlacementCandidate &Candidate) -> bool {
+  return !Step.BestEffort_ || unusedShare(Step, Candidate) >= 0;
+}
+
 auto canPlace(const StepDeclaration &Step, const PlacementCandidate &Candidate)
     -> bool {
   const auto BelowLimit =
       Step.MaxPerWorker_ == 0 || Candidate.TasksOfStep_ < Step.MaxPerWorker_;
-  // A best-effort task waits rather than interfere with serving tasks, but not
-  // for ever: once it runs, the agent pauses it while its interference is too
-  // high.
-  const auto ExceedsSlack = Step.BestEffort_ && Candidate.SlackOverrun_ > 0 &&
-                            !Candidate.AcceptsAnyWorker_;
+  // A best-effort task waits rather than interfere with serving tasks or share
+  // processors that are in use, but not for ever. Where it runs slowly or
+  // paused, it holds slack and memory, and tasks of higher rank can't pass it.
+  const auto MustWait =
+      Step.BestEffort_ && !Candidate.AcceptsAnyWorker_ &&
+      (Candidate.SlackOverrun_ > 0 || !hasUnusedProcessors(Step, Candidate));
   auto Free = Candidate.Free_;
   // A long-running task leaves the headroom free, but at most half as many
   // processors as it needs itself: a worker with twice the free processors that
@@ -103,7 +109,7 @@
   if (Step.LongRunning_ && !Candidate.AcceptsAnyWorker_)
     Free.MilliCores_ -= std::min(Candidate.HeadroomMilliCores_,
                                  Step.Resources_.MilliCores_ / 2);
-  return BelowLimit && !ExceedsSlack && Free.holds(Step.reserved());
+  return BelowLimit && !MustWait && Free.holds(Step.reserved());
 }
 
 auto choosePlacement(const StepDeclaration &Step,
--- a/core/Placement.h
+++ b/core/Placement.h
@@ -45,9 +45,16 @@
   bool FailedHere_ = false;
 };
 
+/// Whether the processors that the candidate's other tasks leave unused suffice
+/// for a task of the step. Only best-effort tasks, which reserve none, may find
+/// too few where they have enough free resources.
+auto hasUnusedProcessors(const StepDeclaration &Step,
+                         const PlacementCandidate &Candidate) -> bool;
+
 /// Whether a task of the step may run on the candidate: it has enough free
-/// resources and fewer tasks of the step than the limit, and a best-effort task
-/// causes no interference beyond the slack unless it accepts any worker.
+/// resources and fewer tasks of the step than the limit. A best-effort task
+/// also finds enough unused processors and causes no interference beyond the
+/// slack, unless it accepts any worker.
 auto canPlace(const StepDeclaration &Step, const PlacementCandidate &Candidate)
     -> bool;
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -860,7 +860,7 @@
     Failure = TaskWait::Room;
   for (auto &Each : Places) {
     Each.AcceptsAnyWorker_ = true;
-    if (canPlace(Step, Each))
+    if (hasUnusedProcessors(Step, Each) && canPlace(Step, Each))
       Failure = TaskWait::Interference;
   }
   return nullptr;
--- a/test/correctness/FleetTest.cpp
+++ b/test/correctness/FleetTest.cpp
@@ -282,4 +282,19 @@
   BOOST_TEST(MostRequested_ <= WorkerMilliCores);
 }
 
+BOOST_AUTO_TEST_CASE(AJobThatIsLateIsNotStarvedByJobsThatCanBeInTime) {
+  // 36 tasks fit; jobs of 12 tasks, 2.7 s each, come faster than they end.
+  FleetFixture Fixture(4);
+  for (int Job = 0; Job < 8; ++Job)
+    Fixture.submitBestEffort("first-" + std::to_string(Job), 12);
+  for (int Job = 0; Job < 60; ++Job) {
+    Fixture.submitBestEffort("later-" + std::to_string(Job), 12);
+    Fixture.submitBestEffort("also-" + std::to_string(Job), 12);
+    Fixture.advance(Millis{1000});
+  }
+  for (int Job = 0; Job < 8; ++Job)
+    BOOST_TEST(
+        (Fixture.state("first-" + std::to_string(Job)) == JobState::Completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/PlacementTest.cpp
+++ b/test/correctness/PlacementTest.cpp
@@ -46,10 +46,26 @@
   BOOST_TEST(choosePlacement(Step, {AtLimit, candidateWith(2000)}) == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(BestEffortTasksNeedMemoryOnly) {
+BOOST_AUTO_TEST_CASE(BestEffortTasksWaitForUnusedProcessors) {
   auto Step = stepOf(4000);
   Step.BestEffort_ = true;
-  BOOST_TEST(choosePlacement(Step, {candidateWith(0)}) == 0U);
+  BOOST_TEST(choosePlacement(Step, {candidateWith(3999)}) == 1U);
+  BOOST_TEST(choosePlacement(Step, {candidateWith(4000)}) == 0U);
+  auto Shared = candidateWith(9000);
+  Shared.BestEffortMilliCores_ = 5001;
+  BOOST_TEST(choosePlacement(Step, {Shared}) == 1U);
+  Shared.BestEffortMilliCores_ = 5000;
+  BOOST_TEST(choosePlacement(Step, {Shared}) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(BestEffortTasksThatAcceptAnyWorkerNeedMemoryOnly) {
+  auto Step = stepOf(4000);
+  Step.BestEffort_ = true;
+  auto Candidate = candidateWith(0);
+  Candidate.AcceptsAnyWorker_ = true;
+  BOOST_TEST(choosePlacement(Step, {Candidate}) == 0U);
+  Candidate.Free_.MemoryMegabytes_ = Step.Resources_.MemoryMegabytes_ - 1;
+  BOOST_TEST(choosePlacement(Step, {Candidate}) == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(BestEffortTasksWaitRatherThanInterfere) {
