Pacing: a tail that is falling below its target pauses no best-effort task

Cause: allocatePace() paused every task that interferes while a measured tail was over its target, and kept a paused one paused until the tail was below 0.7 of it. The tail lags behind the use of processors by about half a second, so the pauses went on after what had raised the tail was gone. The class: control by a delayed measurement where an estimate without the delay exists.

Change: a tail counts as over its target only if its estimated steady state is, too. Beside a falling one tasks get the slack that the estimated baseline leaves, as everywhere else. Unchanged: a tail that stays over its target for 0.5 s, or falls for 1.5 s without reaching it, pauses every best-effort task.

ResumesOnceATailFallsBelowItsTarget replaces ResumesOnceTailsAreWellBelowTheirTargets, and APausedTaskStaysPausedNearTheTarget is gone: both required the wait down to 0.7 of the target, which is this fault. ATailThatStaysOverItsTargetPausesInterferingTasks and ATailThatFallsForLongWithoutReachingItsTargetPausesAll keep the limits.

--- a/core/InterferenceController.cpp
+++ b/core/InterferenceController.cpp
@@ -11,9 +11,6 @@
 /// Best-effort tasks get slack until the predicted tail of a serving task
 /// reaches this ratio to its target.
 constexpr double MaxPlannedTailRatio = 0.85;
-/// A paused task resumes once the tails that it interferes with are below this
-/// ratio to their targets.
-constexpr double ResumeTailRatio = 0.7;
 /// Time that a task is paused before it is evicted; longer where the eviction
 /// loses work or leaves its job with no running task.
 constexpr Millis EvictionDelay{1500};
@@ -36,9 +33,18 @@
 /// contains the task, which may not have started yet.
 constexpr Millis UnlistedPaceRetention{2000};
 
-auto bestEffortOf(const ColocatedTask &Task, bool Paused) -> BestEffortTask {
-  return {Task.Image_, std::max(Task.FullMilliCores_, Task.MilliCores_),
-          Paused};
+auto bestEffortOf(const ColocatedTask &Task) -> BestEffortTask {
+  return {Task.Image_, std::max(Task.FullMilliCores_, Task.MilliCores_)};
+}
+
+/// Whether the tail exceeds its target and doesn't fall below it if its
+/// neighbours' use of processors stays as it is. The measured tail lags behind
+/// a change of that use: beside a tail that is falling, the tasks that raised
+/// it have been slowed down already.
+auto staysOverTarget(const ColocatedTask &Serving, const TailEstimate &Estimate)
+    -> bool {
+  const auto Target = std::log(static_cast<double>(Serving.Target_.count()));
+  return Serving.tailRatio() > 1.0 && Estimate.SteadyState_ >= Target;
 }
 
 } // namespace
@@ -67,9 +73,9 @@
         const auto *Estimate = Tracker_.find(Each.Task_);
         if (OverTarget == OverTargetSince_.end() || Estimate == nullptr)
           return false;
-        const auto Target = std::log(static_cast<double>(Each.Target_.count()));
-        const auto Limit = Estimate->SteadyState_ < Target ? FallingTailTimeout
-                                                           : OverTargetTimeout;
+        const auto Limit = staysOverTarget(Each, *Estimate)
+                               ? OverTargetTimeout
+                               : FallingTailTimeout;
         return OverTarget->second + Limit <= Now;
       });
 }
@@ -84,20 +90,11 @@
     const auto Limit = std::log(MaxPlannedTailRatio *
                                 static_cast<double>(Each.Target_.count()));
     Slacks.push_back({Each.Image_, Limit - Estimate->Baseline_,
-                      Each.tailRatio() > 1.0,
-                      Each.tailRatio() >= ResumeTailRatio});
+                      staysOverTarget(Each, *Estimate)});
   }
   return Slacks;
 }
 
-auto InterferenceController::paceOf(const ColocatedTask &BestEffort) const
-    -> std::uint32_t {
-  const auto Found = PaceStates_.find(BestEffort.Task_);
-  const auto IsCurrentAttempt = Found != PaceStates_.end() &&
-                                Found->second.Attempt_ == BestEffort.Attempt_;
-  return IsCurrentAttempt ? Found->second.Percent_ : FullPace;
-}
-
 auto InterferenceController::pacingOrder(
     const std::vector<ColocatedTask> &Tasks) const
     -> std::vector<const ColocatedTask *> {
@@ -109,7 +106,7 @@
   for (const auto &Each : Tasks)
     if (Each.BestEffort_)
       RankedTasks.emplace_back(
-          maxGrowthPerCore(bestEffortOf(Each, false), Predictor_, Slacks_),
+          maxGrowthPerCore(bestEffortOf(Each), Predictor_, Slacks_),
           Each.Deadline_, Each.Task_, &Each);
   std::sort(RankedTasks.begin(), RankedTasks.end());
   std::vector<const ColocatedTask *> Order;
@@ -181,7 +178,7 @@
   std::set<TaskId> Present;
   for (const auto *Each : pacingOrder(Tasks)) {
     Present.insert(Each->Task_);
-    const auto BestEffort = bestEffortOf(*Each, paceOf(*Each) == 0);
+    const auto BestEffort = bestEffortOf(*Each);
     const auto Desired = PredictionsUnreliable_
                              ? 0
                              : allocatePace(BestEffort, Predictor_, Slacks_);
@@ -201,8 +198,7 @@
                                    const ColocatedTask &BestEffort)
     -> std::uint32_t {
   auto Remaining = Slacks_;
-  auto Pace =
-      allocatePace(bestEffortOf(BestEffort, false), Predictor_, Remaining);
+  auto Pace = allocatePace(bestEffortOf(BestEffort), Predictor_, Remaining);
   const auto MayForceStart =
       BestEffort.OnlyTaskOfJob_ && OverTargetSince_.empty();
   if (PredictionsUnreliable_ || (Pace < MinStartPace && !MayForceStart))
--- a/core/InterferenceController.h
+++ b/core/InterferenceController.h
@@ -62,8 +62,6 @@
       -> bool;
   auto slacksOf(const std::vector<ColocatedTask> &Tasks) const
       -> std::vector<ServingSlack>;
-  /// Pace last ordered for the attempt, in percent; FullPace if none was.
-  auto paceOf(const ColocatedTask &BestEffort) const -> std::uint32_t;
   /// Describes, for the log, the serving task whose tail is the highest
   /// relative to its target.
   auto explain(const std::vector<ColocatedTask> &Tasks) const -> std::string;
--- a/core/PacePlan.cpp
+++ b/core/PacePlan.cpp
@@ -36,7 +36,7 @@
                                                 Task.FullMilliCores_);
     if (Growth <= NegligibleGrowth)
       continue;
-    if (Slack.OverTarget_ || (Slack.NearTarget_ && Task.Paused_))
+    if (Slack.StaysOverTarget_)
       return 0;
     Fraction = std::min(Fraction, Slack.Remaining_ / Growth);
   }
--- a/core/PacePlan.h
+++ b/core/PacePlan.h
@@ -20,10 +20,9 @@
   /// Growth of the tail's natural logarithm that best-effort tasks may still
   /// cause; 0 or less for none.
   double Remaining_ = 0;
-  /// The tail exceeds its target: tasks that interfere must be paused.
-  bool OverTarget_ = false;
-  /// The tail is so near its target that paused tasks stay paused.
-  bool NearTarget_ = false;
+  /// The tail exceeds its target and is not about to fall below it: tasks that
+  /// interfere must be paused.
+  bool StaysOverTarget_ = false;
 };
 
 /// One best-effort task.
@@ -31,7 +30,6 @@
   std::string Image_;
   /// Processors, in thousandths, that it uses at full speed.
   std::int64_t FullMilliCores_ = 0;
-  bool Paused_ = false;
 };
 
 /// Allocates to `Task` the highest pace whose predicted interference fits into
