Binding order: a backlog of late tasks hides nothing that comes behind it

What callers would see: once more than 4000 tasks wait, jobs that come later are not bound at all, short ones included, until the backlog is gone.

Cause: bindOrder() took the first 4000 due tasks of a list that is sorted by the latest start, and ranked only these. Late tasks come first in that list. The class: a limit that is applied before the order that it should follow.

Change: due steps are ranked, up to 4000 of them, and the limit of tasks applies to the ranked list. A step is passed over as a whole.

Tests: ShortJobsAreInTimeBehindABacklogOfBestEffortJobs failed before and passes. AJobThatCanBeInTimeIsNotPutBehindABacklogOfLateOnes failed before and still fails, for another reason: each late job may place one task on any worker after 2.5 s, and 120 such jobs fill four workers.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <ctime>
+#include <limits>
 #include <utility>
 
 namespace skylark {
@@ -17,6 +18,8 @@
 constexpr int MaxBindsPerPass = 64;
 /// Maximum number of due tasks considered in one binding pass.
 constexpr std::size_t MaxTasksPerPass = 4000;
+/// Maximum number of steps with due tasks that are ranked for a binding pass.
+constexpr std::size_t MaxStepsPerPass = 4000;
 /// Interval of the checks of bound tasks and of the binding passes that no
 /// commit has triggered.
 constexpr Millis PassInterval{150};
@@ -997,26 +1000,21 @@
          Failing_.count(Task.Job_) == 0;
 }
 
-auto ShardOwner::bindOrder(Moment Now) const -> std::vector<RankedTask> {
-  std::vector<RankedTask> Order;
+auto ShardOwner::dueStepsInOrder(Moment Now) const -> std::vector<RankedTask> {
+  std::vector<RankedTask> Steps;
   std::map<JobId, double> WorkPerValueByJob;
-  for (const auto &Rank : Pending_) {
-    if (Order.size() >= MaxTasksPerPass)
-      break;
-    if (!isDue(Now, Rank.Task_))
-      continue;
-    // Tasks of one step are adjacent and differ only in their rank.
-    if (!Order.empty() &&
-        stepKeyOf(Order.back().Rank_.Task_) == stepKeyOf(Rank.Task_)) {
-      auto Ranked = Order.back();
-      Ranked.Rank_ = Rank;
-      Order.push_back(std::move(Ranked));
+  for (auto Next = Pending_.begin();
+       Next != Pending_.end() && Steps.size() < MaxStepsPerPass;) {
+    const auto End = endOfStep(Next);
+    const auto First = std::find_if(
+        Next, End, [&](const auto &Each) { return isDue(Now, Each.Task_); });
+    Next = End;
+    if (First == End)
       continue;
-    }
-    const auto &Job = *state().findJob(Rank.Task_.Job_);
-    RankedTask Ranked{Rank.PriorityClass_,
-                      feasibilityOf(Job, Rank.Task_, Now.Wall_), 0, Rank};
-    if (Job.stepOf(Rank.Task_).BestEffort_) {
+    const auto &Job = *state().findJob(First->Task_.Job_);
+    RankedTask Ranked{First->PriorityClass_,
+                      feasibilityOf(Job, First->Task_, Now.Wall_), 0, *First};
+    if (Job.stepOf(First->Task_).BestEffort_) {
       const auto [WorkPerValue, Inserted] =
           WorkPerValueByJob.try_emplace(Job.Id_, 0.0);
       if (Inserted)
@@ -1024,9 +1022,37 @@
             workPerValue(Job, MeanWork_.of(Job.Declaration_.Queue_));
       Ranked.WorkPerValue_ = WorkPerValue->second;
     }
-    Order.push_back(std::move(Ranked));
+    Steps.push_back(std::move(Ranked));
+  }
+  std::sort(Steps.begin(), Steps.end());
+  return Steps;
+}
+
+auto ShardOwner::endOfStep(PendingPosition First) const -> PendingPosition {
+  auto Last = *First;
+  Last.Task_.Index_ = std::numeric_limits<std::uint32_t>::max();
+  return Pending_.upper_bound(Last);
+}
+
+auto ShardOwner::bindOrder(Moment Now) const -> std::vector<RankedTask> {
+  // The limit applies to the ranked steps. Applied to the pending tasks, which
+  // are sorted by their latest start, it would hide everything behind a backlog
+  // of late tasks.
+  std::vector<RankedTask> Order;
+  for (const auto &Step : dueStepsInOrder(Now)) {
+    if (Order.size() >= MaxTasksPerPass)
+      break;
+    const auto First = Pending_.find(Step.Rank_);
+    const auto End = endOfStep(First);
+    for (auto Each = First; Each != End && Order.size() < MaxTasksPerPass;
+         ++Each) {
+      if (!isDue(Now, Each->Task_))
+        continue;
+      auto Ranked = Step;
+      Ranked.Rank_ = *Each;
+      Order.push_back(std::move(Ranked));
+    }
   }
-  std::sort(Order.begin(), Order.end());
   return Order;
 }
 
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -284,6 +284,13 @@
   /// remain for other tasks.
   auto countTrialsLeft(Moment Now) const -> int;
   auto bindPending(Moment Now, Random &Generator, EntryOutbox &Out) -> void;
+  using PendingPosition = std::set<PendingRank>::const_iterator;
+  /// Returns the position behind the last pending task of a task's step. The
+  /// tasks of one step of an occurrence are adjacent.
+  auto endOfStep(PendingPosition First) const -> PendingPosition;
+  /// Returns the steps with tasks that may be bound now, in the order in which
+  /// to bind them, each with the first of these tasks.
+  auto dueStepsInOrder(Moment Now) const -> std::vector<RankedTask>;
   /// Returns the tasks that may be bound now, in the order in which to bind
   /// them.
   auto bindOrder(Moment Now) const -> std::vector<RankedTask>;
--- a/test/correctness/FleetTest.cpp
+++ b/test/correctness/FleetTest.cpp
@@ -16,6 +16,7 @@
 constexpr std::int64_t WorkerMilliCores = 32000;
 constexpr std::int64_t BestEffortMilliCores = 3500;
 constexpr Millis BestEffortRunTime{2700};
+constexpr Millis ShortRunTime{650};
 constexpr Millis TickInterval{50};
 
 /// One entry and workers that run what is bound to them. Best-effort tasks of a
@@ -67,6 +68,14 @@
     Step.TailTarget_ = Millis{18};
     submit(Job, Step);
   }
+  /// Submits a job of tasks that reserve their processors and end.
+  auto submitShort(const std::string &Job, std::uint32_t Tasks) -> void {
+    StepDeclaration Step;
+    Step.TaskCount_ = Tasks;
+    Step.Resources_ = {1800, 1000, 0};
+    Step.RunTime_ = ShortRunTime;
+    submit(Job, Step);
+  }
   auto submitBestEffort(const std::string &Job, std::uint32_t Tasks) -> void {
     StepDeclaration Step;
     Step.TaskCount_ = Tasks;
@@ -123,6 +132,7 @@
   };
   struct Worker {
     std::vector<RunningTask> BestEffort_;
+    std::vector<RunningTask> Short_;
     std::size_t ServingTasks_ = 0;
     std::int64_t ServingMilliCores_ = 0;
   };
@@ -179,6 +189,11 @@
     const auto Done = std::chrono::duration_cast<Micros>(TickInterval) *
                       std::min(Usable, Requested) /
                       std::max<std::int64_t>(Requested, 1);
+    run(Index, Tasks, Done);
+    run(Index, Workers_[Index].Short_, TickInterval);
+  }
+  auto run(std::size_t Index, std::vector<RunningTask> &Tasks, Micros Done)
+      -> void {
     for (auto Each = Tasks.begin(); Each != Tasks.end();) {
       Each->Remaining_ -= Done;
       if (Each->Remaining_ > Micros{0}) {
@@ -193,6 +208,8 @@
     auto &To = Workers_[Index];
     if (Bind.BestEffort_) {
       To.BestEffort_.push_back({Bind, BestEffortRunTime});
+    } else if (Bind.Kind_ == WorkKind::Batch) {
+      To.Short_.push_back({Bind, ShortRunTime});
     } else {
       ++To.ServingTasks_;
       To.ServingMilliCores_ += Bind.Resources_.MilliCores_;
@@ -297,4 +314,29 @@
         (Fixture.state("first-" + std::to_string(Job)) == JobState::Completed));
 }
 
+/// Four workers with a backlog of 120 best-effort jobs that can't be in time
+/// any more, 4680 tasks, of which 36 run at a time.
+class BacklogFixture : public FleetFixture {
+public:
+  BacklogFixture() : FleetFixture(4) {
+    for (int Job = 0; Job < 120; ++Job)
+      submitBestEffort("late-" + std::to_string(Job), 39);
+    advance(Millis{12000});
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(ShortJobsAreInTimeBehindABacklogOfBestEffortJobs,
+                        BacklogFixture) {
+  submitShort("short", 9);
+  advance(2 * ShortRunTime + Millis{1000});
+  BOOST_TEST((state("short") == JobState::Completed));
+}
+
+BOOST_FIXTURE_TEST_CASE(AJobThatCanBeInTimeIsNotPutBehindABacklogOfLateOnes,
+                        BacklogFixture) {
+  submitBestEffort("new", 12);
+  advance(2 * BestEffortRunTime + Millis{1000});
+  BOOST_TEST((state("new") == JobState::Completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
