Platform: numbers out of range in configurations and jobs are rejected

What could be seen: another writer's configuration with a priority of 1e30 put its queue last, one of -3 too; max_attempts became 0, -1 unlimited; a target_latency_ms of 2^63-1 overflowed the deadline. A heartbeat's slots were truncated.

Cause: these fields were converted by the JSON library, which doesn't check the range; the others go through CheckedNumber already. The class: a conversion of a number from outside without a check.

A configuration with such a field is rejected as a whole, as one with a missing field is, and the reason names the route and the field.

Tests: RejectsConfigurationsWithImpossibleNumbers and RejectsDependenciesThatAreNotEarlierSteps, and one more field in RejectsHeartbeatsWithMissingOrImpossibleFields.

--- a/test/correctness/PlatformTest.cpp
+++ b/test/correctness/PlatformTest.cpp
@@ -120,6 +120,24 @@
     BOOST_TEST(!Platform::parseConfiguration(Text, {}).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(RejectsConfigurationsWithImpossibleNumbers) {
+  const std::string Start =
+      R"({"services":[],"routes":[{"name":"r","host":"h","prefix":"/",
+          "service":"s",)";
+  for (const auto *Field :
+       {R"("priority":1e30)", R"("priority":-3)", R"("priority":"1")",
+        R"("max_attempts":4294967296)", R"("max_attempts":-1)",
+        R"("stretch":-1)", R"("stretch":1e300)", R"("stretch":null)",
+        R"("target_latency_ms":9223372036854775807)",
+        R"("target_latency_ms":-1)"}) {
+    std::string Problem;
+    const auto Text = Start + Field + "}]}";
+    BOOST_TEST(!Platform::parseConfiguration(Text, {}, &Problem).has_value(),
+               Field);
+    BOOST_TEST(Problem.find("route 0: ") == 0U, Problem);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ParsesAHeartbeat) {
   const auto Parsed = Platform::parseHeartbeat(heartbeatWith(""));
   BOOST_REQUIRE(Parsed.has_value());
@@ -163,7 +181,8 @@
         R"("service":7)",
         R"("labels":"a")",
         R"("labels":[1])",
-        R"("slots":-1)"})
+        R"("slots":-1)",
+        R"("slots":4294967296)"})
     BOOST_TEST(!Platform::parseHeartbeat(heartbeatWith(Field)).has_value(),
                Field);
 }
@@ -190,6 +209,17 @@
         Field);
 }
 
+BOOST_AUTO_TEST_CASE(RejectsDependenciesThatAreNotEarlierSteps) {
+  for (const auto *After : {"[4294967296]", "[-4294967296]", "[0.9]", "[-1]",
+                            "[1]", "[\"0\"]", "[[0]]", "[null]", "0"})
+    BOOST_TEST(!Platform::parseRequest(
+                    requestWith("POST",
+                                R"({"steps":[{"count":1},{"count":1,"after":)" +
+                                    std::string(After) + "}]}"))
+                    .has_value(),
+               After);
+}
+
 BOOST_AUTO_TEST_CASE(RejectsIdsThatCanNotBeWrittenAsJson) {
   for (const auto *Method : {"POST", "GET", "DELETE"}) {
     auto Request = requestWith(Method, R"({"steps":[{"count":1}]})");
