Metadata store: an item that can't be read hides no other

Cause: parsePage() rejected a whole page, or all events of a watch, for one item without a readable value or revision; while the item stayed, every read failed, so entries granted nothing any more. An evacuation whose value couldn't be read failed the read, too, although its value isn't used. Registrations with an address to which nothing can connect, or under another entry's key, were taken as peers: contacted for ever, and counted among the candidates for a shard. Nothing was logged. The class: a reader that gives up a list for one of its items.

Change: such an item is left out and logged once a revision (store-item-rejected); paging goes on from the last key. A lease counts only if its key has the entry's name and its address is an IPv4 address and a port from 1 to 65535. An unreadable configuration is logged, and the earlier one stays in force. parseAddress() moves out of the settings.

Tests, on the earlier code: AnItemThatCannotBeReadHidesNoEntry (5 of 9 items), EntriesAfterAPageThatEndsWithAnUnreadableItemAreListed, AnEntryWithAnAddressThatCannotBeConnectedToIsNoPeer (12 of 12 addresses), ARegistrationUnderTheKeyOfAnotherEntryIsNoPeer and AnEvacuationCountsWhateverItsValueIs failed. AConfigurationAfterAnUnreadableOneIsFollowed ended with a memory access violation there: the test reads a service of the configuration with a priority of 1e30, which was adopted. Deep nesting ended nothing before either.

--- a/test/correctness/MetadataStoreTest.cpp
+++ b/test/correctness/MetadataStoreTest.cpp
@@ -58,6 +58,14 @@
            {"value", websocketpp::base64_encode(Value)},
            {"revision", Revision_ + 1}});
   }
+  /// Stores an item with any JSON values as its value and its revision.
+  auto putItem(const std::string &Key, const Json &Value, const Json &Revision)
+      -> void {
+    ++Revision_;
+    const Json Event{{"key", Key}, {"value", Value}, {"revision", Revision}};
+    Events_.push_back(Event);
+    Items_[Key] = Event;
+  }
   auto remove(const std::string &Key) -> void {
     write({{"key", Key}, {"removed", true}, {"revision", Revision_ + 1}});
   }
@@ -103,7 +111,8 @@
       -> std::string {
     Json Answer{{"events", Json::array()}, {"current_rev", Revision_}};
     for (const auto &Each : Events_)
-      if (Each.at("revision").get<std::uint64_t>() > After &&
+      if (Each.at("revision").is_number() &&
+          Each.at("revision").get<double>() > static_cast<double>(After) &&
           Each.at("key").get<std::string>().rfind(Prefix, 0) == 0)
         Answer["events"].push_back(Each);
     return Answer.dump();
@@ -149,6 +158,22 @@
     Service_ = std::get<Document>(Result.Value_).Services_.front().Name_.Value_;
     return true;
   }
+  /// Registers an entry under a key, with an address for its peers.
+  auto putEntry(const std::string &Key, const std::string &Name,
+                const std::string &Address) -> void {
+    EntryRegistration Entry;
+    Entry.Entry_ = {Name};
+    Entry.Incarnation_ = 1;
+    Entry.PeerAddress_ = Address;
+    Http_.put(leaseKey({"test"}, {Key}).Path_, encode(StoreValue{Entry}));
+  }
+  /// The names of the entries in the last read.
+  auto entries() const -> std::vector<std::string> {
+    std::vector<std::string> Names;
+    for (const auto &Each : State_.Leases_)
+      Names.push_back(Each.Registration_.Entry_.Value_);
+    return Names;
+  }
   auto isOut(const std::string &DataCentre) const -> bool {
     return State_.Head_.isOut({DataCentre});
   }
@@ -160,6 +185,22 @@
   std::string Service_;
 };
 
+/// Two entries, and between them an item of another writer.
+class OddItemFixture : public StoreFixture {
+public:
+  OddItemFixture() {
+    putEntry("a", "a", "127.0.0.1:4001");
+    putEntry("c", "c", "127.0.0.1:4003");
+  }
+  static auto oddKey() -> std::string {
+    return leaseKey({"test"}, {"b"}).Path_;
+  }
+  /// Whether a read returns exactly the two entries.
+  auto bothAreListed() -> bool {
+    return read() && entries() == std::vector<std::string>{"a", "c"};
+  }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(MetadataStores)
@@ -309,4 +350,68 @@
   BOOST_TEST(Head.StartRevision_ > HeldByAgents);
 }
 
+BOOST_FIXTURE_TEST_CASE(AnItemThatCannotBeReadHidesNoEntry, OddItemFixture) {
+  const auto Encoded = websocketpp::base64_encode(encode(StoreValue{}));
+  for (const auto &[Value, Revision] : std::vector<std::pair<Json, Json>>{
+           {Json::object(), 7},
+           {nullptr, 7},
+           {-1e300, 7},
+           {"not base64!", 7},
+           {websocketpp::base64_encode(std::string(1000000, '\x81')), 7},
+           {Encoded, 1e300},
+           {Encoded, -1},
+           {Encoded, "7"},
+           {Encoded, nullptr}}) {
+    Http_.putItem(oddKey(), Value, Revision);
+    BOOST_TEST(bothAreListed(), Value.dump().substr(0, 20) + Revision.dump());
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(EntriesAfterAPageThatEndsWithAnUnreadableItemAreListed,
+                        OddItemFixture) {
+  Http_.PageSize_ = 2;
+  Http_.putItem(oddKey(), nullptr, 7);
+  BOOST_TEST(bothAreListed());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEntryWithAnAddressThatCannotBeConnectedToIsNoPeer,
+                        OddItemFixture) {
+  for (const auto *Address :
+       {"127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:0", "127.0.0.1:",
+        "127.0.0.1", "", ":4002", "[127.0.0.1:4002", " 127.0.0.1:4002",
+        "127.0.0.1 :4002", "127.0.0.1:4002/x", "300.0.0.1:4002"}) {
+    putEntry("b", "b", Address);
+    BOOST_TEST(bothAreListed(), Address);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(ARegistrationUnderTheKeyOfAnotherEntryIsNoPeer,
+                        OddItemFixture) {
+  putEntry("b", "a", "127.0.0.1:4002");
+  BOOST_TEST(bothAreListed());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEvacuationCountsWhateverItsValueIs, StoreFixture) {
+  BOOST_REQUIRE(read());
+  Http_.putItem("op/evacuate/hobart", nullptr, Http_.Revision_ + 1);
+  BOOST_REQUIRE(read());
+  BOOST_TEST(isOut("hobart"));
+}
+
+BOOST_FIXTURE_TEST_CASE(AConfigurationAfterAnUnreadableOneIsFollowed,
+                        StoreFixture) {
+  BOOST_REQUIRE(read());
+  for (const auto &Text :
+       {std::string(1000000, '['),
+        std::string(R"({"services":[],"routes":[{"name":"r","host":"h",)"
+                    R"("prefix":"/","service":"s","priority":1e30}]})")}) {
+    Http_.put("op/config", Text);
+    BOOST_REQUIRE(read());
+    BOOST_TEST(Service_ == "s0");
+  }
+  putConfiguration("s1");
+  BOOST_REQUIRE(read());
+  BOOST_TEST(Service_ == "s1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/wire/Settings.cpp
+++ b/wire/Settings.cpp
@@ -28,26 +28,10 @@
 constexpr IntegerRange SlotCounts{
     1, 65536, "a target has no more connections than ports"};
 
-/// Parses "address:port". Returns nothing for other text.
-auto parseEndpoint(const std::string &Text) -> std::optional<Address> {
-  const auto Colon = Text.rfind(':');
-  if (Colon == std::string::npos || Colon == 0)
-    return std::nullopt;
-  const auto Digits = Text.substr(Colon + 1);
-  constexpr std::size_t MaxPortDigits = 5;
-  if (Digits.empty() || Digits.size() > MaxPortDigits ||
-      Digits.find_first_not_of("0123456789") != std::string::npos)
-    return std::nullopt;
-  const auto Port = std::stol(Digits);
-  if (Port < 1 || Port > MaxPort)
-    return std::nullopt;
-  return Address{Text.substr(0, Colon), static_cast<std::uint16_t>(Port)};
-}
-
 auto readAddress(CheckedObject &Object) -> Address {
   Address Result;
   if (Object.has("endpoint")) {
-    const auto Parsed = parseEndpoint(Object.text("endpoint"));
+    const auto Parsed = parseAddress(Object.text("endpoint"));
     if (!Parsed)
       Object.reportProblem("endpoint",
                            "an IP address and a port as \"address:port\"");
@@ -162,7 +146,7 @@
   const auto Port =
       static_cast<std::uint16_t>(Root.integer("entry_port", {1, MaxPort}));
   for (const auto &Text : Root.texts("seeds")) {
-    const auto Seed = parseEndpoint(Text);
+    const auto Seed = parseAddress(Text);
     if (Seed)
       Result.Entries_.push_back({Seed->Host_, Port});
     else
--- a/wire/Settings.h
+++ b/wire/Settings.h
@@ -4,20 +4,11 @@
 
 #include "core/AgentCore.h"
 #include "core/EntryCore.h"
+#include "wire/Address.h"
 #include "wire/Problem.h"
 
 namespace skylark {
 
-/// An IP address and a port.
-struct Address {
-  std::string Host_;
-  std::uint16_t Port_ = 0;
-
-  auto text() const -> std::string {
-    return Host_ + ":" + std::to_string(Port_);
-  }
-};
-
 enum class Role : std::uint8_t { Entry, Agent };
 
 /// Limits on the HTTP requests and connections of an entry's callers.
