Consul store: a key that can't be read hides no other

What could be seen: one undecodable value under an environment, and entries and agents stop following the list of entries; one under a shard's commits, and no entry can load the ledger any more.

Cause: readKeys() threw for the whole answer, and the call ended as Unavailable; loading a ledger repeats it for ever.

Change: such a key is left out and logged; the same check of registrations. A read of one key still fails if it can't be decoded.

Tests: AKeyThatCannotBeReadHidesNoEntry, AnEntryThatCannotBeConnectedToIsNoPeer and AKeyThatCannotBeReadHidesNoCommit failed on the earlier code (with the client's constructor taking an HttpCaller).

--- a/runtime/ConsulStore.cpp
+++ b/runtime/ConsulStore.cpp
@@ -1,6 +1,7 @@
 #include "runtime/ConsulStore.h"
 
 #include "wire/Cbor.h"
+#include "wire/JsonCodec.h"
 
 #include <nlohmann/json.hpp>
 #include <websocketpp/base64/base64.hpp>
@@ -12,47 +13,60 @@
 
 constexpr Millis CallTimeout{1000};
 
-/// One key of Consul's answer, with its decoded value.
+/// One key of Consul's answer, with its decoded value; none if it can't be
+/// decoded.
 struct ListedKey {
   std::string Path_;
   std::uint64_t Index_ = 0;
-  StoreValue Value_;
+  std::optional<StoreValue> Value_;
 };
 
-/// Parses Consul's list of keys; throws if it is malformed or a value can't be
-/// decoded.
-auto readKeys(const std::string &Text) -> std::vector<ListedKey> {
+/// Parses Consul's list of keys; throws if it is malformed as a whole. A key
+/// that can't be read is rejected and hides no other.
+auto readKeys(const std::string &Text, RejectedItems &Rejected)
+    -> std::vector<ListedKey> {
   std::vector<ListedKey> Keys;
   for (const auto &Each : Json::parse(Text)) {
     ListedKey Key;
-    Key.Path_ = Each.at("Key").get<std::string>();
-    Key.Index_ = Each.at("ModifyIndex").get<std::uint64_t>();
-    const auto Bytes =
-        websocketpp::base64_decode(Each.at("Value").get<std::string>());
-    auto Value = decodeStoreValue(Bytes);
-    if (!Value)
-      throw std::runtime_error("undecodable value at key " + Key.Path_);
-    Key.Value_ = std::move(*Value);
+    try {
+      Key.Path_ = Each.at("Key").get<std::string>();
+      Key.Index_ = Internal::fromJson<std::uint64_t>(Each.at("ModifyIndex"));
+      Key.Value_ = decodeStoreValue(
+          websocketpp::base64_decode(Each.at("Value").get<std::string>()));
+    } catch (const std::exception &Error) {
+      Rejected.report(Key.Path_, Key.Index_, Error.what());
+      continue;
+    }
     Keys.push_back(std::move(Key));
   }
   return Keys;
 }
 
+/// The key's value if it is of the type; null otherwise.
+template <typename Type> auto valueAs(const ListedKey &Key) -> const Type * {
+  return Key.Value_ ? std::get_if<Type>(&*Key.Value_) : nullptr;
+}
+
 auto isUnder(const std::string &Path, const std::string &Folder) -> bool {
   return Path.find("/" + Folder + "/") != std::string::npos;
 }
 
-auto readEnvironmentState(const std::string &Text) -> EnvironmentState {
+auto readEnvironmentState(const std::string &Text, RejectedItems &Rejected)
+    -> EnvironmentState {
   EnvironmentState State;
-  for (auto &Key : readKeys(Text)) {
-    if (const auto *Head = std::get_if<EnvironmentHead>(&Key.Value_)) {
+  for (const auto &Key : readKeys(Text, Rejected)) {
+    if (const auto *Head = valueAs<EnvironmentHead>(Key)) {
       State.HeadIndex_ = Key.Index_;
       State.Head_ = *Head;
+      continue;
     }
-    const auto *Entry = std::get_if<EntryRegistration>(&Key.Value_);
-    if (Entry == nullptr)
+    const auto *Entry = valueAs<EntryRegistration>(Key);
+    const auto IsPeer = isUnder(Key.Path_, "leases");
+    if (Entry == nullptr || (IsPeer && !isPlausible({Key.Path_}, *Entry))) {
+      Rejected.report(Key.Path_, Key.Index_, NoRegistrationReason);
       continue;
-    auto &List = isUnder(Key.Path_, "leases") ? State.Leases_ : State.Grantors_;
+    }
+    auto &List = IsPeer ? State.Leases_ : State.Grantors_;
     List.push_back({*Entry, Key.Index_});
   }
   return State;
@@ -76,37 +90,37 @@
   return Result;
 }
 
-auto interpret(const ReadEnvironment & /*Operation*/, const HttpResult &Answer)
-    -> StoreResult {
+auto interpret(const ReadEnvironment & /*Operation*/, const HttpResult &Answer,
+               RejectedItems &Rejected) -> StoreResult {
   auto Result = baseResult(Answer);
   if (Result.Status_ == StoreStatus::Ok)
-    Result.EnvironmentState_ = readEnvironmentState(Answer.Body_);
+    Result.EnvironmentState_ = readEnvironmentState(Answer.Body_, Rejected);
   // Consul answers 404 if no key has the prefix: the environment is empty.
   if (Result.Status_ == StoreStatus::NotFound)
     Result.Status_ = StoreStatus::Ok;
   return Result;
 }
 
-auto interpret(const ReadEntries &Operation, const HttpResult &Answer)
-    -> StoreResult {
-  return interpret(ReadEnvironment{Operation.Environment_}, Answer);
+auto interpret(const ReadEntries &Operation, const HttpResult &Answer,
+               RejectedItems &Rejected) -> StoreResult {
+  return interpret(ReadEnvironment{Operation.Environment_}, Answer, Rejected);
 }
 
-auto interpret(const ReadValue & /*Operation*/, const HttpResult &Answer)
-    -> StoreResult {
+auto interpret(const ReadValue & /*Operation*/, const HttpResult &Answer,
+               RejectedItems &Rejected) -> StoreResult {
   auto Result = baseResult(Answer);
   if (Result.Status_ != StoreStatus::Ok)
     return Result;
-  auto Keys = readKeys(Answer.Body_);
-  if (Keys.size() != 1)
-    throw std::runtime_error("expected exactly one key");
+  const auto Keys = readKeys(Answer.Body_, Rejected);
+  if (Keys.size() != 1 || !Keys.front().Value_)
+    throw std::runtime_error("expected exactly one readable key");
   Result.Index_ = Keys.front().Index_;
-  Result.Value_ = std::move(Keys.front().Value_);
+  Result.Value_ = *Keys.front().Value_;
   return Result;
 }
 
-auto interpret(const CompareAndSwap & /*Operation*/, const HttpResult &Answer)
-    -> StoreResult {
+auto interpret(const CompareAndSwap & /*Operation*/, const HttpResult &Answer,
+               RejectedItems & /*Rejected*/) -> StoreResult {
   auto Result = baseResult(Answer);
   if (Result.Status_ == StoreStatus::Ok)
     Result.Index_ = Json::parse(Answer.Body_)
@@ -120,30 +134,34 @@
   return Result;
 }
 
-auto interpret(const ReadSegments &Operation, const HttpResult &Answer)
-    -> StoreResult {
+auto interpret(const ReadSegments &Operation, const HttpResult &Answer,
+               RejectedItems &Rejected) -> StoreResult {
   auto Result = baseResult(Answer);
   // Consul answers 404 if no key has the prefix: there are no segments.
   if (Result.Status_ == StoreStatus::NotFound)
     Result.Status_ = StoreStatus::Ok;
   else if (Result.Status_ == StoreStatus::Ok)
-    for (auto &Key : readKeys(Answer.Body_))
-      if (Key.Path_ > Operation.After_.Path_)
-        Result.Segments_.push_back(
-            std::get<ShardSegment>(std::move(Key.Value_)));
+    for (const auto &Key : readKeys(Answer.Body_, Rejected)) {
+      if (Key.Path_ <= Operation.After_.Path_)
+        continue;
+      if (const auto *Segment = valueAs<ShardSegment>(Key))
+        Result.Segments_.push_back(*Segment);
+      else
+        Rejected.report(Key.Path_, Key.Index_, NoSegmentReason);
+    }
   return Result;
 }
 
-auto interpret(const WriteUnderLease & /*Operation*/, const HttpResult &Answer)
-    -> StoreResult {
+auto interpret(const WriteUnderLease & /*Operation*/, const HttpResult &Answer,
+               RejectedItems & /*Rejected*/) -> StoreResult {
   auto Result = baseResult(Answer);
   if (Result.Status_ == StoreStatus::Ok && !answeredTrue(Answer))
     Result.Status_ = StoreStatus::NotFound;
   return Result;
 }
 
-auto interpret(const CreateLease & /*Operation*/, const HttpResult &Answer)
-    -> StoreResult {
+auto interpret(const CreateLease & /*Operation*/, const HttpResult &Answer,
+               RejectedItems & /*Rejected*/) -> StoreResult {
   auto Result = baseResult(Answer);
   if (Result.Status_ == StoreStatus::Ok)
     Result.Lease_ = {Json::parse(Answer.Body_).at("ID").get<std::string>()};
@@ -151,14 +169,14 @@
 }
 
 template <typename Operation>
-auto interpret(const Operation & /*Operation*/, const HttpResult &Answer)
-    -> StoreResult {
+auto interpret(const Operation & /*Operation*/, const HttpResult &Answer,
+               RejectedItems & /*Rejected*/) -> StoreResult {
   return baseResult(Answer);
 }
 
 } // namespace
 
-ConsulStore::ConsulStore(HttpClient &Http, std::string Address)
+ConsulStore::ConsulStore(HttpCaller &Http, std::string Address)
     : Http_(Http), BaseUrl_("http://" + std::move(Address) + "/v1") {}
 
 auto ConsulStore::keyUrl(const StoreKey &Key) const -> std::string {
@@ -285,12 +303,14 @@
   auto Call =
       std::visit([this](const auto &Each) { return prepare(Each); }, Operation);
   Call.Timeout_ = CallTimeout;
-  Http_.call(std::move(Call), [CallNumber, Operation, Done = std::move(Done)](
-                                  const HttpResult &Answer) {
+  Http_.call(std::move(Call), [this, CallNumber, Operation,
+                               Done =
+                                   std::move(Done)](const HttpResult &Answer) {
     StoreResult Result;
     try {
       Result = std::visit(
-          [&](const auto &Each) { return interpret(Each, Answer); }, Operation);
+          [&](const auto &Each) { return interpret(Each, Answer, Rejected_); },
+          Operation);
     } catch (const std::exception &) {
       // An unreadable answer leaves the outcome unknown, like a lost one.
       Result = {};
--- a/runtime/ConsulStore.h
+++ b/runtime/ConsulStore.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "runtime/HttpClient.h"
+#include "runtime/RejectedItems.h"
 #include "runtime/StoreTransport.h"
 
 namespace skylark {
@@ -12,7 +13,7 @@
 class ConsulStore : public StoreTransport {
 public:
   /// \param Address host:port of the service.
-  ConsulStore(HttpClient &Http, std::string Address);
+  ConsulStore(HttpCaller &Http, std::string Address);
 
   auto call(std::uint64_t CallNumber, const StoreOperation &Operation,
             std::function<void(StoreResult)> Done) -> void override;
@@ -33,8 +34,9 @@
   auto makeTransaction(std::string Operations) const -> HttpCall;
   auto keyUrl(const StoreKey &Key) const -> std::string;
 
-  HttpClient &Http_;
+  HttpCaller &Http_;
   std::string BaseUrl_;
+  RejectedItems Rejected_;
 };
 
 } // namespace skylark
