Worker's list: a row that can't be read hides no other attempt

What could be seen: one odd row of a worker's running or finished attempts, and its agent follows none: leases aren't renewed, ends aren't reported.

A list with a row left out is marked as incomplete, and no attempt then counts as ended because it is missing: it may be the one that can't be read.

--- a/core/AgentOutput.h
+++ b/core/AgentOutput.h
@@ -91,12 +91,15 @@
   Unknown
 };
 
-/// The worker's complete list of attempts. Clock_ is the worker's own clock at
+/// The worker's list of attempts. Clock_ is the worker's own clock at
 /// the time of the snapshot.
 struct WorkerInventory {
   Incarnation Worker_ = 0;
   Micros Clock_{0};
   std::vector<WorkerTask> Tasks_;
+  /// Whether all attempts could be read. If not, one that is missing here may
+  /// still be running.
+  bool Complete_ = true;
 };
 
 /// Forwards a quick request to the target.
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -360,7 +360,8 @@
 auto TaskManager::resolveMissing(HeldTask &Held,
                                  const WorkerInventory &Inventory,
                                  AgentOutbox &Out) -> void {
-  if (isEnded(Held.Phase_) || Held.Phase_ == TaskPhase::Queued)
+  if (isEnded(Held.Phase_) || Held.Phase_ == TaskPhase::Queued ||
+      !Inventory.Complete_)
     return;
   // The worker refuses a start command whose lease has expired on its own
   // clock. From then on, a task that is missing from its inventory can no
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -408,6 +408,21 @@
       BOOST_TEST(Poll->Leases_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AnAttemptMissingFromAnIncompleteInventoryIsNotEnded) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf({"a"}));
+  Fixture.clear();
+  // Long enough for the lease of the start to expire on the worker.
+  Fixture.Now_.Steady_ += RunGrantDuration - Millis{200};
+  auto Inventory = Fixture.inventoryOf({});
+  Inventory.Complete_ = false;
+  Fixture.answerPollAfter(Millis{100}, Inventory);
+  BOOST_TEST(!Fixture.lastReport("a").has_value());
+  Fixture.answerPollAfter(Millis{10}, Fixture.inventoryOf({}));
+  BOOST_TEST(Fixture.lastReport("a").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(AnAttemptReportedNotStartedThatFinishedIsReportedAgain) {
   AgentFixture Fixture;
   Fixture.bind("a", 1000);
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -3,6 +3,7 @@
 /// bytes.
 
 #include "wire/Cbor.h"
+#include "wire/WorkerJson.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -45,6 +46,24 @@
   BOOST_TEST(!decodeAgentMessage(Nested));
 }
 
+BOOST_AUTO_TEST_CASE(AnAttemptThatCannotBeReadHidesNoOther) {
+  WorkerInventory Inventory;
+  Inventory.Tasks_.resize(2);
+  const auto Text = renderInventory(Inventory);
+  for (const auto *Odd :
+       {"4294967296", "-1", "0.5", "1e300", "null", "\"1\"", "[]"}) {
+    auto Damaged = Text;
+    const std::string Field = "\"attempt\":0";
+    const auto Position = Damaged.find(Field);
+    BOOST_REQUIRE(Position != std::string::npos);
+    Damaged.replace(Position, Field.size(), std::string("\"attempt\":") + Odd);
+    const auto Parsed = parseInventory(Damaged);
+    BOOST_REQUIRE(Parsed.has_value());
+    BOOST_TEST(Parsed->Tasks_.size() == 1U, Odd);
+    BOOST_TEST(!Parsed->Complete_);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(FieldsOfANewerVersionAreIgnored) {
   // Messages are encoded as [type, [fields...]]. This one has four fields; make
   // its array (0x84) one of five (0x85) and append a value.
--- a/wire/WorkerJson.cpp
+++ b/wire/WorkerJson.cpp
@@ -1,12 +1,19 @@
 #include "wire/WorkerJson.h"
 
-#include <nlohmann/json.hpp>
+#include "wire/JsonCodec.h"
 
 namespace skylark {
 namespace {
 
 using Json = nlohmann::json;
 
+/// Reads a whole number; throws if the field is missing, or isn't a number that
+/// the type holds.
+template <typename Integer>
+auto readInteger(const Json &Value, const char *Name) -> Integer {
+  return Internal::fromJson<Integer>(Value.at(Name));
+}
+
 auto phaseText(TaskPhase Phase) -> const char * {
   switch (Phase) {
   case TaskPhase::Finished:
@@ -37,7 +44,7 @@
 
 auto readTaskId(const Json &Value) -> TaskId {
   return {{Value.at("job").get<std::string>()},
-          Value.at("index").get<std::uint32_t>()};
+          readInteger<std::uint32_t>(Value, "index")};
 }
 
 auto bindJson(const BindTask &Bind) -> Json {
@@ -57,20 +64,32 @@
 auto readBind(const Json &Value) -> BindTask {
   BindTask Bind;
   Bind.Task_ = readTaskId(Value);
-  Bind.Attempt_ = Value.at("attempt").get<AttemptNumber>();
-  Bind.Shard_ = Value.at("shard").get<ShardNumber>();
-  Bind.Epoch_ = Value.at("epoch").get<Epoch>();
+  Bind.Attempt_ = readInteger<AttemptNumber>(Value, "attempt");
+  Bind.Shard_ = readInteger<ShardNumber>(Value, "shard");
+  Bind.Epoch_ = readInteger<Epoch>(Value, "epoch");
   Bind.Kind_ =
       Value.at("kind") == "watcher" ? WorkKind::Watcher : WorkKind::Batch;
-  Bind.Resources_ = {Value.at("millicores").get<std::int64_t>(),
-                     Value.at("memory_mb").get<std::int64_t>(),
-                     Value.at("accelerators").get<std::int64_t>()};
-  Bind.RunTime_ = Millis{Value.at("run_time_ms").get<std::int64_t>()};
+  Bind.Resources_ = {readInteger<std::int64_t>(Value, "millicores"),
+                     readInteger<std::int64_t>(Value, "memory_mb"),
+                     readInteger<std::int64_t>(Value, "accelerators")};
+  Bind.RunTime_ = Millis{readInteger<std::int64_t>(Value, "run_time_ms")};
   Bind.Checkpoint_ = {Value.at("checkpoint").get<std::string>()};
   Bind.Payload_ = Value.at("payload").get<std::string>();
   return Bind;
 }
 
+auto readTask(const Json &Value) -> WorkerTask {
+  WorkerTask Task;
+  Task.Bind_ = readBind(Value);
+  Task.Phase_ = parsePhase(Value.at("phase").get<std::string>());
+  Task.Checkpoint_ = {Value.at("checkpoint").get<std::string>()};
+  if (Value.at("lapsed").get<bool>())
+    Task.Reason_ = ErrorKind::LeaseExpired;
+  else if (Task.Phase_ == TaskPhase::Failed)
+    Task.Reason_ = ErrorKind::TaskFailed;
+  return Task;
+}
+
 template <typename Result>
 auto tryParse(const std::string &Text, Result (*Convert)(const Json &))
     -> std::optional<Result> {
@@ -133,8 +152,8 @@
     WorkerStartRequest Start;
     Start.Start_.Bind_ = readBind(Value);
     Start.Start_.LeaseUntil_ =
-        Micros{Value.at("lease_until_us").get<std::int64_t>()};
-    Start.Agent_ = Value.at("agent_incarnation").get<Incarnation>();
+        Micros{readInteger<std::int64_t>(Value, "lease_until_us")};
+    Start.Agent_ = readInteger<Incarnation>(Value, "agent_incarnation");
     return Start;
   });
 }
@@ -143,19 +162,19 @@
     -> std::optional<WorkerAttemptRequest> {
   return tryParse<WorkerAttemptRequest>(Text, [](const Json &Value) {
     return WorkerAttemptRequest{
-        readTaskId(Value), Value.at("attempt").get<AttemptNumber>(),
-        Value.at("agent_incarnation").get<Incarnation>()};
+        readTaskId(Value), readInteger<AttemptNumber>(Value, "attempt"),
+        readInteger<Incarnation>(Value, "agent_incarnation")};
   });
 }
 
 auto parsePoll(const std::string &Text) -> std::optional<WorkerPollRequest> {
   return tryParse<WorkerPollRequest>(Text, [](const Json &Value) {
     WorkerPollRequest Poll;
-    Poll.Agent_ = Value.at("agent_incarnation").get<Incarnation>();
+    Poll.Agent_ = readInteger<Incarnation>(Value, "agent_incarnation");
     for (const auto &Each : Value.at("leases"))
       Poll.Poll_.Leases_.push_back(
-          {readTaskId(Each), Each.at("attempt").get<AttemptNumber>(),
-           Micros{Each.at("lease_until_us").get<std::int64_t>()}});
+          {readTaskId(Each), readInteger<AttemptNumber>(Each, "attempt"),
+           Micros{readInteger<std::int64_t>(Each, "lease_until_us")}});
     return Poll;
   });
 }
@@ -163,18 +182,14 @@
 auto parseInventory(const std::string &Text) -> std::optional<WorkerInventory> {
   return tryParse<WorkerInventory>(Text, [](const Json &Value) {
     WorkerInventory Inventory;
-    Inventory.Worker_ = Value.at("worker_incarnation").get<Incarnation>();
-    Inventory.Clock_ = Micros{Value.at("clock_us").get<std::int64_t>()};
+    Inventory.Worker_ = readInteger<Incarnation>(Value, "worker_incarnation");
+    Inventory.Clock_ = Micros{readInteger<std::int64_t>(Value, "clock_us")};
     for (const auto &Each : Value.at("tasks")) {
-      WorkerTask Task;
-      Task.Bind_ = readBind(Each);
-      Task.Phase_ = parsePhase(Each.at("phase").get<std::string>());
-      Task.Checkpoint_ = {Each.at("checkpoint").get<std::string>()};
-      if (Each.at("lapsed").get<bool>())
-        Task.Reason_ = ErrorKind::LeaseExpired;
-      else if (Task.Phase_ == TaskPhase::Failed)
-        Task.Reason_ = ErrorKind::TaskFailed;
-      Inventory.Tasks_.push_back(std::move(Task));
+      try {
+        Inventory.Tasks_.push_back(readTask(Each));
+      } catch (const std::exception &) {
+        Inventory.Complete_ = false;
+      }
     }
     return Inventory;
   });
