Codec: numbers that are not finite are rejected

What could be seen: one sample of an agent with an infinite or undefined level makes every later prediction of the interference model undefined, for all agents.

Cause: the codec accepted any CBOR number as a double. Change: decoding fails for a number that isn't finite. Test: NumbersThatAreNotFiniteAreRejected.

--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -46,6 +46,17 @@
   BOOST_TEST(!decodeAgentMessage(Nested));
 }
 
+BOOST_AUTO_TEST_CASE(NumbersThatAreNotFiniteAreRejected) {
+  ColocationSample Sample;
+  Sample.Serving_.resize(1);
+  BOOST_TEST(decodeAgentMessage(encode(AgentMessage{Sample})).has_value());
+  for (const auto Number : {std::numeric_limits<double>::infinity(),
+                            std::numeric_limits<double>::quiet_NaN()}) {
+    Sample.Serving_.front().Baseline_ = Number;
+    BOOST_TEST(!decodeAgentMessage(encode(AgentMessage{Sample})).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnAttemptThatCannotBeReadHidesNoOther) {
   WorkerInventory Inventory;
   Inventory.Tasks_.resize(2);
--- a/wire/JsonCodec.h
+++ b/wire/JsonCodec.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <cmath>
 #include <optional>
 #include <stdexcept>
 #include <variant>
@@ -82,7 +83,10 @@
   static auto read(const Json &Value) -> double {
     if (!Value.is_number())
       throw DecodeError("number expected");
-    return Value.get<double>();
+    const auto Number = Value.get<double>();
+    if (!std::isfinite(Number))
+      throw DecodeError("finite number expected");
+    return Number;
   }
 };
 
