--- a/review/standin/Deployment.h
+++ b/review/standin/Deployment.h
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <random>
 #include <spawn.h>
 #include <sstream>
@@ -109,10 +110,11 @@
 public:
   Deployment(Record &Log, RunLog &Runs, DeploymentOptions Options)
       : Log_(Log), Runs_(Runs), Options_(std::move(Options)) {
-    char Directory[] = "/tmp/skylark-review-XXXXXX";
-    if (::mkdtemp(Directory) == nullptr)
+    Directory_ =
+        (std::filesystem::temp_directory_path() / "skylark-review-XXXXXX")
+            .string();
+    if (::mkdtemp(Directory_.data()) == nullptr)
       throw std::runtime_error("no temporary folder");
-    Directory_ = Directory;
     std::random_device Device;
     Random_.seed(Device());
     Network_ = "127." + std::to_string(100 + Random_() % 100) + "." +
