Jobs: the cost of a job is in proportion to its steps, dependencies and tasks

Seen: an entry that was handed a job of 36 dependent steps answered nothing any more. Clients sent the job to the next entry, until none answered (LOST). Cause: JobDeclaration::criticalPathFrom() called itself for each dependent step without keeping results: its work doubled with each step of a ladder, and it ran on the control thread for each submission, each rank and each feasibility check. Related walks over a whole job on the same thread: readiness of each dependent step and the index of all its tasks after each end; the state of a job and the number of unstarted jobs at each query; the remaining work in each binding pass; the index of the whole job after each change in a failed one. Change: critical paths, positions and dependents take one pass and are kept with the job (JobOutline); counts by state and step follow each change (JobProgress). Dependent steps are indexed once, when their last dependency has finished. The path is bounded, so that sums of run times don't overflow. A step without tasks is malformed. Tests of readiness and remaining work use the new class, with the same checks.

--- a/core/DeadlineFeasibility.cpp
+++ b/core/DeadlineFeasibility.cpp
@@ -23,7 +23,7 @@
     return DeadlineFeasibility::OnTime;
   const auto Offset = Declaration.Interval_ * Task.Occurrence_;
   const auto Deadline = Declaration.Deadline_ + Offset;
-  const auto End = Now + Declaration.criticalPathFrom(Task.Step_);
+  const auto End = Now + Job.criticalPathFrom(Task);
   if (End <= Deadline)
     return DeadlineFeasibility::OnTime;
   const auto Start = std::max(Job.SubmittedAt_, Declaration.FirstAt_ + Offset);
@@ -44,11 +44,11 @@
   return Work * std::max(Job.Declaration_.Occurrences_, 1U);
 }
 
-auto remainingWork(const Job &Job) -> double {
+auto remainingWork(const Job &Job, const JobProgress &Progress) -> double {
+  const auto &Steps = Job.Declaration_.Steps_;
   double Work = 0;
-  for (std::size_t Position = 0; Position < Job.Tasks_.size(); ++Position)
-    if (Job.Tasks_[Position].State_ != TaskState::Finished)
-      Work += taskWork(Job.stepOf(Job.taskAt(Position)));
+  for (std::size_t Step = 0; Step < Steps.size(); ++Step)
+    Work += taskWork(Steps[Step]) * Progress.unfinishedOf(Step);
   return Work;
 }
 
@@ -63,10 +63,11 @@
   return Found == Sums_.end() ? 0 : Found->second.Work_ / Found->second.Jobs_;
 }
 
-auto workPerValue(const Job &Job, double MeanWork) -> double {
+auto workPerValue(const Job &Job, const JobProgress &Progress, double MeanWork)
+    -> double {
   const auto Value =
       FixedValueShare * MeanWork + WorkValueShare * totalWork(Job);
-  return Value > 0 ? remainingWork(Job) / Value : 0;
+  return Value > 0 ? remainingWork(Job, Progress) / Value : 0;
 }
 
 } // namespace skylark
--- a/core/DeadlineFeasibility.h
+++ b/core/DeadlineFeasibility.h
@@ -3,7 +3,7 @@
 /// left relative to its value.
 #pragma once
 
-#include "core/Job.h"
+#include "core/JobProgress.h"
 
 #include <map>
 
@@ -24,7 +24,7 @@
 /// Declared work of all tasks of the job, and of those that have not finished,
 /// in core-seconds.
 auto totalWork(const Job &Job) -> double;
-auto remainingWork(const Job &Job) -> double;
+auto remainingWork(const Job &Job, const JobProgress &Progress) -> double;
 
 /// The mean declared work of each queue's jobs, in core-seconds.
 class MeanWork {
@@ -47,6 +47,7 @@
 /// \param MeanWork mean work of the jobs of its queue, in core-seconds.
 /// \returns core-seconds of work per core-second of value; 0 for a job without
 ///     value.
-auto workPerValue(const Job &Job, double MeanWork) -> double;
+auto workPerValue(const Job &Job, const JobProgress &Progress, double MeanWork)
+    -> double;
 
 } // namespace skylark
--- a/core/Job.cpp
+++ b/core/Job.cpp
@@ -1,21 +1,20 @@
 #include "core/Job.h"
 
 #include "core/Assert.h"
+#include "core/JobProgress.h"
 
 #include <algorithm>
 #include <array>
 
 namespace skylark {
 
-auto tallyTasks(const Job &Job) -> TaskTally {
-  static constexpr std::array<std::uint32_t TaskTally::*, 5> Counters{
-      &TaskTally::Pending_, &TaskTally::Bound_, &TaskTally::Finished_,
-      &TaskTally::Failed_, &TaskTally::Cancelled_};
-  TaskTally Tally;
-  for (const auto &Task : Job.Tasks_)
-    ++(Tally.*Counters[static_cast<std::size_t>(Task.State_)]);
-  return Tally;
-}
+namespace {
+
+/// Some ten thousand years: longer chains are of no use, and a deadline that is
+/// a multiple of this remains representable.
+constexpr Millis MaxCriticalPath{std::int64_t{1} << 48};
+
+} // namespace
 
 auto StepDeclaration::reserved() const -> Resources {
   auto Amount = Resources_;
@@ -24,22 +23,23 @@
   return Amount;
 }
 
-auto JobDeclaration::criticalPathFrom(std::size_t Step) const -> Millis {
-  Millis LongestDependent{0};
-  for (auto Next = Step + 1; Next < Steps_.size(); ++Next) {
-    const auto &Dependencies = Steps_[Next].Dependencies_;
-    if (std::find(Dependencies.begin(), Dependencies.end(), Step) !=
-        Dependencies.end())
-      LongestDependent = std::max(LongestDependent, criticalPathFrom(Next));
+auto JobDeclaration::criticalPaths() const -> std::vector<Millis> {
+  // Until a step is reached, its entry holds the longest of its dependents'
+  // paths. Dependents come later in the list.
+  std::vector<Millis> Paths(Steps_.size(), Millis{0});
+  for (auto Step = Steps_.size(); Step-- > 0;) {
+    Paths[Step] =
+        std::min(Paths[Step] + Steps_[Step].RunTime_, MaxCriticalPath);
+    for (const auto Dependency : Steps_[Step].Dependencies_)
+      Paths[Dependency] = std::max(Paths[Dependency], Paths[Step]);
   }
-  return Steps_[Step].RunTime_ + LongestDependent;
+  return Paths;
 }
 
 auto JobDeclaration::criticalPath() const -> Millis {
-  Millis Longest{0};
-  for (std::size_t Step = 0; Step < Steps_.size(); ++Step)
-    Longest = std::max(Longest, criticalPathFrom(Step));
-  return Longest;
+  const auto Paths = criticalPaths();
+  return Paths.empty() ? Millis{0}
+                       : *std::max_element(Paths.begin(), Paths.end());
 }
 
 auto JobDeclaration::tasksPerOccurrence() const -> std::size_t {
@@ -62,20 +62,21 @@
   const auto &Steps = Declaration_.Steps_;
   if (Task.Step_ >= Steps.size() || Task.Index_ >= Steps[Task.Step_].TaskCount_)
     return Tasks_.size();
-  auto Position = Task.Occurrence_ * Declaration_.tasksPerOccurrence();
-  for (std::uint32_t Step = 0; Step < Task.Step_; ++Step)
-    Position += Steps[Step].TaskCount_;
-  return std::min(Position + Task.Index_, Tasks_.size());
+  const auto Outline = outlineOf(*this);
+  const auto Position = Task.Occurrence_ * Outline->tasksPerOccurrence() +
+                        Outline->firstTaskOf(Task.Step_) + Task.Index_;
+  return std::min(Position, Tasks_.size());
 }
 
 auto Job::taskAt(std::size_t Position) const -> TaskId {
-  const auto PerOccurrence = Declaration_.tasksPerOccurrence();
-  TaskId Task{Id_, 0, 0, static_cast<std::uint32_t>(Position / PerOccurrence)};
-  auto Remaining = static_cast<std::uint32_t>(Position % PerOccurrence);
-  while (Remaining >= Declaration_.Steps_[Task.Step_].TaskCount_)
-    Remaining -= Declaration_.Steps_[Task.Step_++].TaskCount_;
-  Task.Index_ = Remaining;
-  return Task;
+  const auto Outline = outlineOf(*this);
+  const auto PerOccurrence = Outline->tasksPerOccurrence();
+  const auto Occurrence = static_cast<std::uint32_t>(Position / PerOccurrence);
+  const auto InOccurrence = Position % PerOccurrence;
+  const auto Step = Outline->stepAt(InOccurrence);
+  const auto Index =
+      static_cast<std::uint32_t>(InOccurrence - Outline->firstTaskOf(Step));
+  return {Id_, Index, Step, Occurrence};
 }
 
 auto Job::stepOf(const TaskId &Task) const -> const StepDeclaration & {
@@ -96,21 +97,8 @@
       [](const StepDeclaration &Step) { return Step.LongRunning_; });
 }
 
-auto Job::isOver() const -> bool {
-  return std::none_of(Tasks_.begin(), Tasks_.end(), [](const TaskStatus &Task) {
-    return Task.State_ == TaskState::Pending || Task.State_ == TaskState::Bound;
-  });
-}
-
-auto Job::isReady(const TaskId &Task) const -> bool {
-  for (const auto Dependency : stepOf(Task).Dependencies_) {
-    const auto First = positionOf({Id_, 0, Dependency, Task.Occurrence_});
-    const auto Count = Declaration_.Steps_[Dependency].TaskCount_;
-    for (auto Position = First; Position < First + Count; ++Position)
-      if (Tasks_[Position].State_ != TaskState::Finished)
-        return false;
-  }
-  return true;
+auto Job::criticalPathFrom(const TaskId &Task) const -> Millis {
+  return outlineOf(*this)->criticalPathFrom(Task.Step_);
 }
 
 auto Job::scheduledAt(const TaskId &Task) const -> WallTime {
@@ -119,20 +107,6 @@
   return Declaration_.FirstAt_ + Declaration_.Interval_ * Task.Occurrence_;
 }
 
-auto jobState(const Job &Job) -> JobState {
-  const auto Tally = tallyTasks(Job);
-  if (Job.Cancelled_)
-    return JobState::Cancelled;
-  if (Job.Failed_)
-    return JobState::Failed;
-  if (Tally.Finished_ == Job.Tasks_.size())
-    return JobState::Completed;
-  const auto Started =
-      std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
-                  [](const TaskStatus &Task) { return Task.hasStarted(); });
-  return Started ? JobState::Running : JobState::Queued;
-}
-
 auto jobStateText(JobState State) -> std::string_view {
   constexpr std::array<std::string_view, 5> Texts{
       "queued", "running", "completed", "failed", "cancelled"};
--- a/core/Job.h
+++ b/core/Job.h
@@ -7,6 +7,7 @@
 #include "core/Resources.h"
 #include "core/Time.h"
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -110,9 +111,11 @@
         &JobDeclaration::FailureLimit_, &JobDeclaration::RerunWhenLost_,
         &JobDeclaration::Payload_);
   }
-  /// Declared run time of the critical path that starts at `Step`: the longest
-  /// chain of dependent steps.
-  auto criticalPathFrom(std::size_t Step) const -> Millis;
+  /// Declared run times of the critical paths that start at each step: of the
+  /// longest chains of dependent steps. Bounded, so that a time which many of
+  /// them are added to doesn't overflow. Takes one pass from the last step to
+  /// the first.
+  auto criticalPaths() const -> std::vector<Millis>;
   /// Declared run time of the critical path of the whole job.
   auto criticalPath() const -> Millis;
   auto tasksPerOccurrence() const -> std::size_t;
@@ -207,6 +210,8 @@
   auto hasStarted() const -> bool;
 };
 
+class JobOutline;
+
 struct Job {
   JobId Id_;
   JobDeclaration Declaration_;
@@ -215,6 +220,10 @@
   /// A task has failed permanently, so no other task is started.
   bool Failed_ = false;
   std::vector<TaskStatus> Tasks_;
+  /// What follows from the declaration. Not stored: computed when the job
+  /// enters a shard's state, after which its declaration doesn't change. Null
+  /// for any other job.
+  std::shared_ptr<const JobOutline> Outline_;
 
   static constexpr auto fields() {
     return std::make_tuple(&Job::Id_, &Job::Declaration_, &Job::SubmittedAt_,
@@ -228,12 +237,10 @@
   auto task(const TaskId &Task) const -> const TaskStatus &;
   /// True if the job has a long-running step.
   auto isWatcher() const -> bool;
-  /// True once every task has ended.
-  auto isOver() const -> bool;
+  /// Declared run time of the critical path that starts at the task's step.
+  auto criticalPathFrom(const TaskId &Task) const -> Millis;
   /// True if no task of the job may start any more.
   auto isClosed() const -> bool { return Cancelled_ || Failed_; }
-  /// True if the steps that the task's step depends on have finished.
-  auto isReady(const TaskId &Task) const -> bool;
   /// Scheduled start of the task's occurrence; WallTime{} for an immediate
   /// start.
   auto scheduledAt(const TaskId &Task) const -> WallTime;
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -101,9 +101,10 @@
 }
 
 /// Returns the answer to a caller who asked for, or changed, one job.
-auto jobAnswer(const Job &Each, bool StateOnly) -> CallerReply {
+auto jobAnswer(const ShardState &State, const Job &Each, bool StateOnly)
+    -> CallerReply {
   if (StateOnly)
-    return JobStateReply{jobState(Each)};
+    return JobStateReply{jobState(Each, State.progressOf(Each.Id_))};
   return JobReply{Each};
 }
 
@@ -401,6 +402,13 @@
 
 auto ShardOwner::checkSubmission(const JobDeclaration &Declaration,
                                  std::string &Detail) const -> ErrorKind {
+  const auto HasEmptyStep =
+      std::any_of(Declaration.Steps_.begin(), Declaration.Steps_.end(),
+                  [](const auto &Step) { return Step.TaskCount_ == 0; });
+  if (HasEmptyStep) {
+    Detail = "a step must have at least one task";
+    return ErrorKind::MalformedRequest;
+  }
   const auto Count = Declaration.taskCount();
   if (Count == 0 || Count > MaxTasksPerJob) {
     Detail = "tasks must be 1 to " + std::to_string(MaxTasksPerJob);
@@ -446,7 +454,8 @@
   const auto Id =
       StateOnly ? Submission.Job_ : makeJobId(Submission, Generator);
   if (const auto *ExistingJob = state().findJob(Id)) {
-    Out.push_back(AnswerCaller{Token, jobAnswer(*ExistingJob, StateOnly)});
+    Out.push_back(
+        AnswerCaller{Token, jobAnswer(state(), *ExistingJob, StateOnly)});
     return;
   }
   auto &JobCallers = SubmitCallers_[Id];
@@ -490,8 +499,8 @@
   if (FoundCallers == SubmitCallers_.end())
     return;
   for (const auto &Caller : FoundCallers->second)
-    Out.push_back(
-        AnswerCaller{Caller.Token_, jobAnswer(*AddedJob, Caller.StateOnly_)});
+    Out.push_back(AnswerCaller{
+        Caller.Token_, jobAnswer(state(), *AddedJob, Caller.StateOnly_)});
   SubmitCallers_.erase(FoundCallers);
 }
 
@@ -501,15 +510,12 @@
   if (Found == nullptr)
     refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
   else
-    Out.push_back(AnswerCaller{Token, jobAnswer(*Found, Request.StateOnly_)});
+    Out.push_back(
+        AnswerCaller{Token, jobAnswer(state(), *Found, Request.StateOnly_)});
 }
 
 auto ShardOwner::countUnstarted(const QueueName &Queue) const -> std::uint64_t {
-  return std::count_if(state().jobs().begin(), state().jobs().end(),
-                       [&](const auto &Each) {
-                         return Each.second.Declaration_.Queue_ == Queue &&
-                                jobState(Each.second) == JobState::Queued;
-                       });
+  return state().countUnstarted(Queue);
 }
 
 auto ShardOwner::cancel(Moment Now, CallerToken Token, const CancelJob &Request,
@@ -521,8 +527,8 @@
     return;
   }
   if (ExistingJob->Cancelled_) {
-    Out.push_back(
-        AnswerCaller{Token, jobAnswer(*ExistingJob, Request.StateOnly_)});
+    Out.push_back(AnswerCaller{
+        Token, jobAnswer(state(), *ExistingJob, Request.StateOnly_)});
     return;
   }
   auto &JobCallers = CancelCallers_[Id];
@@ -547,13 +553,15 @@
   if (FoundCallers == CancelCallers_.end())
     return;
   for (const auto &Caller : FoundCallers->second)
-    Out.push_back(
-        AnswerCaller{Caller.Token_, jobAnswer(*Cancelled, Caller.StateOnly_)});
+    Out.push_back(AnswerCaller{
+        Caller.Token_, jobAnswer(state(), *Cancelled, Caller.StateOnly_)});
   CancelCallers_.erase(FoundCallers);
 }
 
-auto ShardOwner::committed(Moment /*Now*/, const JobRemoved & /*Record*/,
-                           EntryOutbox & /*Out*/) -> void {}
+auto ShardOwner::committed(Moment /*Now*/, const JobRemoved &Record,
+                           EntryOutbox & /*Out*/) -> void {
+  FailedIndexed_.erase(Record.Job_);
+}
 
 // The index of pending and bound tasks and of the resources they use.
 
@@ -566,8 +574,7 @@
       2 * static_cast<int>(Declaration.Priority_) + (IsFirstInPriority ? 0 : 1);
   const auto Deadline =
       Declaration.Deadline_ + Declaration.Interval_ * Task.Occurrence_;
-  return {PriorityClass, Deadline - Declaration.criticalPathFrom(Task.Step_),
-          Task};
+  return {PriorityClass, Deadline - Job.criticalPathFrom(Task), Task};
 }
 
 auto ShardOwner::indexTask(TimePoint Now, const Job &Job, const TaskId &Id,
@@ -602,7 +609,7 @@
                            std::uint32_t StepIndex, std::uint32_t Occurrence)
     -> void {
   TaskId Id{Job.Id_, 0, StepIndex, Occurrence};
-  const auto Ready = Job.isReady(Id);
+  const auto Ready = state().progressOf(Job.Id_).isReady(Id);
   const auto Count = Job.Declaration_.Steps_[StepIndex].TaskCount_;
   for (Id.Index_ = 0; Id.Index_ < Count; ++Id.Index_)
     indexTask(Now, Job, Id, Ready);
@@ -618,21 +625,31 @@
 
 auto ShardOwner::updateIndex(TimePoint Now, const Job &Job,
                              const TaskId &Changed) -> void {
-  if (Job.Failed_) {
+  // The failure of a job ends its pending tasks, all at once.
+  if (Job.Failed_ && FailedIndexed_.insert(Job.Id_).second) {
     indexJob(Now, Job);
     return;
   }
   indexTask(Now, Job, Changed, true);
-  const auto &Steps = Job.Declaration_.Steps_;
-  if (Job.task(Changed).State_ != TaskState::Finished)
-    return;
-  for (auto StepIndex = Changed.Step_ + 1; StepIndex < Steps.size();
-       ++StepIndex) {
-    const auto &Dependencies = Steps[StepIndex].Dependencies_;
-    if (std::find(Dependencies.begin(), Dependencies.end(), Changed.Step_) !=
-        Dependencies.end())
-      indexStep(Now, Job, StepIndex, Changed.Occurrence_);
+  if (Job.task(Changed).State_ == TaskState::Finished &&
+      state().progressOf(Job.Id_).isStepFinished(Changed))
+    FinishedSteps_.insert(stepKeyOf(Changed));
+}
+
+auto ShardOwner::indexReadySteps(TimePoint Now) -> void {
+  std::set<StepKey> Ready;
+  for (const auto &[JobOfStep, Step, Occurrence] : FinishedSteps_) {
+    const auto *Job = state().findJob(JobOfStep);
+    if (Job == nullptr)
+      continue;
+    for (const auto Dependent : Job->Outline_->dependentsOf(Step))
+      if (state().progressOf(JobOfStep).isReady(
+              {JobOfStep, 0, Dependent, Occurrence}))
+        Ready.insert({JobOfStep, Dependent, Occurrence});
   }
+  FinishedSteps_.clear();
+  for (const auto &[JobOfStep, Step, Occurrence] : Ready)
+    indexStep(Now, *state().findJob(JobOfStep), Step, Occurrence);
 }
 
 auto ShardOwner::reindex(TimePoint Now) -> void {
@@ -647,6 +664,8 @@
   Closing_.clear();
   Cancelling_.clear();
   Failing_.clear();
+  FailedIndexed_.clear();
+  FinishedSteps_.clear();
   AbandonedKeys_.clear();
   Unverified_.clear();
   FinishReported_.clear();
@@ -975,7 +994,8 @@
   const auto FirstBound = Bound_.lower_bound(TaskId{Job.Id_});
   const auto HasBoundTask =
       FirstBound != Bound_.end() && FirstBound->first.Job_ == Job.Id_;
-  if (HasBoundTask || !Job.isOver())
+  const auto &Progress = state().progressOf(Job.Id_);
+  if (HasBoundTask || !Progress.isOver())
     return;
   const auto Ended = Waits_.takeEnded();
   for (std::size_t Index = 0; Index < Ended.size(); ++Index)
@@ -985,7 +1005,7 @@
   if (Summary)
     log("job-ended", Job.Id_.Value_, ErrorKind::None,
         "queue " + Job.Declaration_.Queue_.Value_ + ", " +
-            std::string(jobStateText(jobState(Job))) + ", " +
+            std::string(jobStateText(jobState(Job, Progress))) + ", " +
             std::to_string(Job.Tasks_.size()) + " tasks, critical path " +
             std::to_string(Job.Declaration_.criticalPath().count()) + " ms; " +
             Summary->text(),
@@ -1019,7 +1039,8 @@
           WorkPerValueByJob.try_emplace(Job.Id_, 0.0);
       if (Inserted)
         WorkPerValue->second =
-            workPerValue(Job, MeanWork_.of(Job.Declaration_.Queue_));
+            workPerValue(Job, state().progressOf(Job.Id_),
+                         MeanWork_.of(Job.Declaration_.Queue_));
       Ranked.WorkPerValue_ = WorkPerValue->second;
     }
     Steps.push_back(std::move(Ranked));
@@ -1539,7 +1560,7 @@
     if (!Claim.Open_ && Claim.At_ + Retention < Now.Wall_)
       Ledger_.append(ClaimRemoved{Key});
   for (const auto &[Id, Job] : state().jobs())
-    if (Job.SubmittedAt_ + Day < Now.Wall_ && Job.isOver())
+    if (Job.SubmittedAt_ + Day < Now.Wall_ && state().progressOf(Id).isOver())
       Ledger_.append(JobRemoved{Id});
 }
 
@@ -1592,6 +1613,7 @@
   const auto Committed = Ledger_.takeCommitted();
   for (const auto &Record : Committed)
     std::visit([&](const auto &Each) { committed(Now, Each, Out); }, Record);
+  indexReadySteps(Now.Steady_);
   // Every record except one that binds a task may make tasks ready or free
   // resources, so that more tasks can be bound at once.
   const auto MayBindMore =
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -279,6 +279,8 @@
   /// Updates the index after one task has changed.
   auto updateIndex(TimePoint Now, const Job &Job, const TaskId &Changed)
       -> void;
+  /// Adds the tasks of steps whose last dependency has finished.
+  auto indexReadySteps(TimePoint Now) -> void;
   auto rankOf(const Job &Job, const TaskId &Task) const -> PendingRank;
   /// Returns how many more suspects may be tried now, so that enough workers
   /// remain for other tasks.
@@ -431,6 +433,10 @@
   /// Jobs that will fail once a proposed change of one of their tasks is
   /// committed.
   std::set<JobId> Failing_;
+  /// Failed jobs whose ended tasks are no longer in the index.
+  std::set<JobId> FailedIndexed_;
+  /// Steps of which the last task has finished since the index was updated.
+  std::set<StepKey> FinishedSteps_;
   /// Requests with a committed claim whose outcome is not known yet.
   std::set<RequestId> Dispatched_;
   /// Outcomes that are known and not committed yet.
--- a/core/ShardState.cpp
+++ b/core/ShardState.cpp
@@ -28,32 +28,18 @@
   }
 }
 
-} // namespace
-
-auto ShardState::apply(const LedgerRecord &Record) -> void {
-  std::visit([this](const auto &Each) { apply(Each); }, Record);
-}
-
-auto ShardState::apply(const JobAdded &Record) -> void {
-  Jobs_.emplace(Record.Job_.Id_, Record.Job_);
+auto isUnstarted(const Job &Each, const JobProgress &Progress) -> bool {
+  return jobState(Each, Progress) == JobState::Queued;
 }
 
-auto ShardState::apply(const JobCancelled &Record) -> void {
-  const auto Found = Jobs_.find(Record.Job_);
-  if (Found == Jobs_.end())
-    return;
-  Found->second.Cancelled_ = true;
-  cancelPending(Found->second, Record.At_, ErrorKind::Cancelled);
-}
-
-auto ShardState::apply(const TaskChanged &Record) -> void {
-  const auto Found = Jobs_.find(Record.Task_.Job_);
-  if (Found == Jobs_.end())
-    return;
-  const auto Position = Found->second.positionOf(Record.Task_);
-  SKYLARK_ASSERT(Position < Found->second.Tasks_.size(),
+/// Applies a change of a task to its job.
+auto applyChange(const TaskChanged &Record, Job &Changed, JobProgress &Progress)
+    -> void {
+  const auto Position = Changed.positionOf(Record.Task_);
+  SKYLARK_ASSERT(Position < Changed.Tasks_.size(),
                  "no such task:", Record.Task_);
-  auto &Task = Found->second.Tasks_[Position];
+  auto &Task = Changed.Tasks_[Position];
+  const auto Before = Task.State_;
   SKYLARK_ASSERT(Record.Attempt_ >= Task.Attempt_,
                  "attempt number decreased:", Record.Task_, Task.Attempt_, "to",
                  Record.Attempt_);
@@ -67,7 +53,7 @@
   // The job may have failed or been cancelled after this change was queued; its
   // tasks must not become pending again.
   const auto CannotRequeue =
-      Found->second.isClosed() && Record.State_ == TaskState::Pending;
+      Changed.isClosed() && Record.State_ == TaskState::Pending;
   Task.State_ = CannotRequeue ? TaskState::Cancelled : Record.State_;
   Task.Attempt_ = Record.Attempt_;
   Task.Agent_ = Record.Agent_;
@@ -80,13 +66,65 @@
   addToHistory(Task, {Record.Attempt_, Record.State_, Record.Agent_,
                       Record.DataCentre_, Record.At_, Record.Reason_});
   if (Record.State_ == TaskState::Failed) {
-    Found->second.Failed_ = true;
-    cancelPending(Found->second, Record.At_, ErrorKind::TaskFailed);
+    Changed.Failed_ = true;
+    cancelPending(Changed, Record.At_, ErrorKind::TaskFailed);
+    Progress = JobProgress(Changed);
+  } else {
+    Progress.taskChanged(Changed, Record.Task_, Before);
   }
 }
 
+} // namespace
+
+auto ShardState::apply(const LedgerRecord &Record) -> void {
+  std::visit([this](const auto &Each) { apply(Each); }, Record);
+}
+
+template <typename Function>
+auto ShardState::changeJob(const JobId &Id, Function Change) -> void {
+  const auto Found = Jobs_.find(Id);
+  if (Found == Jobs_.end())
+    return;
+  auto &Progress = Progress_.at(Id);
+  const auto WasUnstarted = isUnstarted(Found->second, Progress);
+  Change(Found->second, Progress);
+  if (WasUnstarted && !isUnstarted(Found->second, Progress))
+    --Unstarted_[Found->second.Declaration_.Queue_];
+}
+
+auto ShardState::apply(const JobAdded &Record) -> void {
+  const auto [Added, Inserted] = Jobs_.emplace(Record.Job_.Id_, Record.Job_);
+  if (!Inserted)
+    return;
+  auto &Job = Added->second;
+  Job.Outline_ = std::make_shared<JobOutline>(Job.Declaration_);
+  const auto &Progress = Progress_.emplace(Job.Id_, Job).first->second;
+  if (isUnstarted(Job, Progress))
+    ++Unstarted_[Job.Declaration_.Queue_];
+}
+
+auto ShardState::apply(const JobCancelled &Record) -> void {
+  changeJob(Record.Job_, [&](Job &Cancelled, JobProgress &Progress) {
+    Cancelled.Cancelled_ = true;
+    cancelPending(Cancelled, Record.At_, ErrorKind::Cancelled);
+    Progress = JobProgress(Cancelled);
+  });
+}
+
+auto ShardState::apply(const TaskChanged &Record) -> void {
+  changeJob(Record.Task_.Job_, [&](Job &Changed, JobProgress &Progress) {
+    applyChange(Record, Changed, Progress);
+  });
+}
+
 auto ShardState::apply(const JobRemoved &Record) -> void {
-  Jobs_.erase(Record.Job_);
+  const auto Found = Jobs_.find(Record.Job_);
+  if (Found == Jobs_.end())
+    return;
+  if (isUnstarted(Found->second, Progress_.at(Record.Job_)))
+    --Unstarted_[Found->second.Declaration_.Queue_];
+  Progress_.erase(Record.Job_);
+  Jobs_.erase(Found);
 }
 
 auto ShardState::apply(const ClaimOpened &Record) -> void {
@@ -119,12 +157,13 @@
 }
 
 auto ShardState::recordStart(const TaskId &Id) -> void {
-  const auto Found = Jobs_.find(Id.Job_);
-  if (Found == Jobs_.end())
-    return;
-  const auto Position = Found->second.positionOf(Id);
-  if (Position < Found->second.Tasks_.size())
-    Found->second.Tasks_[Position].Started_ = true;
+  changeJob(Id.Job_, [&](Job &Changed, JobProgress &Progress) {
+    const auto Position = Changed.positionOf(Id);
+    if (Position >= Changed.Tasks_.size())
+      return;
+    Changed.Tasks_[Position].Started_ = true;
+    Progress.taskStarted();
+  });
 }
 
 auto ShardState::snapshot() const -> std::vector<LedgerRecord> {
@@ -147,6 +186,15 @@
   return Found == Jobs_.end() ? nullptr : &Found->second;
 }
 
+auto ShardState::progressOf(const JobId &Id) const -> const JobProgress & {
+  return Progress_.at(Id);
+}
+
+auto ShardState::countUnstarted(const QueueName &Queue) const -> std::uint64_t {
+  const auto Found = Unstarted_.find(Queue);
+  return Found == Unstarted_.end() ? 0 : Found->second;
+}
+
 auto ShardState::findTask(const TaskId &Id) const -> const TaskStatus * {
   const auto *Job = findJob(Id.Job_);
   if (Job == nullptr)
--- a/core/ShardState.h
+++ b/core/ShardState.h
@@ -3,7 +3,7 @@
 /// them.
 #pragma once
 
-#include "core/Job.h"
+#include "core/JobProgress.h"
 
 #include <map>
 #include <variant>
@@ -135,6 +135,10 @@
 
   auto findJob(const JobId &Id) const -> const Job *;
   auto findTask(const TaskId &Id) const -> const TaskStatus *;
+  /// The counts of a job that is in the state.
+  auto progressOf(const JobId &Id) const -> const JobProgress &;
+  /// Returns the number of the queue's jobs of which no task has started.
+  auto countUnstarted(const QueueName &Queue) const -> std::uint64_t;
   auto findClaim(const IdempotencyKey &Key) const -> const Claim *;
   auto jobs() const -> const std::map<JobId, Job> & { return Jobs_; }
   auto claims() const -> const std::map<IdempotencyKey, Claim> & {
@@ -150,7 +154,15 @@
   auto apply(const ClaimClosed &Record) -> void;
   auto apply(const ClaimRemoved &Record) -> void;
 
+  /// Calls `Change` with a job and its counts, and updates the number of
+  /// unstarted jobs. No effect if there is no such job.
+  template <typename Function>
+  auto changeJob(const JobId &Id, Function Change) -> void;
+
   std::map<JobId, Job> Jobs_;
+  std::map<JobId, JobProgress> Progress_;
+  /// Number of jobs of which no task has started.
+  std::map<QueueName, std::uint64_t> Unstarted_;
   std::map<IdempotencyKey, Claim> Claims_;
 };
 
--- a/test/correctness/DeadlineFeasibilityTest.cpp
+++ b/test/correctness/DeadlineFeasibilityTest.cpp
@@ -90,9 +90,9 @@
   auto PartlyFinished = Unstarted;
   PartlyFinished.Tasks_[0].State_ = TaskState::Finished;
   BOOST_TEST(totalWork(Unstarted) == 12.0);
-  BOOST_TEST(remainingWork(PartlyFinished) == 6.0);
-  BOOST_TEST(workPerValue(PartlyFinished, 12.0) <
-             workPerValue(Unstarted, 12.0));
+  BOOST_TEST(remainingWork(PartlyFinished, JobProgress(PartlyFinished)) == 6.0);
+  BOOST_TEST(workPerValue(PartlyFinished, JobProgress(PartlyFinished), 12.0) <
+             workPerValue(Unstarted, JobProgress(Unstarted), 12.0));
 }
 
 BOOST_AUTO_TEST_CASE(ASmallJobHasMoreValueForItsWork) {
@@ -100,7 +100,8 @@
   auto Small = twoStepJob();
   Large.Declaration_.Steps_[0].Resources_ = {30000, 100, 0};
   Small.Declaration_.Steps_[0].Resources_ = {1000, 100, 0};
-  BOOST_TEST(workPerValue(Small, 12.0) < workPerValue(Large, 12.0));
+  BOOST_TEST(workPerValue(Small, JobProgress(Small), 12.0) <
+             workPerValue(Large, JobProgress(Large), 12.0));
 }
 
 BOOST_AUTO_TEST_CASE(EachQueueHasItsOwnMeanWork) {
--- a/test/correctness/JobTest.cpp
+++ b/test/correctness/JobTest.cpp
@@ -3,6 +3,7 @@
 /// and which queue a path belongs to and which configuration agents get.
 
 #include "core/Document.h"
+#include "core/JobProgress.h"
 #include "core/ShardState.h"
 
 #include <boost/test/unit_test.hpp>
@@ -56,12 +57,12 @@
 BOOST_AUTO_TEST_CASE(AStepWaitsForItsDependencies) {
   auto TestedJob = twoStepJob();
   const TaskId SecondStepTask{TestedJob.Id_, 0, 1, 0};
-  BOOST_TEST(!TestedJob.isReady(SecondStepTask));
+  BOOST_TEST(!JobProgress(TestedJob).isReady(SecondStepTask));
   TestedJob.Tasks_[0].State_ = TaskState::Finished;
-  BOOST_TEST(!TestedJob.isReady(SecondStepTask));
+  BOOST_TEST(!JobProgress(TestedJob).isReady(SecondStepTask));
   TestedJob.Tasks_[1].State_ = TaskState::Finished;
-  BOOST_TEST(TestedJob.isReady(SecondStepTask));
-  BOOST_TEST(!TestedJob.isReady({TestedJob.Id_, 0, 1, 1}));
+  BOOST_TEST(JobProgress(TestedJob).isReady(SecondStepTask));
+  BOOST_TEST(!JobProgress(TestedJob).isReady({TestedJob.Id_, 0, 1, 1}));
 }
 
 BOOST_AUTO_TEST_CASE(OccurrencesAreScheduledAtTheInterval) {
@@ -73,7 +74,63 @@
 BOOST_AUTO_TEST_CASE(CriticalPathIsTheLongestChainOfSteps) {
   const auto TestedJob = twoStepJob();
   BOOST_TEST((TestedJob.Declaration_.criticalPath() == Millis{1000}));
-  BOOST_TEST((TestedJob.Declaration_.criticalPathFrom(1) == Millis{600}));
+  BOOST_TEST(
+      (TestedJob.criticalPathFrom({TestedJob.Id_, 0, 1, 0}) == Millis{600}));
+}
+
+// The time to find the critical path grew exponentially with the steps.
+BOOST_AUTO_TEST_CASE(TheCriticalPathOfManyDependentStepsIsFound) {
+  constexpr std::uint32_t Steps = 300;
+  for (const std::uint32_t Listed : {2U, Steps}) {
+    JobDeclaration Sequence;
+    Sequence.Steps_.resize(Steps);
+    for (std::uint32_t Step = 0; Step < Steps; ++Step) {
+      Sequence.Steps_[Step].RunTime_ = Millis{10};
+      for (auto Earlier = Step - std::min(Step, Listed); Earlier < Step;
+           ++Earlier)
+        Sequence.Steps_[Step].Dependencies_.push_back(Earlier);
+    }
+    BOOST_TEST((Sequence.criticalPath() == Steps * Millis{10}));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheCriticalPathOfVeryLongStepsDoesNotOverflow) {
+  JobDeclaration Sequence;
+  Sequence.Steps_.resize(100);
+  for (std::uint32_t Step = 0; Step < Sequence.Steps_.size(); ++Step) {
+    Sequence.Steps_[Step].RunTime_ = Millis{std::int64_t{1} << 60};
+    if (Step > 0)
+      Sequence.Steps_[Step].Dependencies_ = {Step - 1};
+  }
+  BOOST_TEST((Sequence.criticalPath() >= Millis{std::int64_t{1} << 40}));
+}
+
+BOOST_AUTO_TEST_CASE(CountsOfAJobFollowItsChanges) {
+  ShardState State;
+  auto Added = twoStepJob();
+  // A dependency that is listed twice counts once.
+  Added.Declaration_.Steps_[1].Dependencies_ = {0, 0};
+  Added.Declaration_.Queue_ = {"queue"};
+  State.apply(LedgerRecord{JobAdded{Added}});
+  const auto Id = Added.Id_;
+  const TaskId Dependent{Id, 0, 1, 1};
+  BOOST_TEST(State.countUnstarted({"queue"}) == 1U);
+  for (std::uint32_t Index = 0; Index < 2; ++Index) {
+    BOOST_TEST(!State.progressOf(Id).isReady(Dependent));
+    State.apply(stateChange({Id, Index, 0, 1}, TaskState::Bound, 1));
+    BOOST_TEST(State.countUnstarted({"queue"}) == (Index == 0 ? 1U : 0U));
+    State.apply(stateChange({Id, Index, 0, 1}, TaskState::Finished, 1));
+  }
+  const auto &Progress = State.progressOf(Id);
+  BOOST_TEST(Progress.isReady(Dependent));
+  BOOST_TEST(!Progress.isReady({Id, 0, 1, 0}));
+  BOOST_TEST(Progress.unfinishedOf(0) == 2U);
+  BOOST_TEST(Progress.tally().Finished_ == 2U);
+  BOOST_TEST(Progress.tally().Pending_ == 8U);
+  State.apply(LedgerRecord{JobCancelled{Id, {}}});
+  BOOST_TEST(Progress.isOver());
+  State.apply(LedgerRecord{JobRemoved{Id}});
+  BOOST_TEST(State.countUnstarted({"queue"}) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(AJobIsCompletedOnceAllTasksHaveFinished) {
