Agent: ends that the worker doesn't list yet are not taken for lost attempts

Seen: after 4.4 s without the store, up to 400 of 1,400 tasks ran again although they had ended `done` (TWICE). Cause: a worker lists 500 ends at a time, and the inventory counted as whole. resolveMissing() ended the attempts that it lacked as failed; once the owner had acknowledged that end, the true one was discarded without a report. Confirmed on related paths by tests: an agent that starts anew told its owner that it held none of the unlisted attempts, and the owner put them back; a finish that is listed after another end was acknowledged was discarded. Ruled out by reading: RunsUnreserved_ and reserved capacity, which depend on running attempts alone; the worker lists these as a whole. Until it lists them the agent ends no missing attempt, takes no new binding, and tells the owner that its list isn't whole; it confirms again once it is. The owner neither repeats nor puts back what such a list lacks. An acknowledgement counts for the end that it names. WireTest counts the new field of a message.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -219,6 +219,11 @@
 
 auto AgentCore::inventoryReceived(Moment Now, const WorkerInventory &Inventory,
                                   AgentOutbox &Out) -> void {
+  if (!Inventory.Complete_ && isMutationActive(Mutation::TakeListForWhole)) {
+    inventoryReceived(
+        Now, {Inventory.Worker_, Inventory.Clock_, Inventory.Tasks_}, Out);
+    return;
+  }
   UnansweredPolls_ = 0;
   if (!InventoryReceived_) {
     Tasks_.adopt(Now.Steady_,
--- a/core/AgentOutput.h
+++ b/core/AgentOutput.h
@@ -97,9 +97,12 @@
   Incarnation Worker_ = 0;
   Micros Clock_{0};
   std::vector<WorkerTask> Tasks_;
-  /// Whether all attempts could be read. If not, one that is missing here may
-  /// still be running.
+  /// Whether all attempts are listed and could be read. If not, one that is
+  /// missing here may still be running, or have ended.
   bool Complete_ = true;
+  /// Whether the worker has more ended attempts than it lists at a time. It
+  /// lists the others once it has discarded some of these.
+  bool MoreEnds_ = false;
 };
 
 /// Forwards a quick request to the target.
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -143,17 +143,22 @@
 
 /// An agent's answer to ClaimOwnership: from now on it accepts commands for the
 /// shard only under this or a later epoch, and it holds exactly the listed
-/// tasks of the shard.
+/// tasks of the shard, unless it says that there are more.
 struct ConfirmOwnership {
   ShardNumber Shard_ = 0;
   Epoch Epoch_ = 0;
   Incarnation Worker_ = 0;
   std::vector<TaskReport> HeldTasks_;
+  /// The worker has ended attempts that it doesn't list yet. The agent confirms
+  /// again once it knows them all.
+  bool MoreEnds_ = false;
 
+  static constexpr std::size_t RequiredFields = 4;
   static constexpr auto fields() {
     return std::make_tuple(&ConfirmOwnership::Shard_, &ConfirmOwnership::Epoch_,
                            &ConfirmOwnership::Worker_,
-                           &ConfirmOwnership::HeldTasks_);
+                           &ConfirmOwnership::HeldTasks_,
+                           &ConfirmOwnership::MoreEnds_);
   }
 };
 
--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -24,6 +24,7 @@
   ForwardDamagedAnswers,
   InForceWithoutConfirmation,
   NewerDocumentIsNoContact,
+  TakeListForWhole,
   Count
 };
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1174,23 +1174,27 @@
     return;
   // Only the first confirmation on a connection shows which tasks the agent
   // doesn't hold: a later one may have been sent before the agent received a
-  // task that was bound in the meantime.
-  if (!From.ConfirmedShards_.insert(Shard_).second)
-    return;
+  // task that was bound in the meantime. A later one counts for the tasks that
+  // the first one couldn't show.
+  const auto First = From.ConfirmedShards_.insert(Shard_).second;
   std::set<std::pair<TaskId, AttemptNumber>> HeldAttempts;
   for (const auto &Report : Confirm.HeldTasks_) {
     HeldAttempts.insert({Report.Task_, Report.Attempt_});
     taskReported(Now, From, Report, Out);
   }
-  for (const auto &[Id, Delivery] : Bound_) {
+  for (auto &[Id, Delivery] : Bound_) {
     const auto *Task = state().findTask(Id);
     const auto Missing = Task != nullptr && Task->State_ == TaskState::Bound &&
+                         (First || Delivery.Unlisted_) &&
                          Task->Agent_ == From.agent() &&
                          workerOf(*Task, Delivery) == From.Hello_.Worker_ &&
                          HeldAttempts.count({Id, Task->Attempt_}) == 0 &&
                          Proposed_.count(Id) == 0;
     if (!Missing)
       continue;
+    Delivery.Unlisted_ = Confirm.MoreEnds_;
+    if (Confirm.MoreEnds_)
+      continue;
     log("task-missing-at-agent", Id.text(), ErrorKind::WorkerGone,
         "attempt " + std::to_string(Task->Attempt_) + " at " +
             From.agent().Value_ + ", epoch " + std::to_string(Confirm.Epoch_),
@@ -1244,6 +1248,7 @@
   auto &Delivery = Bound_[Report.Task_];
   Delivery.Sent_ = true;
   Delivery.Reported_ = true;
+  Delivery.Unlisted_ = false;
   Delivery.Worker_ = From.Hello_.Worker_;
   if (isEnded(Report.Phase_))
     Delivery.ReportedEnd_ = Report.Phase_;
@@ -1387,7 +1392,8 @@
   if (Present) {
     if (!BoundTo->Leaving_)
       Crashes_.responsive({Task.Agent_, Task.Worker_}, BoundTo->LastSeenAt_);
-    if (!Delivery.Reported_ && Delivery.SentAt_ + ResendInterval < Now.Steady_)
+    if (!Delivery.Reported_ && !Delivery.Unlisted_ &&
+        Delivery.SentAt_ + ResendInterval < Now.Steady_)
       sendBind(Now, Id, *BoundTo, Out);
     // A stop request may be lost, or reach the agent while the task is starting
     // and can't be stopped yet, so it is repeated until the task ends.
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -74,7 +74,7 @@
   // Messages of agents.
   /// Handles an agent's confirmation that it accepts this owner's commands.
   /// Tasks that are bound to the agent's worker, but not held by the agent,
-  /// become pending again.
+  /// become pending again, once the agent's list is whole.
   auto ownershipConfirmed(Moment Now, Target &From,
                           const ConfirmOwnership &Confirm, EntryOutbox &Out)
       -> void;
@@ -152,6 +152,8 @@
     bool Sent_ = false;
     /// Whether the agent has sent a report of the task.
     bool Reported_ = false;
+    /// The agent's list of tasks wasn't whole and lacked this one.
+    bool Unlisted_ = false;
     /// The end that the agent has reported of the current attempt; a phase
     /// that is no end if there is none.
     TaskPhase ReportedEnd_ = TaskPhase::Queued;
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -66,6 +66,7 @@
 auto TaskManager::adopt(TimePoint Now, const WorkerInventory &Inventory,
                         TimePoint LeasesUntil) -> void {
   Worker_ = Inventory.Worker_;
+  MoreEnds_ = Inventory.MoreEnds_;
   for (const auto &Task : Inventory.Tasks_) {
     adoptTask(Task);
     if (!isEnded(Task.Phase_))
@@ -100,6 +101,7 @@
     return false;
   WorkerClock_ = Inventory.Clock_;
   WorkerClockAt_ = Now;
+  MoreEnds_ = Inventory.MoreEnds_;
   std::map<AttemptKey, const WorkerTask *> Observed;
   for (const auto &Task : Inventory.Tasks_)
     Observed[keyOf(Task.Bind_)] = &Task;
@@ -118,6 +120,9 @@
       Inventory.Tasks_.begin(), Inventory.Tasks_.end(), [&](const auto &Task) {
         return !isEnded(Task.Phase_) && !isReserved(Task.Bind_);
       });
+  for (auto &[Shard, Owner] : Owners_)
+    if (Owner.AwaitsList_ && !MoreEnds_ && Owner.Session_ != 0)
+      sendConfirmation(Shard, Owner, Out);
   return NewlyEnded;
 }
 
@@ -213,10 +218,13 @@
     if (FoundTask != Tasks_.end() &&
         FoundTask->second.Bind_.Attempt_ <= Bind.Attempt_)
       continue;
+    const auto Acknowledged = isAcknowledged(Task);
     if (!isEnded(Task.Phase_))
       Out.push_back(StopOnWorker{Bind.Task_, Bind.Attempt_});
-    else if (AcknowledgedEnds_.count(keyOf(Bind)) != 0)
+    else if (Acknowledged)
       Out.push_back(ForgetOnWorker{Bind.Task_, Bind.Attempt_});
+    else
+      AcknowledgedEnds_.erase(keyOf(Bind));
     const TaskReport Report{Bind.Shard_, Bind.Task_,       Bind.Attempt_,
                             Task.Phase_, Task.Checkpoint_, Task.Reason_,
                             false};
@@ -224,7 +232,7 @@
     const auto Known = UnheldAttempts_.find(keyOf(Bind));
     const auto Changed =
         Known == UnheldAttempts_.end() || Known->second.Phase_ != Report.Phase_;
-    if (!Changed || AcknowledgedEnds_.count(keyOf(Bind)) != 0)
+    if (!Changed || Acknowledged)
       continue;
     Out.push_back(LogDecision{
         "attempt-not-held", Bind.Task_.text(), 0, Task.Reason_,
@@ -237,15 +245,25 @@
     if (isEnded(Task.Phase_))
       sendReport(Report, Out);
   }
-  for (auto Each = AcknowledgedEnds_.begin(); Each != AcknowledgedEnds_.end();)
-    Each = Listed.count(*Each) == 0 ? AcknowledgedEnds_.erase(Each)
-                                    : std::next(Each);
-  for (const auto &Key : AcknowledgedEnds_)
-    if (isEnded(Listed.at(Key).Phase_))
-      Listed.erase(Key);
+  for (auto Each = AcknowledgedEnds_.begin();
+       Each != AcknowledgedEnds_.end();) {
+    const auto Found = Listed.find(Each->first);
+    const auto IsListed = Found != Listed.end();
+    if (IsListed && isEnded(Found->second.Phase_))
+      Listed.erase(Found);
+    // An end that isn't listed now may be listed later if there are more.
+    Each =
+        IsListed || MoreEnds_ ? std::next(Each) : AcknowledgedEnds_.erase(Each);
+  }
   UnheldAttempts_ = std::move(Listed);
 }
 
+auto TaskManager::isAcknowledged(const WorkerTask &Ended) const -> bool {
+  const auto Found = AcknowledgedEnds_.find(keyOf(Ended.Bind_));
+  return Found != AcknowledgedEnds_.end() &&
+         (Found->second == Ended.Phase_ || Ended.Phase_ != TaskPhase::Finished);
+}
+
 auto TaskManager::finishedAttempt(const BindTask &Later) const
     -> std::optional<TaskReport> {
   if (Later.Kind_ == WorkKind::Watcher)
@@ -425,27 +443,41 @@
                         AgentOutbox &Out) -> void {
   const auto KnownEpoch = Owners_[Claim.Shard_].Epoch_;
   const auto OwnerAccepted = acceptOwner(Claim.Shard_, Claim.Epoch_, Session);
+  std::size_t HeldTasks = 0;
+  if (OwnerAccepted)
+    HeldTasks = sendConfirmation(Claim.Shard_, Owners_[Claim.Shard_], Out);
+  else
+    Out.push_back(SendToEntry{
+        Session,
+        ConfirmOwnership{Claim.Shard_, KnownEpoch, Worker_, {}, false}});
+  Out.push_back(LogDecision{
+      OwnerAccepted ? "owner-accepted" : "owner-rejected",
+      std::to_string(Claim.Shard_), 0, ErrorKind::None,
+      "epoch " + std::to_string(Claim.Epoch_) + " after " +
+          std::to_string(KnownEpoch) + ", holds " + std::to_string(HeldTasks) +
+          " tasks" + (MoreEnds_ ? ", more on the worker" : "")});
+  // A new owner has no interference data yet.
+  if (OwnerAccepted && !InterferenceController_.table().Rows_.empty())
+    Out.push_back(SendToEntry{Session, InterferenceController_.table()});
+}
+
+auto TaskManager::sendConfirmation(ShardNumber Shard, Owner &To,
+                                   AgentOutbox &Out) const -> std::size_t {
   ConfirmOwnership Confirm;
-  Confirm.Shard_ = Claim.Shard_;
-  Confirm.Epoch_ = Owners_[Claim.Shard_].Epoch_;
+  Confirm.Shard_ = Shard;
+  Confirm.Epoch_ = To.Epoch_;
   Confirm.Worker_ = Worker_;
+  Confirm.MoreEnds_ = MoreEnds_;
   for (const auto &[Task, Held] : Tasks_)
-    if (OwnerAccepted && Held.Bind_.Shard_ == Claim.Shard_)
+    if (Held.Bind_.Shard_ == Shard)
       Confirm.HeldTasks_.push_back(reportOf(Held));
   for (const auto &[Key, Report] : UnheldAttempts_)
-    if (OwnerAccepted && Report.Shard_ == Claim.Shard_ &&
-        isEnded(Report.Phase_))
+    if (Report.Shard_ == Shard && isEnded(Report.Phase_))
       Confirm.HeldTasks_.push_back(Report);
-  Out.push_back(
-      LogDecision{OwnerAccepted ? "owner-accepted" : "owner-rejected",
-                  std::to_string(Claim.Shard_), 0, ErrorKind::None,
-                  "epoch " + std::to_string(Claim.Epoch_) + " after " +
-                      std::to_string(KnownEpoch) + ", holds " +
-                      std::to_string(Confirm.HeldTasks_.size()) + " tasks"});
-  Out.push_back(SendToEntry{Session, std::move(Confirm)});
-  // A new owner has no interference data yet.
-  if (OwnerAccepted && !InterferenceController_.table().Rows_.empty())
-    Out.push_back(SendToEntry{Session, InterferenceController_.table()});
+  To.AwaitsList_ = MoreEnds_;
+  const auto HeldTasks = Confirm.HeldTasks_.size();
+  Out.push_back(SendToEntry{To.Session_, std::move(Confirm)});
+  return HeldTasks;
 }
 
 auto TaskManager::bind(TimePoint Now, SessionNumber Session,
@@ -474,6 +506,10 @@
       return;
     }
   }
+  // The attempt, or an earlier one, may be among the ends that the worker
+  // doesn't list yet. The binding is taken when the owner repeats it.
+  if (MoreEnds_)
+    return;
   // An earlier attempt that was given up still runs and is being stopped.
   const auto Runs = [&](const auto &Each) {
     return Each.first.first == Bind.Task_ && !isEnded(Each.second.Phase_);
@@ -561,7 +597,7 @@
     UnheldAttempts_.erase(Unheld);
   else
     return;
-  AcknowledgedEnds_.insert(Key);
+  AcknowledgedEnds_[Key] = Ack.Phase_;
   Out.push_back(ForgetOnWorker{Ack.Task_, Ack.Attempt_});
 }
 
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -143,6 +143,8 @@
   struct Owner {
     Epoch Epoch_ = 0;
     SessionNumber Session_ = 0;
+    /// The owner was sent a list of tasks that isn't whole.
+    bool AwaitsList_ = false;
   };
 
   /// Records the connection of the shard's owner.
@@ -171,6 +173,13 @@
   /// before the worker may discard them.
   auto handleUnheldAttempts(const WorkerInventory &Inventory, AgentOutbox &Out)
       -> void;
+  /// Whether the owner has acknowledged this end of the attempt, and not just
+  /// another end that was reported before the attempt turned out to have
+  /// finished.
+  auto isAcknowledged(const WorkerTask &Ended) const -> bool;
+  /// Sends the shard's owner the tasks of the shard that are held here.
+  auto sendConfirmation(ShardNumber Shard, Owner &To, AgentOutbox &Out) const
+      -> std::size_t;
   /// Returns the report of a finished attempt of the task, if there is one.
   auto finishedAttempt(const BindTask &Later) const
       -> std::optional<TaskReport>;
@@ -226,7 +235,9 @@
   /// whose ends no owner has acknowledged.
   std::map<AttemptKey, TaskReport> UnheldAttempts_;
   /// Acknowledged ends that the worker may still list.
-  std::set<AttemptKey> AcknowledgedEnds_;
+  std::map<AttemptKey, TaskPhase> AcknowledgedEnds_;
+  /// Whether the worker has more ended attempts than its last inventory lists.
+  bool MoreEnds_ = false;
   std::map<ShardNumber, Owner> Owners_;
 };
 
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -423,6 +423,65 @@
   BOOST_TEST(Fixture.lastReport("a").has_value());
 }
 
+// An agent that had just started told its owner that it held none of the tasks
+// whose ends the worker didn't list yet, and the owner ran them again.
+BOOST_AUTO_TEST_CASE(ARestartedAgentSaysThatTheWorkerHasMoreEnds) {
+  AgentOutbox Out;
+  Moment Now{TimePoint(Seconds{100}), {}};
+  AgentIdentity Identity;
+  Identity.Agent_ = {"agent"};
+  AgentCore Core(Identity);
+  Core.openSession(Now, OwnerSession, Out);
+  AgentFixture Lists;
+  auto Cut = Lists.inventoryWithFinished("a");
+  Cut.Complete_ = false;
+  Cut.MoreEnds_ = true;
+  Core.inventoryReceived(Now, Cut, Out);
+  const auto LastConfirmation = [&] {
+    std::optional<ConfirmOwnership> Last;
+    for (const auto &Each : Out)
+      if (const auto *Send = std::get_if<SendToEntry>(&Each))
+        if (const auto *Confirm =
+                std::get_if<ConfirmOwnership>(&Send->Message_))
+          Last = *Confirm;
+    return Last;
+  };
+  Core.receive(Now, OwnerSession, ClaimOwnership{0, 1}, Out);
+  BOOST_REQUIRE(LastConfirmation().has_value());
+  BOOST_TEST(LastConfirmation()->MoreEnds_);
+  // Its owner repeats a binding, which the worker may have carried out.
+  BindTask Bind;
+  Bind.Epoch_ = 1;
+  Bind.Worker_ = 7;
+  Bind.Task_ = {{"b"}, 0};
+  Bind.Attempt_ = 1;
+  Core.receive(Now, OwnerSession, Bind, Out);
+  Out.clear();
+  auto Whole = Lists.inventoryWithFinished("b");
+  Whole.Clock_ += Seconds{1};
+  Core.inventoryReceived(Now, Whole, Out);
+  BOOST_REQUIRE(LastConfirmation().has_value());
+  BOOST_TEST(!LastConfirmation()->MoreEnds_);
+  BOOST_REQUIRE(LastConfirmation()->HeldTasks_.size() == 2U);
+  const auto &Last = LastConfirmation()->HeldTasks_.back();
+  BOOST_TEST((Last.Task_ == TaskId{{"b"}, 0}));
+  BOOST_TEST((Last.Phase_ == TaskPhase::Finished));
+}
+
+// The owner had acknowledged another end, and the finish was discarded.
+BOOST_AUTO_TEST_CASE(AFinishListedAfterAnotherEndWasAcknowledgedIsReported) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                              StartOutcome::Refused, Fixture.Out_);
+  Fixture.receive(TaskReportAck{{{"a"}, 0}, 1, TaskPhase::NotStarted});
+  Fixture.clear();
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryWithFinished("a"));
+  BOOST_REQUIRE(Fixture.lastReport("a").has_value());
+  BOOST_TEST((Fixture.lastReport("a")->Phase_ == TaskPhase::Finished));
+  BOOST_TEST(Fixture.countOutputs<ForgetOnWorker>() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(AnAttemptReportedNotStartedThatFinishedIsReportedAgain) {
   AgentFixture Fixture;
   Fixture.bind("a", 1000);
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -112,6 +112,8 @@
       -> void {
     sendFromAgent(owner(), taskReport(Job, Attempt, Phase));
   }
+  /// Sends the owner the list of the tasks that the agent holds, again.
+  auto confirmAgain() -> void { confirm(owner(), LastClaim_); }
   auto acknowledged(const std::string &Job, AttemptNumber Attempt) const
       -> bool {
     return std::any_of(Acks_.begin(), Acks_.end(), [&](const auto &Each) {
@@ -207,6 +209,8 @@
   int Claims_ = 0;
   /// What the agent lists when it confirms an owner.
   std::vector<TaskReport> HeldTasks_;
+  /// Whether its worker has ended attempts that aren't among HeldTasks_.
+  bool MoreEnds_ = false;
   /// The worker's capacity as the agent's heartbeats state it.
   std::optional<Resources> Capacity_;
   /// Whether the configuration changes again and again as time advances.
@@ -301,8 +305,7 @@
     if (std::holds_alternative<ClaimOwnership>(Send.Message_))
       ++Claims_;
     if (const auto *Claim = std::get_if<ClaimOwnership>(&Send.Message_))
-      sendFromAgent(From, ConfirmOwnership{Claim->Shard_, Claim->Epoch_,
-                                           Worker_, HeldTasks_});
+      confirm(From, *Claim);
   }
   auto perform(std::size_t /*From*/, const AnswerCaller &Answer) -> void {
     Replies_[Answer.Token_] = Answer.Reply_;
@@ -310,6 +313,18 @@
   template <typename Other>
   auto perform(std::size_t /*From*/, const Other & /*Each*/) -> void {}
 
+  auto confirm(std::size_t To, const ClaimOwnership &Claim) -> void {
+    LastClaim_ = Claim;
+    ConfirmOwnership Confirm;
+    Confirm.Shard_ = Claim.Shard_;
+    Confirm.Epoch_ = Claim.Epoch_;
+    Confirm.Worker_ = Worker_;
+    Confirm.HeldTasks_ = HeldTasks_;
+    Confirm.MoreEnds_ = MoreEnds_;
+    sendFromAgent(To, Confirm);
+  }
+
+  ClaimOwnership LastClaim_;
   Fuzz::FakeStore Store_;
   std::map<CallerToken, CallerReply> Replies_;
   CallerToken LastToken_ = 0;
@@ -664,6 +679,34 @@
   BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Pending));
 }
 
+// The owner ran a task again whose end the agent's worker didn't list yet.
+BOOST_AUTO_TEST_CASE(ATaskMissingFromAListThatIsNotWholeKeepsItsAttempt) {
+  for (const auto Finished : {true, false}) {
+    EntryFixture Fixture;
+    Fixture.connectAgent(1);
+    Fixture.advance(Millis{1200});
+    Fixture.submit(0, "a");
+    Fixture.advance(Millis{1000});
+    BOOST_REQUIRE(Fixture.taskStatus("a")->Attempt_ == 1U);
+    Fixture.leave();
+    Fixture.Binds_.clear();
+    Fixture.MoreEnds_ = true;
+    Fixture.connectAgent(1);
+    Fixture.advance(Millis{10000});
+    BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Bound));
+    BOOST_TEST(Fixture.taskStatus("a")->Attempt_ == 1U);
+    BOOST_TEST(Fixture.Binds_.empty());
+    Fixture.MoreEnds_ = false;
+    if (Finished)
+      Fixture.HeldTasks_ = {taskReport("a", 1, TaskPhase::Finished)};
+    Fixture.confirmAgain();
+    Fixture.advance(Millis{1000});
+    BOOST_TEST(Fixture.taskStatus("a")->Attempt_ == (Finished ? 1U : 2U));
+    BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Finished) ==
+               Finished);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnEarlierAttemptDoesNotHideThatTheCurrentOneIsMissing) {
   EntryFixture Fixture;
   Fixture.connectAgent(1);
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -76,12 +76,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(FieldsOfANewerVersionAreIgnored) {
-  // Messages are encoded as [type, [fields...]]. This one has four fields; make
-  // its array (0x84) one of five (0x85) and append a value.
+  // Messages are encoded as [type, [fields...]]. This one has five fields; make
+  // its array (0x85) one of six (0x86) and append a value.
   auto Bytes = encode(AgentMessage{ConfirmOwnership{}});
-  const auto FieldArray = Bytes.find(static_cast<char>(0x84));
+  const auto FieldArray = Bytes.find(static_cast<char>(0x85));
   BOOST_REQUIRE(FieldArray != std::string::npos);
-  Bytes[FieldArray] = static_cast<char>(0x85);
+  Bytes[FieldArray] = static_cast<char>(0x86);
   Bytes.push_back(0);
   BOOST_TEST(decodeAgentMessage(Bytes).has_value());
 }
--- a/test/fuzz/FakeWorker.cpp
+++ b/test/fuzz/FakeWorker.cpp
@@ -51,6 +51,7 @@
     -> void {
   const auto &Bind = Each.Task_.Bind_;
   Each.Task_.Phase_ = Phase;
+  Each.EndNumber_ = ++LastEndNumber_;
   Each.Task_.Reason_ = Reason;
   Each.Task_.Checkpoint_ = {std::to_string(Each.WorkDone_.count())};
   LastEnded_[Bind.Task_] = std::max(LastEnded_[Bind.Task_], Bind.Attempt_);
@@ -98,11 +99,27 @@
   return Config_.ListsIdsOnly_ ? WorkerLease_ : Each.LeaseUntil_;
 }
 
+auto FakeWorker::isListed(const AttemptState &Each) const -> bool {
+  if (Each.EndNumber_ == 0)
+    return true;
+  const auto EndedBefore =
+      std::count_if(Attempts_.begin(), Attempts_.end(), [&](const auto &Other) {
+        return Other.second.EndNumber_ != 0 &&
+               Other.second.EndNumber_ < Each.EndNumber_;
+      });
+  return static_cast<std::size_t>(EndedBefore) < MaxListedEnds;
+}
+
 auto FakeWorker::inventory(Micros Clock) const -> WorkerInventory {
   WorkerInventory Inventory;
   Inventory.Worker_ = Config_.Incarnation_;
   Inventory.Clock_ = Clock;
   for (const auto &[Key, Each] : Attempts_) {
+    if (!isListed(Each)) {
+      Inventory.Complete_ = false;
+      Inventory.MoreEnds_ = true;
+      continue;
+    }
     Inventory.Tasks_.push_back(Each.Task_);
     if (!Config_.ListsIdsOnly_)
       continue;
--- a/test/fuzz/FakeWorker.h
+++ b/test/fuzz/FakeWorker.h
@@ -18,9 +18,14 @@
   bool ListsIdsOnly_ = false;
 };
 
+/// The most ended attempts that a worker lists at a time. Lower than that of a
+/// real worker, so that few tasks reach it.
+constexpr std::size_t MaxListedEnds = 2;
+
 /// Simulates a worker that runs tasks under leases, and reports their starts
-/// and ends to the checker. Commands of an agent incarnation older than the
-/// newest one seen have no effect.
+/// and ends to the checker. Of its ended attempts it lists the earliest only.
+/// Commands of an agent incarnation older than the newest one seen have no
+/// effect.
 class FakeWorker {
 public:
   FakeWorker(WorkerConfig Config, Checker &Checker)
@@ -58,6 +63,8 @@
     Micros LeaseUntil_{0};
     /// Run time completed so far; a checkpoint holds this value.
     Micros WorkDone_{0};
+    /// Counts the ends of the worker's attempts; 0 while the attempt runs.
+    std::uint64_t EndNumber_ = 0;
     /// Whether the attempt's lease has expired since the attempt ended.
     bool LapsedSinceEnd_ = false;
   };
@@ -66,6 +73,9 @@
   auto find(const TaskId &Task, AttemptNumber Attempt) -> AttemptState *;
   auto leaseOf(const AttemptState &Each) const -> Micros;
   auto end(AttemptState &Each, TaskPhase Phase, ErrorKind Reason) -> void;
+  /// Whether the worker lists the attempt: it runs, or has ended before most
+  /// others that have.
+  auto isListed(const AttemptState &Each) const -> bool;
 
   WorkerConfig Config_;
   Checker &Checker_;
@@ -79,6 +89,7 @@
   /// The lease of all attempts of a worker that lists ids only; others have one
   /// for each attempt.
   Micros WorkerLease_{0};
+  std::uint64_t LastEndNumber_ = 0;
   bool Failing_ = false;
 };
 
