Ledger: no commit is larger than a value of the store, and a refusal is final

Seen: after 4.3 s without the store, in which 27 large jobs came, no job was accepted and no end of a task was recorded until the owner's process ended (LOST). Cause: a commit was limited to 512 records, not in bytes; a value of more than value_bytes was refused, which counted as a lost answer, so the same write was sent again for good. The estimate of a record's size left out steps, dependencies and checkpoints. Change: the limit of each store is a setting (store.value_bytes; by default that of Consul). Sizes are those of the encoding (EncodedSize). New work is refused while 4 MB wait. A write that the store refuses is read back, split, and, if it is a single record, dropped; its callers are answered, it is logged (store-refused-write) and counted (skylark_store_refusals_total). Not done: a registration that is refused is tried again without an end.

--- a/core/ConfigurationUpdater.cpp
+++ b/core/ConfigurationUpdater.cpp
@@ -187,6 +187,11 @@
                   retryOrFail(Now, Out);
                   return;
                 }
+                if (Result.Status_ == StoreStatus::Refused) {
+                  fail(ErrorKind::DocumentInvalid,
+                       "the store refuses the document", Out);
+                  return;
+                }
                 Running_->DocumentStored_ = true;
                 swapHead(Next, Index);
               });
@@ -202,6 +207,8 @@
                           EntryOutbox &Out) {
         if (Result.Status_ == StoreStatus::Ok)
           finish(Now, NewRevision, Out);
+        else if (Result.Status_ == StoreStatus::Refused)
+          fail(ErrorKind::DocumentInvalid, "the store refuses the head", Out);
         else
           retryOrFail(Now, Out);
       });
--- a/core/Counters.h
+++ b/core/Counters.h
@@ -50,6 +50,8 @@
   std::uint64_t TasksGivenUp_ = 0;
   std::uint64_t StoreCalls_ = 0;
   std::uint64_t StoreFailures_ = 0;
+  /// Writes that the store refused for good.
+  std::uint64_t StoreRefusals_ = 0;
 
   auto countRefusal(ErrorKind Kind) -> void {
     ++Refusals_[static_cast<std::size_t>(Kind)];
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -44,7 +44,8 @@
 
 EntryCore::EntryCore(EntryIdentity Identity)
     : Identity_(std::move(Identity)), Generator_(Identity_.Seed_),
-      Store_(Identity_.StoreCallsPerSecond_, Counters_),
+      Store_(Identity_.StoreCallsPerSecond_, Counters_,
+             Identity_.MaxValueSize_),
       View_(Identity_.Environment_,
             {Identity_.Entry_, Identity_.Incarnation_, Identity_.PeerAddress_,
              Identity_.CapacityMilliCores_},
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -24,6 +24,8 @@
   std::uint32_t CapacityMilliCores_ = 1000;
   ShardNumber ShardCount_ = 8;
   double StoreCallsPerSecond_ = 100;
+  /// Size in bytes of the largest value that the store takes.
+  std::size_t MaxValueSize_ = DefaultMaxValueSize;
   /// Time from the request to stop until the process may be killed.
   Millis StopTimeout_{12000};
   std::uint64_t Seed_ = 1;
--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -1,6 +1,7 @@
 #include "core/LedgerWriter.h"
 
 #include "core/Assert.h"
+#include "core/EncodedSize.h"
 #include "core/Mutation.h"
 
 #include <algorithm>
@@ -11,23 +12,28 @@
 
 /// Size, in bytes, at which a segment of a snapshot is full.
 constexpr std::size_t SnapshotSegmentSize = std::size_t{256} * 1024;
-constexpr std::size_t MaxRecordsPerCommit = 512;
+/// Size, in bytes, above which a commit takes no further record. Larger values
+/// take long on the links of small instances.
+constexpr std::size_t CommitSize = std::size_t{256} * 1024;
+/// Most bytes that a segment adds to its records.
+constexpr std::size_t SegmentOverhead = 32;
 /// A new snapshot is due once the commits after the last snapshot are as large
 /// as that snapshot and at least MinCompactionSize bytes, or once there are
 /// MaxCommitsBeforeCompaction of them.
 constexpr std::size_t MinCompactionSize = std::size_t{1024} * 1024;
 constexpr CommitNumber MaxCommitsBeforeCompaction = 3000;
 
-auto splitSnapshot(std::vector<LedgerRecord> Records)
+auto splitSnapshot(std::vector<LedgerRecord> Records, std::size_t MaxSize)
     -> std::deque<ShardSegment> {
   std::deque<ShardSegment> Segments;
-  std::size_t Size = SnapshotSegmentSize;
+  std::size_t Size = 0;
   for (auto &Record : Records) {
-    if (Size >= SnapshotSegmentSize) {
+    const auto RecordSize = encodedSize(Record);
+    if (Segments.empty() || Size + RecordSize > MaxSize) {
       Segments.emplace_back();
       Size = 0;
     }
-    Size += recordSize(Record);
+    Size += RecordSize;
     Segments.back().Records_.push_back(std::move(Record));
   }
   return Segments;
@@ -36,7 +42,7 @@
 auto sizeOf(const std::vector<LedgerRecord> &Records) -> std::size_t {
   std::size_t Size = 0;
   for (const auto &Record : Records)
-    Size += recordSize(Record);
+    Size += encodedSize(Record);
   return Size;
 }
 
@@ -114,6 +120,8 @@
 
 auto LedgerWriter::handleSwapResult(Moment Now, const StoreResult &Result)
     -> void {
+  WriteRefused_ = Result.Status_ == StoreStatus::Refused &&
+                  !isMutationActive(Mutation::UnlimitedCommits);
   if (Result.Status_ == StoreStatus::Ok)
     swapResolved(Now, true, Result.Index_);
   else
@@ -154,6 +162,10 @@
     swapResolved(Now, false, Index);
     return;
   }
+  if (WriteRefused_) {
+    giveUpWrite();
+    return;
+  }
   // The write has not taken effect yet and may still do so. Sending the same
   // write again is safe: only the first of them to arrive can succeed.
   swapHead(ShardHead(*InFlightHead_));
@@ -193,8 +205,10 @@
 
 auto LedgerWriter::applyCommittedBatch() -> void {
   ++Commits_;
-  CommitsSize_ += sizeOf(Batch_);
+  MaxBatch_ = MaxRecordsPerCommit;
   for (auto &Record : Batch_) {
+    countQueued(Record, false);
+    CommitsSize_ += encodedSize(Record);
     State_.apply(Record);
     Committed_.push_back(std::move(Record));
   }
@@ -271,14 +285,25 @@
       Phase_ == Phase::Owning || Phase_ == Phase::Releasing,
       "record appended to a shard that is not owned:", Identity_.Shard_);
   ++Appended_;
+  countQueued(Record, true);
   Pending_.push_back(std::move(Record));
 }
 
+auto LedgerWriter::countQueued(const LedgerRecord &Record, bool Added) -> void {
+  const auto Size = encodedSize(Record);
+  QueuedSize_ = Added ? QueuedSize_ + Size : QueuedSize_ - Size;
+}
+
+auto LedgerWriter::maxRecordSize() const -> std::size_t {
+  return Store_.maxValueSize() - SegmentOverhead;
+}
+
 auto LedgerWriter::withdraw(
     const std::function<bool(const LedgerRecord &)> &Matches) -> bool {
   for (auto Each = Pending_.begin(); Each != Pending_.end(); ++Each) {
     if (!Matches(*Each))
       continue;
+    countQueued(*Each, false);
     Pending_.erase(Each);
     return true;
   }
@@ -336,13 +361,39 @@
 }
 
 auto LedgerWriter::startBatch() -> void {
-  while (!Pending_.empty() && Batch_.size() < MaxRecordsPerCommit) {
+  const auto MaxSize = isMutationActive(Mutation::UnlimitedCommits)
+                           ? std::numeric_limits<std::size_t>::max()
+                           : std::min(CommitSize, maxRecordSize());
+  std::size_t Size = 0;
+  while (!Pending_.empty() && Batch_.size() < MaxBatch_) {
+    const auto RecordSize = encodedSize(Pending_.front());
+    if (!Batch_.empty() && Size + RecordSize > MaxSize)
+      break;
+    Size += RecordSize;
     Batch_.push_back(std::move(Pending_.front()));
     Pending_.pop_front();
   }
   swapHead(nextHead());
 }
 
+auto LedgerWriter::giveUpWrite() -> void {
+  InFlightHead_.reset();
+  WriteRefused_ = false;
+  if (Phase_ == Phase::Acquiring || Batch_.empty()) {
+    loseOwnership();
+    return;
+  }
+  if (Batch_.size() == 1) {
+    countQueued(Batch_.front(), false);
+    Refused_.push_back(std::move(Batch_.front()));
+  } else {
+    MaxBatch_ = Batch_.size() / 2;
+    Pending_.insert(Pending_.begin(), std::make_move_iterator(Batch_.begin()),
+                    std::make_move_iterator(Batch_.end()));
+  }
+  Batch_.clear();
+}
+
 auto LedgerWriter::nextHead() -> ShardHead {
   auto Next = Head_;
   Next.Write_ = newWriteId();
@@ -361,13 +412,14 @@
   const auto Commits = Head_.NextCommit_ - Head_.FirstCommit_;
   const auto Due = CommitsSize_ >= std::max(MinCompactionSize, SnapshotSize_) ||
                    Commits >= MaxCommitsBeforeCompaction;
-  if (Snapshot_ || !Due)
+  if (Snapshot_ || !Due || Head_.NextCommit_ < NextSnapshotCommit_)
     return;
-  auto Records = State_.snapshot();
+  const auto MaxSize = std::min(SnapshotSegmentSize, maxRecordSize());
+  auto Records = State_.snapshot(MaxSize - SegmentOverhead);
   Snapshot_.emplace();
   Snapshot_->EndCommit_ = Head_.NextCommit_;
   Snapshot_->Size_ = sizeOf(Records);
-  Snapshot_->PendingSegments_ = splitSnapshot(std::move(Records));
+  Snapshot_->PendingSegments_ = splitSnapshot(std::move(Records), MaxSize);
   CommitsSize_ = 0;
 }
 
@@ -390,6 +442,11 @@
           Snapshot_->WrittenSegments_.push_back(Segment);
           Snapshot_->PendingSegments_.pop_front();
         }
+        // The commits remain; another snapshot is tried after some more.
+        if (Result.Status_ == StoreStatus::Refused) {
+          NextSnapshotCommit_ = Head_.NextCommit_ + MaxCommitsBeforeCompaction;
+          Snapshot_.reset();
+        }
         advance();
       });
 }
@@ -423,12 +480,20 @@
   VerifyRequested_ = false;
   Pending_.clear();
   Batch_.clear();
+  QueuedSize_ = 0;
+  MaxBatch_ = MaxRecordsPerCommit;
+  NextSnapshotCommit_ = 0;
   Snapshot_.reset();
   Committed_.clear();
+  Refused_.clear();
 }
 
 auto LedgerWriter::takeCommitted() -> std::vector<LedgerRecord> {
   return std::exchange(Committed_, {});
 }
 
+auto LedgerWriter::takeRefused() -> std::vector<LedgerRecord> {
+  return std::exchange(Refused_, {});
+}
+
 } // namespace skylark
--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -22,7 +22,7 @@
 struct LedgerSnapshot {
   /// The number of the commit after the last one that the snapshot includes.
   CommitNumber EndCommit_ = 0;
-  /// Approximate size in bytes.
+  /// Encoded size in bytes.
   std::size_t Size_ = 0;
   std::deque<ShardSegment> PendingSegments_;
   /// The segment that is being written; empty if there is none.
@@ -84,18 +84,27 @@
   auto recordStart(const TaskId &Task) -> void { State_.recordStart(Task); }
   /// Returns the time until which earlier owners may still extend task leases.
   auto oldGrantsUntil() const -> TimePoint { return OldGrantsUntil_; }
-  /// Number of records that are not committed yet.
+  /// Number of records that are not committed yet, and their encoded size in
+  /// bytes.
   auto queued() const -> std::size_t { return Pending_.size() + Batch_.size(); }
+  auto queuedSize() const -> std::size_t { return QueuedSize_; }
+  /// Encoded size in bytes of the largest record that can be committed.
+  auto maxRecordSize() const -> std::size_t;
   /// Number of records that were ever appended, and of those among them that
   /// are not queued any more.
   auto appended() const -> std::uint64_t { return Appended_; }
   auto settled() const -> std::uint64_t { return Appended_ - queued(); }
   /// Returns the records committed since the last call.
   auto takeCommitted() -> std::vector<LedgerRecord>;
+  /// Returns the records that the store has refused since the last call. They
+  /// are not committed and not repeated.
+  auto takeRefused() -> std::vector<LedgerRecord>;
   /// Number of commits that this writer has made.
   auto commits() const -> std::uint64_t { return Commits_; }
 
 private:
+  static constexpr std::size_t MaxRecordsPerCommit = 512;
+
   enum class Phase : std::uint8_t {
     Idle,
     Reading,
@@ -121,6 +130,11 @@
   auto loadCommits() -> void;
   auto handleCommitsRead(const StoreResult &Result) -> void;
   auto startBatch() -> void;
+  /// Ends a write that the store refuses. A batch is split; a single record is
+  /// dropped.
+  auto giveUpWrite() -> void;
+  /// Adds to the size of the queued records, or subtracts from it.
+  auto countQueued(const LedgerRecord &Record, bool Added) -> void;
   /// Applies the records of the batch, which has just been committed.
   auto applyCommittedBatch() -> void;
   auto readToVerify() -> void;
@@ -171,9 +185,18 @@
   std::deque<LedgerRecord> Pending_;
   /// Records of the commit that is being written.
   std::vector<LedgerRecord> Batch_;
+  /// Encoded size of Pending_ and Batch_.
+  std::size_t QueuedSize_ = 0;
+  /// The most records of a commit; lower after a commit was refused.
+  std::size_t MaxBatch_ = MaxRecordsPerCommit;
+  /// Whether the store refused the last write of the head.
+  bool WriteRefused_ = false;
+  /// No snapshot starts before this commit, since the last one was refused.
+  CommitNumber NextSnapshotCommit_ = 0;
   std::optional<LedgerSnapshot> Snapshot_;
   /// Committed records that takeCommitted() has not returned yet.
   std::vector<LedgerRecord> Committed_;
+  std::vector<LedgerRecord> Refused_;
 };
 
 } // namespace skylark
--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -25,6 +25,7 @@
   InForceWithoutConfirmation,
   NewerDocumentIsNoContact,
   TakeListForWhole,
+  UnlimitedCommits,
   Count
 };
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1,6 +1,7 @@
 #include "core/ShardOwner.h"
 
 #include "core/Assert.h"
+#include "core/EncodedSize.h"
 #include "core/Mutation.h"
 #include "core/StaleReport.h"
 
@@ -51,8 +52,11 @@
 constexpr std::uint32_t MaxTasksPerJob = 20000;
 /// Size in bytes above which an answer is not kept with its claim.
 constexpr std::size_t MaxKeptAnswerSize = std::size_t{16} * 1024;
-/// Number of uncommitted records at which new work is refused.
+/// Number of uncommitted records, and their encoded size in bytes, at which new
+/// work is refused. A job takes many times its encoded size in memory.
 constexpr std::size_t MaxQueuedRecords = 20000;
+constexpr std::size_t MaxQueuedSize = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t MaxCheckpointSize = std::size_t{64} * 1024;
 constexpr std::size_t MaxKeySize = 64;
 /// A key begins with its date, YYYYMMDD.
 constexpr std::size_t KeyDateSize = 8;
@@ -446,7 +450,8 @@
     refuse(Token, Problem, Detail, Out);
     return;
   }
-  if (Ledger_.queued() >= MaxQueuedRecords) {
+  if (Ledger_.queued() >= MaxQueuedRecords ||
+      Ledger_.queuedSize() >= MaxQueuedSize) {
     refuse(Token, ErrorKind::QueueFull, "ledger of the shard", Out);
     return;
   }
@@ -458,6 +463,21 @@
         AnswerCaller{Token, jobAnswer(state(), *ExistingJob, StateOnly)});
     return;
   }
+  Job New;
+  New.Id_ = Id;
+  New.Declaration_ = Declaration;
+  New.SubmittedAt_ = Now.Wall_;
+  New.Tasks_.resize(Declaration.taskCount());
+  JobAdded Record{std::move(New)};
+  const auto Size = encodedSize(LedgerRecord{Record});
+  if (Size > Ledger_.maxRecordSize()) {
+    refuse(Token, ErrorKind::BodyTooLarge,
+           "the job takes " + std::to_string(Size) +
+               " bytes; the store takes at most " +
+               std::to_string(Ledger_.maxRecordSize()),
+           Out);
+    return;
+  }
   auto &JobCallers = SubmitCallers_[Id];
   const auto Refusal = Submission.Key_.empty() ? ErrorKind::StoreUnavailable
                                                : ErrorKind::KeyNotChecked;
@@ -465,12 +485,7 @@
       {Token, Now.Steady_ + CallerTimeout, Refusal, StateOnly});
   if (JobCallers.size() > 1)
     return;
-  Job New;
-  New.Id_ = Id;
-  New.Declaration_ = Declaration;
-  New.SubmittedAt_ = Now.Wall_;
-  New.Tasks_.resize(Declaration.taskCount());
-  Ledger_.append(JobAdded{std::move(New)});
+  Ledger_.append(std::move(Record));
   Ledger_.advance();
 }
 
@@ -679,6 +694,10 @@
 
 auto ShardOwner::propose(const TaskId &Task, TaskChanged Change) -> void {
   Change.Task_ = Task;
+  // A checkpoint that can't be stored is dropped: the task resumes from the
+  // last one that was.
+  if (Change.Checkpoint_.Value_.size() > MaxCheckpointSize)
+    Change.Checkpoint_ = state().findTask(Task)->Checkpoint_;
   Proposed_.insert(Task);
   if (Change.State_ == TaskState::Failed)
     Failing_.insert(Task.Job_);
@@ -748,6 +767,65 @@
       Out);
 }
 
+auto ShardOwner::committed(Moment /*Now*/, const TasksRestored & /*Record*/,
+                           EntryOutbox & /*Out*/) -> void {}
+
+// Records that the store refuses.
+
+auto ShardOwner::refuseCallers(
+    std::map<JobId, std::vector<WaitingCaller>> &Callers, const JobId &Job,
+    ErrorKind Kind, EntryOutbox &Out) -> void {
+  const auto Found = Callers.find(Job);
+  if (Found == Callers.end())
+    return;
+  for (const auto &Caller : Found->second)
+    refuse(Caller.Token_, Kind, "the store refuses to record it", Out);
+  Callers.erase(Found);
+}
+
+auto ShardOwner::refused(const JobAdded &Record, EntryOutbox &Out) -> void {
+  refuseCallers(SubmitCallers_, Record.Job_.Id_, ErrorKind::BodyTooLarge, Out);
+}
+
+auto ShardOwner::refused(const JobCancelled &Record, EntryOutbox &Out) -> void {
+  Cancelling_.erase(Record.Job_);
+  refuseCallers(CancelCallers_, Record.Job_, ErrorKind::StoreUnavailable, Out);
+}
+
+auto ShardOwner::refused(const TaskChanged &Record, EntryOutbox & /*Out*/)
+    -> void {
+  Proposed_.erase(Record.Task_);
+  const auto *Job = state().findJob(Record.Task_.Job_);
+  if (Record.State_ == TaskState::Failed)
+    Failing_.erase(Record.Task_.Job_);
+  if (Record.State_ != TaskState::Bound || Job == nullptr)
+    return;
+  Crashes_.endTrial(Record.Agent_, Record.Task_);
+  Usage_.release(*Job, Record.Task_);
+}
+
+auto ShardOwner::refused(const ClaimOpened &Record, EntryOutbox &Out) -> void {
+  AbandonedKeys_.erase(Record.Key_);
+  const auto Found = PendingClaims_.find(Record.Key_);
+  if (Found == PendingClaims_.end() ||
+      Found->second.Request_ != Record.Request_)
+    return;
+  refuse(Found->second.Token_, ErrorKind::KeyNotChecked, Record.Key_.Value_,
+         Out);
+  PendingClaims_.erase(Found);
+}
+
+auto ShardOwner::refused(const ClaimClosed &Record, EntryOutbox & /*Out*/)
+    -> void {
+  // The outcome is kept without its answer.
+  auto WithoutAnswer = Record;
+  if (WithoutAnswer.Body_.empty())
+    return;
+  WithoutAnswer.Body_.clear();
+  WithoutAnswer.Error_ = ErrorKind::AnswerNotKept;
+  Ledger_.append(std::move(WithoutAnswer));
+}
+
 // Binding.
 
 auto ShardOwner::mayHost(Moment Now, const Target &Candidate, const Job &Job,
@@ -1616,6 +1694,8 @@
     for (auto *Each : Context_.Targets_.all())
       agentJoined(Now, *Each, Out);
   }
+  for (const auto &Record : Ledger_.takeRefused())
+    std::visit([&](const auto &Each) { refused(Each, Out); }, Record);
   const auto Committed = Ledger_.takeCommitted();
   for (const auto &Record : Committed)
     std::visit([&](const auto &Each) { committed(Now, Each, Out); }, Record);
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -390,6 +390,22 @@
       -> void;
   auto committed(Moment Now, const ClaimRemoved &Record, EntryOutbox &Out)
       -> void;
+  auto committed(Moment Now, const TasksRestored &Record, EntryOutbox &Out)
+      -> void;
+
+  // Handlers of records that the store refuses: they answer waiting callers,
+  // and undo what the proposal of the record has changed.
+
+  auto refused(const JobAdded &Record, EntryOutbox &Out) -> void;
+  auto refused(const JobCancelled &Record, EntryOutbox &Out) -> void;
+  auto refused(const TaskChanged &Record, EntryOutbox &Out) -> void;
+  auto refused(const ClaimOpened &Record, EntryOutbox &Out) -> void;
+  auto refused(const ClaimClosed &Record, EntryOutbox &Out) -> void;
+  template <typename Other>
+  auto refused(const Other & /*Record*/, EntryOutbox & /*Out*/) -> void {}
+  auto refuseCallers(std::map<JobId, std::vector<WaitingCaller>> &Callers,
+                     const JobId &Job, ErrorKind Kind, EntryOutbox &Out)
+      -> void;
 
   ShardNumber Shard_;
   LedgerWriter Ledger_;
--- a/core/ShardState.cpp
+++ b/core/ShardState.cpp
@@ -1,6 +1,9 @@
 #include "core/ShardState.h"
 
 #include "core/Assert.h"
+#include "core/EncodedSize.h"
+
+#include <algorithm>
 
 namespace skylark {
 namespace {
@@ -28,6 +31,32 @@
   }
 }
 
+/// Appends the records of a job: one if it has at most `MaxSize` bytes, and
+/// otherwise the job as it was submitted and the states of its tasks in parts.
+auto addJob(const Job &Added, std::size_t MaxSize,
+            std::vector<LedgerRecord> &Records) -> void {
+  if (encodedSize(Added) <= MaxSize) {
+    Records.emplace_back(JobAdded{Added});
+    return;
+  }
+  auto Submitted = Added;
+  Submitted.Tasks_.assign(Added.Tasks_.size(), {});
+  Records.emplace_back(JobAdded{std::move(Submitted)});
+  std::size_t Size = MaxSize;
+  TasksRestored *Part = nullptr;
+  for (std::uint32_t Position = 0; Position < Added.Tasks_.size(); ++Position) {
+    const auto &Task = Added.Tasks_[Position];
+    const auto TaskSize = encodedSize(Task);
+    if (Part == nullptr || Size + TaskSize > MaxSize) {
+      Records.emplace_back(TasksRestored{Added.Id_, Position, {}});
+      Part = &std::get<TasksRestored>(Records.back());
+      Size = encodedSize(Added.Id_);
+    }
+    Part->Tasks_.push_back(Task);
+    Size += TaskSize;
+  }
+}
+
 auto isUnstarted(const Job &Each, const JobProgress &Progress) -> bool {
   return jobState(Each, Progress) == JobState::Queued;
 }
@@ -166,11 +195,23 @@
   });
 }
 
-auto ShardState::snapshot() const -> std::vector<LedgerRecord> {
+auto ShardState::apply(const TasksRestored &Record) -> void {
+  changeJob(Record.Job_, [&](Job &Restored, JobProgress &Progress) {
+    SKYLARK_ASSERT(Record.First_ + Record.Tasks_.size() <=
+                       Restored.Tasks_.size(),
+                   "no such tasks:", Record.Job_, Record.First_);
+    std::copy(Record.Tasks_.begin(), Record.Tasks_.end(),
+              Restored.Tasks_.begin() + Record.First_);
+    Progress = JobProgress(Restored);
+  });
+}
+
+auto ShardState::snapshot(std::size_t MaxSize) const
+    -> std::vector<LedgerRecord> {
   std::vector<LedgerRecord> Records;
   Records.reserve(Jobs_.size() + 2 * Claims_.size());
   for (const auto &Each : Jobs_)
-    Records.emplace_back(JobAdded{Each.second});
+    addJob(Each.second, MaxSize, Records);
   for (const auto &[Key, Claim] : Claims_) {
     Records.emplace_back(
         ClaimOpened{Key, Claim.RequestDigest_, Claim.Request_, Claim.At_});
@@ -208,19 +249,4 @@
   return Found == Claims_.end() ? nullptr : &Found->second;
 }
 
-auto recordSize(const LedgerRecord &Record) -> std::size_t {
-  constexpr std::size_t RecordOverhead = 96;
-  constexpr std::size_t TaskSize = 48;
-  constexpr std::size_t HistoryItemSize = 40;
-  if (const auto *Added = std::get_if<JobAdded>(&Record)) {
-    auto Size = RecordOverhead + Added->Job_.Declaration_.Payload_.size();
-    for (const auto &Task : Added->Job_.Tasks_)
-      Size += TaskSize + HistoryItemSize * Task.History_.size();
-    return Size;
-  }
-  if (const auto *Closed = std::get_if<ClaimClosed>(&Record))
-    return RecordOverhead + Closed->Body_.size();
-  return RecordOverhead;
-}
-
 } // namespace skylark
--- a/core/ShardState.h
+++ b/core/ShardState.h
@@ -103,9 +103,23 @@
   }
 };
 
+/// Sets the state of some tasks of a job, next to each other. A snapshot has
+/// these for a job that is too large for one value of the store.
+struct TasksRestored {
+  JobId Job_;
+  /// Position of the first of them.
+  std::uint32_t First_ = 0;
+  std::vector<TaskStatus> Tasks_;
+
+  static constexpr auto fields() {
+    return std::make_tuple(&TasksRestored::Job_, &TasksRestored::First_,
+                           &TasksRestored::Tasks_);
+  }
+};
+
 using LedgerRecord =
     std::variant<JobAdded, JobCancelled, TaskChanged, JobRemoved, ClaimOpened,
-                 ClaimClosed, ClaimRemoved>;
+                 ClaimClosed, ClaimRemoved, TasksRestored>;
 
 /// The claim of an idempotency key by one request; open until the request's
 /// outcome is recorded.
@@ -131,7 +145,9 @@
   auto recordStart(const TaskId &Id) -> void;
   /// Returns records that result in this state when applied in order to an
   /// empty one, for compaction.
-  auto snapshot() const -> std::vector<LedgerRecord>;
+  /// \param MaxSize size in bytes above which a job is split into several
+  /// records.
+  auto snapshot(std::size_t MaxSize) const -> std::vector<LedgerRecord>;
 
   auto findJob(const JobId &Id) const -> const Job *;
   auto findTask(const TaskId &Id) const -> const TaskStatus *;
@@ -153,6 +169,7 @@
   auto apply(const ClaimOpened &Record) -> void;
   auto apply(const ClaimClosed &Record) -> void;
   auto apply(const ClaimRemoved &Record) -> void;
+  auto apply(const TasksRestored &Record) -> void;
 
   /// Calls `Change` with a job and its counts, and updates the number of
   /// unstarted jobs. No effect if there is no such job.
@@ -166,7 +183,4 @@
   std::map<IdempotencyKey, Claim> Claims_;
 };
 
-/// Returns the approximate encoded size of a record, in bytes.
-auto recordSize(const LedgerRecord &Record) -> std::size_t;
-
 } // namespace skylark
--- a/core/StoreCalls.cpp
+++ b/core/StoreCalls.cpp
@@ -57,4 +57,33 @@
   return {shardPath(Environment, Shard) + "/commits/"};
 }
 
+namespace {
+
+auto keyOf(const ReadValue &Operation) -> std::string {
+  return Operation.Key_.Path_;
+}
+auto keyOf(const WriteValue &Operation) -> std::string {
+  return Operation.Key_.Path_;
+}
+auto keyOf(const CompareAndSwap &Operation) -> std::string {
+  return Operation.AdditionalWrite_
+             ? Operation.Key_.Path_ + ", " + keyOf(*Operation.AdditionalWrite_)
+             : Operation.Key_.Path_;
+}
+auto keyOf(const DeleteValue &Operation) -> std::string {
+  return Operation.Key_.Path_;
+}
+auto keyOf(const WriteUnderLease &Operation) -> std::string {
+  return Operation.Key_.Path_;
+}
+template <typename Other> auto keyOf(const Other & /*Operation*/) {
+  return std::string();
+}
+
+} // namespace
+
+auto keyText(const StoreOperation &Operation) -> std::string {
+  return std::visit([](const auto &Each) { return keyOf(Each); }, Operation);
+}
+
 } // namespace skylark
--- a/core/StoreCalls.h
+++ b/core/StoreCalls.h
@@ -175,8 +175,18 @@
                  WriteUnderLease, ReadEntries, ReadSegments, DeleteValues>;
 
 /// Unavailable includes a call whose answer was lost, which may have taken
-/// effect.
-enum class StoreStatus : std::uint8_t { Ok, Conflict, NotFound, Unavailable };
+/// effect. A write that was refused had no effect, and won't have if it is
+/// repeated.
+enum class StoreStatus : std::uint8_t {
+  Ok,
+  Conflict,
+  NotFound,
+  Unavailable,
+  Refused
+};
+
+/// The keys of a call, for the log; empty if it concerns none.
+auto keyText(const StoreOperation &Operation) -> std::string;
 
 struct RegisteredEntry {
   EntryRegistration Registration_;
--- a/core/StoreClient.cpp
+++ b/core/StoreClient.cpp
@@ -37,7 +37,7 @@
     auto Next = std::move(Queue_.front());
     Queue_.pop_front();
     const auto Call = ++LastCall_;
-    PendingHandlers_[Call] = std::move(Next.Handler_);
+    PendingCalls_[Call] = {std::move(Next.Handler_), keyText(Next.Operation_)};
     ++Counters_.StoreCalls_;
     Out.push_back(CallStore{Call, std::move(Next.Operation_)});
   }
@@ -45,18 +45,23 @@
 
 auto StoreClient::answered(Moment Now, const StoreResult &Result,
                            EntryOutbox &Out) -> void {
-  const auto Found = PendingHandlers_.find(Result.Call_);
-  if (Found == PendingHandlers_.end())
+  const auto Found = PendingCalls_.find(Result.Call_);
+  if (Found == PendingCalls_.end())
     return;
-  const auto Handler = std::move(Found->second);
-  PendingHandlers_.erase(Found);
+  const auto Call = std::move(Found->second);
+  PendingCalls_.erase(Found);
   if (Result.Status_ == StoreStatus::Unavailable) {
     ++Counters_.StoreFailures_;
     BackoffUntil_ = Now.Steady_ + backoffAfter(++ConsecutiveFailures_);
   } else {
     ConsecutiveFailures_ = 0;
   }
-  Handler(Now, Result, Out);
+  if (Result.Status_ == StoreStatus::Refused) {
+    ++Counters_.StoreRefusals_;
+    Out.push_back(LogDecision{"store-refused-write", Call.Key_, 0,
+                              ErrorKind::BodyTooLarge, ""});
+  }
+  Call.Handler_(Now, Result, Out);
 }
 
 } // namespace skylark
--- a/core/StoreClient.h
+++ b/core/StoreClient.h
@@ -12,6 +12,10 @@
 
 namespace skylark {
 
+/// Consul takes 512 KB in one transaction, in which values are written in
+/// base64.
+inline constexpr std::size_t DefaultMaxValueSize = std::size_t{380} * 1024;
+
 /// Receives the result of one store call.
 using StoreHandler =
     std::function<void(Moment, const StoreResult &, EntryOutbox &)>;
@@ -22,9 +26,12 @@
 public:
   /// \param CallsPerSecond the sustained call rate of this entry, and the
   /// largest number of calls in a burst.
-  StoreClient(double CallsPerSecond, Counters &Counters)
+  /// \param MaxValueSize size in bytes of the largest value that the store
+  /// takes.
+  StoreClient(double CallsPerSecond, Counters &Counters,
+              std::size_t MaxValueSize = DefaultMaxValueSize)
       : CallsPerSecond_(CallsPerSecond), Tokens_(CallsPerSecond),
-        Counters_(Counters) {}
+        Counters_(Counters), MaxValueSize_(MaxValueSize) {}
 
   /// Queues a call; the handler runs when its result arrives.
   auto call(StoreOperation Operation, StoreHandler Handler) -> void;
@@ -34,6 +41,7 @@
   auto answered(Moment Now, const StoreResult &Result, EntryOutbox &Out)
       -> void;
   auto queuedCalls() const -> std::size_t { return Queue_.size(); }
+  auto maxValueSize() const -> std::size_t { return MaxValueSize_; }
 
 private:
   struct QueuedCall {
@@ -45,6 +53,7 @@
   double CallsPerSecond_;
   double Tokens_;
   Counters &Counters_;
+  std::size_t MaxValueSize_;
   TimePoint RefilledAt_{};
   /// Consecutive calls for which the store was unavailable.
   int ConsecutiveFailures_ = 0;
@@ -52,8 +61,12 @@
   TimePoint BackoffUntil_{};
   std::uint64_t LastCall_ = 0;
   std::deque<QueuedCall> Queue_;
-  /// Handlers of the calls in flight, by call number.
-  std::unordered_map<std::uint64_t, StoreHandler> PendingHandlers_;
+  struct PendingCall {
+    StoreHandler Handler_;
+    std::string Key_;
+  };
+  /// The calls in flight, by call number.
+  std::unordered_map<std::uint64_t, PendingCall> PendingCalls_;
 };
 
 } // namespace skylark
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -29,6 +29,7 @@
     {"skylark_tasks_given_up_total", &Counters::TasksGivenUp_},
     {"skylark_store_calls_total", &Counters::StoreCalls_},
     {"skylark_store_failures_total", &Counters::StoreFailures_},
+    {"skylark_store_refusals_total", &Counters::StoreRefusals_},
 };
 
 struct GaugeMetric {
--- a/runtime/ConsulStore.cpp
+++ b/runtime/ConsulStore.cpp
@@ -80,6 +80,8 @@
 constexpr std::uint16_t HttpOk = 200;
 constexpr std::uint16_t HttpNotFound = 404;
 constexpr std::uint16_t HttpConflict = 409;
+constexpr std::uint16_t HttpBadRequest = 400;
+constexpr std::uint16_t HttpBodyTooLarge = 413;
 
 auto baseResult(const HttpResult &Answer) -> StoreResult {
   StoreResult Result;
@@ -90,6 +92,16 @@
   return Result;
 }
 
+/// Returns the result of a write. Consul answers 413 to a value that is too
+/// large, and 400 to a transaction that it can't carry out.
+auto writeResult(const HttpResult &Answer) -> StoreResult {
+  auto Result = baseResult(Answer);
+  if (Answer.Complete_ &&
+      (Answer.Status_ == HttpBodyTooLarge || Answer.Status_ == HttpBadRequest))
+    Result.Status_ = StoreStatus::Refused;
+  return Result;
+}
+
 auto interpret(const ReadEnvironment & /*Operation*/, const HttpResult &Answer,
                RejectedItems &Rejected) -> StoreResult {
   auto Result = baseResult(Answer);
@@ -121,7 +133,7 @@
 
 auto interpret(const CompareAndSwap & /*Operation*/, const HttpResult &Answer,
                RejectedItems & /*Rejected*/) -> StoreResult {
-  auto Result = baseResult(Answer);
+  auto Result = writeResult(Answer);
   if (Result.Status_ == StoreStatus::Ok)
     Result.Index_ = Json::parse(Answer.Body_)
                         .at("Results")
--- a/test/correctness/FleetFixture.h
+++ b/test/correctness/FleetFixture.h
@@ -46,13 +46,24 @@
     advance(Millis{1500});
   }
 
-  auto submit(const std::string &Job, JobDeclaration Declaration) -> void {
+  /// Submits a job. \returns a token for errorOf().
+  auto submit(const std::string &Job, JobDeclaration Declaration)
+      -> CallerToken {
     SubmitToQueue Request;
     Request.Address_ = {"portal.example", "/jobs/" + Job};
     Request.Declaration_ = std::move(Declaration);
     runEntry([&](EntryCore &Core, EntryOutbox &Out) {
       Core.callerAsked(Now_, ++LastToken_, Request, Out);
     });
+    return LastToken_;
+  }
+  /// The error in the answer to a caller; None if there is none.
+  auto errorOf(CallerToken Token) const -> ErrorKind {
+    const auto Found = Replies_.find(Token);
+    if (Found == Replies_.end())
+      return ErrorKind::None;
+    const auto *Reply = std::get_if<ErrorReply>(&Found->second);
+    return Reply == nullptr ? ErrorKind::None : Reply->Kind_;
   }
   auto submit(const std::string &Job, StepDeclaration Step) -> void {
     JobDeclaration Declaration;
--- a/test/correctness/FleetTest.cpp
+++ b/test/correctness/FleetTest.cpp
@@ -28,10 +28,33 @@
   }
 };
 
+/// A job of steps that each depend on all earlier ones.
+auto sequenceOf(std::uint32_t Steps) -> JobDeclaration {
+  JobDeclaration Sequence;
+  Sequence.Steps_.resize(Steps);
+  for (std::uint32_t Step = 0; Step < Steps; ++Step) {
+    Sequence.Steps_[Step].RunTime_ = ShortRunTime;
+    Sequence.Steps_[Step].Resources_ = {1000, 100, 0};
+    Sequence.Steps_[Step].Dependencies_.resize(Step);
+    std::iota(Sequence.Steps_[Step].Dependencies_.begin(),
+              Sequence.Steps_[Step].Dependencies_.end(), 0U);
+  }
+  return Sequence;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Fleet)
 
+BOOST_AUTO_TEST_CASE(AJobTooLargeForTheStoreIsRefusedAtOnce) {
+  FleetFixture Fixture(4);
+  const auto Refused = Fixture.submit("large", sequenceOf(900));
+  Fixture.submitShort("short", 4);
+  BOOST_TEST((Fixture.errorOf(Refused) == ErrorKind::BodyTooLarge));
+  Fixture.advance(2 * ShortRunTime + Millis{1000});
+  BOOST_TEST((Fixture.state("short") == JobState::Completed));
+}
+
 BOOST_FIXTURE_TEST_CASE(CallersGetABurstOfBestEffortJobsInTime, BurstFixture) {
   int Completed = 0;
   for (int Job = 0; Job < JobCount; ++Job)
@@ -90,16 +113,7 @@
 // the entry that took it answered nothing any more.
 BOOST_AUTO_TEST_CASE(AJobOfManyDependentStepsHoldsUpNoOtherJob) {
   FleetFixture Fixture(4);
-  JobDeclaration Sequence;
-  Sequence.Steps_.resize(36);
-  for (std::uint32_t Step = 0; Step < Sequence.Steps_.size(); ++Step) {
-    Sequence.Steps_[Step].RunTime_ = ShortRunTime;
-    Sequence.Steps_[Step].Resources_ = {1000, 100, 0};
-    Sequence.Steps_[Step].Dependencies_.resize(Step);
-    std::iota(Sequence.Steps_[Step].Dependencies_.begin(),
-              Sequence.Steps_[Step].Dependencies_.end(), 0U);
-  }
-  Fixture.submit("sequence", Sequence);
+  Fixture.submit("sequence", sequenceOf(36));
   Fixture.submitShort("short", 4);
   Fixture.advance(2 * ShortRunTime + Millis{1000});
   BOOST_TEST((Fixture.state("short") == JobState::Completed));
--- a/test/correctness/LedgerTest.cpp
+++ b/test/correctness/LedgerTest.cpp
@@ -2,6 +2,7 @@
 /// Tests group commit, lost store answers, fencing and compaction of a shard's
 /// ledger.
 
+#include "core/EncodedSize.h"
 #include "core/LedgerWriter.h"
 #include "test/fuzz/FakeStore.h"
 #include "wire/Cbor.h"
@@ -32,6 +33,7 @@
         const auto *Call = std::get_if<CallStore>(&Each);
         if (Call == nullptr)
           continue;
+        recordWrite(Call->Operation_);
         auto Result = Store_.apply(Micros{0}, Call->Operation_);
         if (std::holds_alternative<CompareAndSwap>(Call->Operation_) &&
             AnswersToDrop-- > 0)
@@ -49,6 +51,17 @@
     runStoreCalls();
   }
 
+  auto recordWrite(const StoreOperation &Operation) -> void {
+    if (const auto *Swap = std::get_if<CompareAndSwap>(&Operation))
+      if (Swap->AdditionalWrite_)
+        LargestWrite_ = std::max(LargestWrite_,
+                                 encode(Swap->AdditionalWrite_->Value_).size());
+    if (const auto *Write = std::get_if<WriteValue>(&Operation))
+      LargestWrite_ = std::max(LargestWrite_, encode(Write->Value_).size());
+  }
+
+  /// Size in bytes of the largest value written.
+  std::size_t LargestWrite_ = 0;
   /// Runs in each round, while calls are in flight.
   std::function<void()> BeforeAnswers_;
   Moment Now_{TimePoint(Seconds{100}), {}};
@@ -63,10 +76,130 @@
   return ClaimOpened{{"20261204-" + Name}, 1, {"r-" + Name}, {}};
 }
 
+constexpr std::size_t MaxValueSize = std::size_t{1024} * 1024;
+
+/// A schedule of two tasks for a month, with a long payload.
+auto scheduleRecord(int Number) -> LedgerRecord {
+  Job Added;
+  Added.Id_ = {"schedule-" + std::to_string(Number)};
+  Added.Declaration_.Payload_.assign(4000, 'x');
+  Added.Declaration_.Steps_.front().TaskCount_ = 2;
+  Added.Declaration_.Occurrences_ = 1600;
+  Added.Tasks_.resize(Added.Declaration_.taskCount());
+  return JobAdded{Added};
+}
+
+auto finishRecord(const JobId &Id, std::uint32_t Index, bool Bind)
+    -> LedgerRecord {
+  TaskChanged Change;
+  Change.Task_ = {Id, Index};
+  Change.State_ = Bind ? TaskState::Bound : TaskState::Finished;
+  Change.Attempt_ = 1;
+  Change.Agent_ = {"side-tas-hobart-12"};
+  Change.DataCentre_ = {"tas-hobart"};
+  Change.Worker_ = 1796500000000;
+  Change.At_ = WallTime{Millis{1796500000000}};
+  return Change;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Ledger)
 
+// All that had queued up while the store was down was written as one value,
+// which the store refused for good.
+BOOST_AUTO_TEST_CASE(NoCommitIsLargerThanAValueOfTheStore) {
+  Fuzz::FakeStore Store;
+  LedgerFixture Fixture(Store, "a");
+  Fixture.acquire();
+  for (int Number = 0; Number < 27; ++Number)
+    Fixture.Writer_.append(scheduleRecord(Number));
+  Fixture.runStoreCalls();
+  BOOST_TEST(Fixture.LargestWrite_ <= MaxValueSize);
+  BOOST_TEST(Fixture.Writer_.takeCommitted().size() == 27U);
+}
+
+// A job that is larger than a value of the store once its tasks have run made
+// each snapshot fail.
+BOOST_AUTO_TEST_CASE(ALargeJobIsSplitInASnapshot) {
+  Fuzz::FakeStore Store;
+  LedgerFixture First(Store, "a");
+  First.acquire();
+  constexpr std::uint32_t Tasks = 20000;
+  Job Added;
+  Added.Id_ = {"large"};
+  Added.Declaration_.Steps_.front().TaskCount_ = Tasks;
+  Added.Tasks_.resize(Tasks);
+  First.Writer_.append(JobAdded{Added});
+  for (const auto Bind : {true, false}) {
+    for (std::uint32_t Index = 0; Index < Tasks; ++Index)
+      First.Writer_.append(finishRecord(Added.Id_, Index, Bind));
+    First.runStoreCalls();
+  }
+  for (int Number = 0; Number < 30; ++Number)
+    First.Writer_.append(scheduleRecord(Number));
+  First.runStoreCalls();
+  BOOST_TEST(First.LargestWrite_ <= MaxValueSize);
+  const auto Head =
+      Store.apply(Micros{0}, ReadValue{shardHeadKey({"test"}, 0)});
+  BOOST_TEST(std::get<ShardHead>(Head.Value_).Segments_.size() > 1U);
+  LedgerFixture Second(Store, "b");
+  Second.acquire();
+  BOOST_REQUIRE(Second.Writer_.owning());
+  const auto &State = Second.Writer_.state();
+  BOOST_REQUIRE(State.findJob(Added.Id_) != nullptr);
+  BOOST_TEST(State.progressOf(Added.Id_).isOver());
+  BOOST_TEST(State.findTask({Added.Id_, Tasks - 1})->History_.size() == 2U);
+  BOOST_TEST(encode(StoreValue{
+                 ShardSegment{0, {JobAdded{*State.findJob(Added.Id_)}}}}) ==
+             encode(StoreValue{ShardSegment{
+                 0, {JobAdded{*First.Writer_.state().findJob(Added.Id_)}}}}));
+}
+
+BOOST_AUTO_TEST_CASE(ARecordThatTheStoreRefusesHoldsUpNoOther) {
+  Fuzz::FakeStore Store;
+  Store.MaxValueSize_ = 20000;
+  LedgerFixture Fixture(Store, "a");
+  Fixture.acquire();
+  for (int Number = 0; Number < 40; ++Number)
+    Fixture.Writer_.append(claimRecord(Number));
+  Fixture.Writer_.append(scheduleRecord(1));
+  for (int Number = 40; Number < 80; ++Number)
+    Fixture.Writer_.append(claimRecord(Number));
+  Fixture.runStoreCalls();
+  BOOST_TEST(Fixture.Writer_.owning());
+  BOOST_TEST(Fixture.Writer_.takeRefused().size() == 1U);
+  BOOST_TEST(Fixture.Writer_.takeCommitted().size() == 80U);
+  BOOST_TEST(Fixture.Writer_.queued() == 0U);
+  BOOST_TEST(Fixture.Writer_.queuedSize() == 0U);
+  BOOST_TEST(Fixture.Counters_.StoreRefusals_ > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(SizesAreThoseOfTheEncodedRecords) {
+  auto Large = std::get<JobAdded>(scheduleRecord(1));
+  auto &Declaration = Large.Job_.Declaration_;
+  Declaration.Steps_.front().Resources_ = {70000, 1 << 20, 3};
+  Declaration.Interval_ = Millis{-1};
+  Declaration.Steps_.front().Dependencies_.resize(300, 255);
+  auto &Task = Large.Job_.Tasks_.front();
+  Task.Checkpoint_ = {std::string(300, 'c')};
+  Task.History_ = {{1, TaskState::Bound, {"a"}, {"b"}, WallTime{Seconds{5}}}};
+  Task.SilentLosses_ = {{{"agent"}, 70000, {1, 2, 3}}};
+  const std::vector<LedgerRecord> Records{
+      Large,
+      scheduleRecord(2),
+      finishRecord({"large"}, 70000, true),
+      TaskChanged{},
+      JobCancelled{{"j"}, WallTime{Millis{-5}}},
+      claimRecord(3),
+      ClaimClosed{{"k"}, {"r"}, ErrorKind::None, 200, std::string(30, 'b'), {}},
+      TasksRestored{{"j"}, 24, {Task, TaskStatus{}}}};
+  for (const auto &Each : Records) {
+    const StoreValue Value{ShardSegment{1, {Each}}};
+    BOOST_TEST(encodedSize(Value) == encode(Value).size());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CommitsRecordsInGroups) {
   Fuzz::FakeStore Store;
   LedgerFixture Fixture(Store, "a");
--- a/test/correctness/MetadataStoreTest.cpp
+++ b/test/correctness/MetadataStoreTest.cpp
@@ -38,7 +38,9 @@
     HttpResult Answer;
     Answer.Complete_ = true;
     Answer.Status_ = 200;
-    if (Path.rfind("/kv-range", 0) == 0)
+    if (Path == "/kv-txn")
+      Answer.Status_ = WriteStatus_;
+    else if (Path.rfind("/kv-range", 0) == 0)
       Answer.Body_ = range(parameter(Path, "prefix"), parameter(Path, "after"));
     else if (std::stoull(parameter(Path, "after")) < OldestRevision_)
       Answer.Status_ = 410;
@@ -72,6 +74,8 @@
   /// Drops the history, so that watches from older revisions fail.
   auto dropHistory() -> void { OldestRevision_ = Revision_; }
 
+  /// The status with which it answers each write.
+  std::uint16_t WriteStatus_ = 200;
   /// Number of items on a page of a range read.
   std::size_t PageSize_ = 500;
   std::size_t MaxAnswerSize_ = std::size_t{16} * 1024 * 1024;
@@ -414,4 +418,21 @@
   BOOST_TEST(Service_ == "s1");
 }
 
+// A refusal was taken for a lost answer, and the write was repeated for good.
+BOOST_AUTO_TEST_CASE(ARefusedWriteIsNotALostAnswer) {
+  FakeHttpStore Http;
+  Platform::MetadataStore Store(Http, "store:1", {});
+  const std::vector<std::pair<std::uint16_t, StoreStatus>> Statuses{
+      {400, StoreStatus::Refused},     {403, StoreStatus::Refused},
+      {413, StoreStatus::Refused},     {412, StoreStatus::Conflict},
+      {429, StoreStatus::Unavailable}, {503, StoreStatus::Unavailable}};
+  for (const auto &[Status, Expected] : Statuses) {
+    Http.WriteStatus_ = Status;
+    StoreResult Got;
+    Store.call(1, WriteValue{{"key"}, ShardHead{}},
+               [&](StoreResult Result) { Got = std::move(Result); });
+    BOOST_TEST((Got.Status_ == Expected), Status);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/fuzz/FakeStore.cpp
+++ b/test/fuzz/FakeStore.cpp
@@ -1,5 +1,7 @@
 #include "test/fuzz/FakeStore.h"
 
+#include "core/EncodedSize.h"
+
 namespace skylark::Fuzz {
 namespace {
 
@@ -64,6 +66,10 @@
   const auto CurrentIndex = Found == Keys_.end() ? 0 : Found->second.Index_;
   if (CurrentIndex != Operation.ExpectedIndex_)
     return resultOf(StoreStatus::Conflict);
+  if (isTooLarge(Operation.Value_) ||
+      (Operation.AdditionalWrite_ &&
+       isTooLarge(Operation.AdditionalWrite_->Value_)))
+    return resultOf(StoreStatus::Refused);
   Keys_[Operation.Key_] = {Operation.Value_, ++Index_, {}};
   if (Operation.AdditionalWrite_)
     Keys_[Operation.AdditionalWrite_->Key_] = {
@@ -90,8 +96,14 @@
   return resultOf(StoreStatus::Ok);
 }
 
+auto FakeStore::isTooLarge(const StoreValue &Value) const -> bool {
+  return encodedSize(Value) > MaxValueSize_;
+}
+
 auto FakeStore::run(Micros /*Now*/, const WriteValue &Operation)
     -> StoreResult {
+  if (isTooLarge(Operation.Value_))
+    return resultOf(StoreStatus::Refused);
   Keys_[Operation.Key_] = {Operation.Value_, ++Index_, {}};
   return resultOf(StoreStatus::Ok, Index_);
 }
--- a/test/fuzz/FakeStore.h
+++ b/test/fuzz/FakeStore.h
@@ -3,7 +3,7 @@
 /// never fails; tests that need a failing store drop or delay its answers.
 #pragma once
 
-#include "core/StoreCalls.h"
+#include "core/StoreClient.h"
 
 #include <map>
 
@@ -12,6 +12,10 @@
 /// Keys and leases in memory. It reads no clock: the caller passes the time.
 class FakeStore {
 public:
+  /// Size in bytes of the largest value that the store takes; it refuses larger
+  /// ones.
+  std::size_t MaxValueSize_ = DefaultMaxValueSize;
+
   /// Removes the leases that have expired by `Now`, then executes an operation.
   auto apply(Micros Now, const StoreOperation &Operation) -> StoreResult;
 
@@ -40,6 +44,7 @@
   auto run(Micros Now, const RenewLease &Operation) -> StoreResult;
   auto run(Micros Now, const RevokeLease &Operation) -> StoreResult;
   auto run(Micros Now, const WriteUnderLease &Operation) -> StoreResult;
+  auto isTooLarge(const StoreValue &Value) const -> bool;
   /// Removes a lease and the keys that are bound to it.
   auto removeLease(const LeaseId &Removed) -> void;
 
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -147,6 +147,8 @@
     : Config_(std::move(Config)), Generator_(Config_.Seed_),
       Checker_(!Config_.Faults_.empty() || Config_.CrashingTasks_) {
   setAssertHandler(throwInvariantViolation);
+  // Lower than that of a real store, so that few records reach it.
+  Store_.MaxValueSize_ = 1024;
 }
 
 Simulation::~Simulation() = default;
@@ -193,6 +195,7 @@
   Identity.DataCentre_ = {DataCentres[Index % DataCentres.size()]};
   Identity.ShardCount_ = shardCount();
   Identity.StoreCallsPerSecond_ = 200;
+  Identity.MaxValueSize_ = Store_.MaxValueSize_;
   Identity.Seed_ = Generator_();
   Node.Core_ = std::make_unique<EntryCore>(Identity);
   Node.Leaving_ = false;
--- a/wire/Settings.cpp
+++ b/wire/Settings.cpp
@@ -17,6 +17,10 @@
 
 /// Upper limits that follow from the program itself. None of them describes a
 /// deployment: those differ by orders of magnitude.
+/// In bytes; a value of the store holds a claim with its kept answer, or a
+/// checkpoint, many times over.
+constexpr IntegerRange StoreValueSizes{std::int64_t{128} * 1024,
+                                       std::int64_t{1} << 30};
 constexpr IntegerRange StoreCallRates{
     5, 1000000, "a burst of one second's calls is kept in memory"};
 constexpr IntegerRange ShardCounts{1, 4096,
@@ -117,6 +121,9 @@
     Result.Store_ = readAddress(Object);
     Entry.StoreCallsPerSecond_ = static_cast<double>(
         Object.integer("calls_per_second", StoreCallRates, 100));
+    Entry.MaxValueSize_ = static_cast<std::size_t>(
+        Object.integer("value_bytes", StoreValueSizes,
+                       static_cast<std::int64_t>(Entry.MaxValueSize_)));
   });
   Root.object("limits", false, [&](CheckedObject &Object) {
     auto &Limits = Result.Limits_;
