Outliers: a worker on which tasks fail is tried again soon, and hopeless tasks count against none

Seen: after four failures on end a worker got no work for 20 s, also if it was sound again and the only one with room, and also if one hopeless job had failed on all workers (LOST). Cause: updateQuarantine() always blamed the worker, and mayHost() excluded it whether or not another one could take the task. Ruled out by reading as guards that exclude for 3 s or more: isTrialAt() (2 s for a start, 0.3 s of running, at most half of the workers), NoBestEffortUntil_ (1 s), TrialsLeft_ (at least one), MaxTasksQueuedAtAgent (a queue is only where there is no room). Change: OutlierDetector ejects a worker for 1 s, twice as long with each further ejection up to 16 s, and then tries it with single tasks. Failures of a step that has failed on several workers and finished on none count against no worker; at most half of the workers are ejected. A task that has waited for 1 s may use an ejected worker as the last resort, unless its next failure would be its last. worker-ejected is logged and counted. Test: Fleet/AJobRunsOnWorkersOnWhichAHopelessOneFails and Fleet/ALastingTask- GetsAWorkerThatFailedOnceItIsSound failed on the old code (the job wasn't completed; 1 serving task instead of 2). Fleet/AJobIsNotFailedByAWorkerThatFails- All guards the other side and passed on both.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -47,8 +47,10 @@
 /// Interval at which an owner reads the shard's head. An owner with nothing to
 /// write learns of a successor only from these reads.
 constexpr Millis VerifyInterval{10000};
-constexpr std::uint32_t QuarantineFailureCount = 4;
-constexpr Seconds QuarantineDuration{20};
+/// How long a task waits for a worker before it may use one on which tasks
+/// fail. Must be below three seconds, after which a task that isn't running
+/// although a worker has free capacity counts as starved.
+constexpr Millis LastResortDelay{1000};
 constexpr std::uint32_t MaxTasksPerJob = 20000;
 /// Size in bytes above which an answer is not kept with its claim.
 constexpr std::size_t MaxKeptAnswerSize = std::size_t{16} * 1024;
@@ -673,6 +675,7 @@
   Bound_.clear();
   Usage_.clear();
   Crashes_.clear();
+  Outliers_.clear();
   Returned_.clear();
   Proposed_.clear();
   UnplacedSince_.clear();
@@ -841,7 +844,6 @@
                                   Step.RequiredLabel_) != Labels.end();
   return Serves && HasLabel &&
          acceptsNewWork(Candidate, Context_.Configuration_, Now.Steady_) &&
-         Candidate.QuarantinedUntil_ <= Now.Steady_ &&
          !(Step.BestEffort_ && Now.Steady_ < Candidate.NoBestEffortUntil_) &&
          Candidate.Load_.TasksQueued_ < MaxTasksQueuedAtAgent;
 }
@@ -934,6 +936,45 @@
   Failure = TaskWait::Worker;
   if (All.empty())
     return nullptr;
+  auto *Chosen = chooseStanding(Now, Job, Task, false, Generator, Failure, Out);
+  if (Chosen != nullptr || Outliers_.empty() ||
+      !acceptsStanding(Now, Job, Task, OutlierDetector::Standing::Ejected))
+    return Chosen;
+  auto LastResortFailure = Failure;
+  return chooseStanding(Now, Job, Task, true, Generator, LastResortFailure,
+                        Out);
+}
+
+auto ShardOwner::acceptsStanding(Moment Now, const Job &Job, const TaskId &Task,
+                                 OutlierDetector::Standing Standing) const
+    -> bool {
+  if (Standing == OutlierDetector::Standing::Sound)
+    return true;
+  const auto Found = UnplacedSince_.find(Task);
+  const auto Waited =
+      Found == UnplacedSince_.end() ? Duration{0} : Now.Steady_ - Found->second;
+  const auto MayFail = Job.stepOf(Task).LongRunning_ ||
+                       Job.task(Task).Failures_ + 1 < failureLimitOf(Job);
+  if (Standing == OutlierDetector::Standing::Probation)
+    return MayFail || Waited >= 2 * LastResortDelay;
+  return MayFail && Waited >= LastResortDelay;
+}
+
+auto ShardOwner::standsFor(Moment Now, const Target &Candidate, const Job &Job,
+                           const TaskId &Task, bool LastResort) const -> bool {
+  const WorkerKey Worker{Candidate.agent(), Candidate.Hello_.Worker_};
+  const auto Standing = Outliers_.standingOf(Now.Steady_, Worker);
+  const auto IsEjected = Standing == OutlierDetector::Standing::Ejected;
+  return IsEjected == LastResort && acceptsStanding(Now, Job, Task, Standing) &&
+         (Standing == OutlierDetector::Standing::Sound ||
+          Outliers_.mayTry(Now.Steady_, Worker));
+}
+
+auto ShardOwner::chooseStanding(Moment Now, const Job &Job, const TaskId &Task,
+                                bool LastResort, Random &Generator,
+                                TaskWait &Failure, EntryOutbox &Out)
+    -> Target * {
+  const auto &All = Context_.Targets_.all();
   const auto &Step = Job.stepOf(Task);
   const auto AcceptsAny = recordWait(Now, Step, Task);
   std::vector<PlacementCandidate> Places;
@@ -944,6 +985,7 @@
        Offset < All.size() && Candidates.size() < MaxCandidates; ++Offset) {
     auto *Each = All[(FirstIndex + Offset) % All.size()];
     if (!mayHost(Now, *Each, Job, Step) ||
+        !standsFor(Now, *Each, Job, Task, LastResort) ||
         Crashes_.isTrialAt(Each->agent(), Now.Steady_))
       continue;
     sendOwnershipClaim(Now, *Each, Out);
@@ -1046,11 +1088,16 @@
       Pass.UnplaceableImages_.emplace(Step.Image_, Failure);
     // If a step with placement limits of its own fits no worker, other steps
     // may still fit.
-    else if (Step.MaxPerWorker_ == 0 && Step.RequiredLabel_.empty())
+    // So they may if it accepts fewer workers than they do.
+    else if (Step.MaxPerWorker_ == 0 && Step.RequiredLabel_.empty() &&
+             (Outliers_.empty() ||
+              acceptsStanding(Now, Job, Rank.Task_,
+                              OutlierDetector::Standing::Ejected)))
       Pass.UnplaceableResources_.push_back(Need);
     return Waits(Failure);
   }
   Waits(TaskWait::Commit);
+  Outliers_.bound(Now.Steady_, {Chosen->agent(), Chosen->Hello_.Worker_});
   Chosen->Reserved_ += Need;
   Chosen->ReservedAt_ = Now.Steady_;
   auto Change = makeChange(Status, TaskState::Bound, ErrorKind::None, Now);
@@ -1282,14 +1329,17 @@
   Ledger_.advance();
 }
 
+auto ShardOwner::failureLimitOf(const Job &Job) const -> std::uint32_t {
+  return Job.Declaration_.FailureLimit_ > 0
+             ? Job.Declaration_.FailureLimit_
+             : Context_.Configuration_.Document_.Policy_.TaskFailureLimit_;
+}
+
 auto ShardOwner::requeue(Moment Now, const TaskId &Id, ErrorKind Reason,
                          const CheckpointId &Checkpoint, bool Failed) -> void {
   const auto &Job = *state().findJob(Id.Job_);
   const auto &Task = Job.task(Id);
-  const auto Limit =
-      Job.Declaration_.FailureLimit_ > 0
-          ? Job.Declaration_.FailureLimit_
-          : Context_.Configuration_.Document_.Policy_.TaskFailureLimit_;
+  const auto Limit = failureLimitOf(Job);
   auto Change = makeChange(Task, TaskState::Pending, Reason, Now);
   Change.Checkpoint_ = Checkpoint;
   if (Failed) {
@@ -1338,7 +1388,7 @@
     sendBind(Now, Report.Task_, From, Out);
   if (!isEnded(Report.Phase_) || Proposed_.count(Report.Task_) != 0)
     return;
-  handleTaskEnd(Now, From, Report);
+  handleTaskEnd(Now, From, Report, Out);
   Ledger_.advance();
 }
 
@@ -1417,11 +1467,12 @@
 }
 
 auto ShardOwner::handleTaskEnd(Moment Now, Target &From,
-                               const TaskReport &Report) -> void {
+                               const TaskReport &Report, EntryOutbox &Out)
+    -> void {
   const auto &Job = *state().findJob(Report.Task_.Job_);
   const auto Failed = Report.Phase_ == TaskPhase::Failed;
   if (Failed || Report.Phase_ == TaskPhase::Finished)
-    updateQuarantine(Now, From, Failed);
+    recordOutcome(Now, From, Report.Task_, Failed, Out);
   if (Report.Phase_ == TaskPhase::Stopped &&
       Report.Reason_ != ErrorKind::Cancelled)
     ++Context_.Counters_.Evictions_;
@@ -1445,14 +1496,25 @@
   propose(Report.Task_, std::move(Change));
 }
 
-auto ShardOwner::updateQuarantine(Moment Now, Target &From, bool Failed)
-    -> void {
-  From.ConsecutiveFailures_ = Failed ? From.ConsecutiveFailures_ + 1 : 0;
-  // A worker on which task after task fails gets no work for some time. The
-  // count stays until a task succeeds, so the next failure after that time
-  // quarantines the worker again at once.
-  if (From.ConsecutiveFailures_ >= QuarantineFailureCount)
-    From.QuarantinedUntil_ = Now.Steady_ + QuarantineDuration;
+auto ShardOwner::recordOutcome(Moment Now, const Target &From,
+                               const TaskId &Task, bool Failed,
+                               EntryOutbox &Out) -> void {
+  const WorkerKey Worker{From.agent(), From.Hello_.Worker_};
+  if (!Failed) {
+    Outliers_.finished(Now.Steady_, Worker, stepKeyOf(Task));
+    return;
+  }
+  const auto Before = Outliers_.standingOf(Now.Steady_, Worker);
+  Outliers_.failed(Now.Steady_, Worker, stepKeyOf(Task),
+                   Context_.Targets_.size());
+  const auto After = Outliers_.standingOf(Now.Steady_, Worker);
+  if (After == Before || After != OutlierDetector::Standing::Ejected)
+    return;
+  ++Context_.Counters_.WorkersEjected_;
+  log("worker-ejected", From.agent().Value_, ErrorKind::TaskFailed,
+      "tasks fail on worker " + std::to_string(Worker.Worker_) + ", last " +
+          Task.text(),
+      Out);
 }
 
 auto ShardOwner::checkBoundTask(Moment Now, const TaskId &Id,
@@ -1638,6 +1700,7 @@
   if (Now.Steady_ < NextRemoval_)
     return;
   NextRemoval_ = Now.Steady_ + RemovalInterval;
+  Outliers_.prune(Now.Steady_);
   const auto Retention =
       Context_.Configuration_.Document_.Policy_.KeyRetention_ + 3 * Day;
   for (const auto &[Key, Claim] : state().claims())
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -6,6 +6,7 @@
 #include "core/CrashBlame.h"
 #include "core/DeadlineFeasibility.h"
 #include "core/LedgerWriter.h"
+#include "core/OutlierDetector.h"
 #include "core/Placement.h"
 #include "core/RequestDispatcher.h"
 #include "core/ShardUsage.h"
@@ -284,6 +285,8 @@
   /// Adds the tasks of steps whose last dependency has finished.
   auto indexReadySteps(TimePoint Now) -> void;
   auto rankOf(const Job &Job, const TaskId &Task) const -> PendingRank;
+  /// How often a task of the job may fail.
+  auto failureLimitOf(const Job &Job) const -> std::uint32_t;
   /// Returns how many more suspects may be tried now, so that enough workers
   /// remain for other tasks.
   auto countTrialsLeft(Moment Now) const -> int;
@@ -317,6 +320,19 @@
       -> Target *;
   auto mayHost(Moment Now, const Target &Candidate, const Job &Job,
                const StepDeclaration &Step) const -> bool;
+  /// Whether the task may run on a worker in this standing: on one that isn't
+  /// sound only if a failure there isn't the last that the task may have, and
+  /// on an ejected one only as the last resort, after it has waited.
+  auto acceptsStanding(Moment Now, const Job &Job, const TaskId &Task,
+                       OutlierDetector::Standing Standing) const -> bool;
+  /// Whether the candidate's standing allows the task there.
+  /// \param LastResort whether the task finds no other worker.
+  auto standsFor(Moment Now, const Target &Candidate, const Job &Job,
+                 const TaskId &Task, bool LastResort) const -> bool;
+  /// Chooses among the workers whose standing allows it.
+  auto chooseStanding(Moment Now, const Job &Job, const TaskId &Task,
+                      bool LastResort, Random &Generator, TaskWait &Failure,
+                      EntryOutbox &Out) -> Target *;
   /// Returns the properties of one candidate on which the choice of a worker
   /// depends.
   auto candidateView(Moment Now, const Target &Candidate, const Job &Job,
@@ -361,10 +377,11 @@
   /// Whether the ownership was verified since this attempt, which the ledger
   /// doesn't have, was first reported. Requests the verification if not.
   auto isVerifiedSince(const TaskReport &Report) -> bool;
-  auto handleTaskEnd(Moment Now, Target &From, const TaskReport &Report)
-      -> void;
-  /// Counts an attempt's outcome towards the quarantine of its worker.
-  auto updateQuarantine(Moment Now, Target &From, bool Failed) -> void;
+  auto handleTaskEnd(Moment Now, Target &From, const TaskReport &Report,
+                     EntryOutbox &Out) -> void;
+  /// Counts an attempt's outcome for or against its worker.
+  auto recordOutcome(Moment Now, const Target &From, const TaskId &Task,
+                     bool Failed, EntryOutbox &Out) -> void;
   auto expireWaitingCallers(Moment Now, EntryOutbox &Out) -> void;
   /// Queues the removal of old jobs and claims.
   auto removeExpired(Moment Now) -> void;
@@ -430,6 +447,7 @@
   /// Resources held by tasks that are bound or proposed to be bound.
   ShardUsage Usage_;
   CrashBlame Crashes_;
+  OutlierDetector Outliers_;
   /// Workers that answered again after a silent loss; a newer incarnation then
   /// doesn't show that the loss was a crash.
   std::set<WorkerKey> Returned_;
--- a/core/TargetTable.h
+++ b/core/TargetTable.h
@@ -56,9 +56,6 @@
   TimePoint ServingSampledAt_{};
   /// Until this time no best-effort task is bound to this agent.
   TimePoint NoBestEffortUntil_{};
-  /// Consecutive task failures, which lead to quarantine.
-  std::uint32_t ConsecutiveFailures_ = 0;
-  TimePoint QuarantinedUntil_{};
 
   auto agent() const -> const AgentId & { return Hello_.Agent_; }
   auto dataCentre() const -> const DataCentreName & {
--- a/test/correctness/FleetFixture.h
+++ b/test/correctness/FleetFixture.h
@@ -7,6 +7,7 @@
 #include "test/fuzz/FakeStore.h"
 
 #include <deque>
+#include <set>
 
 namespace skylark {
 
@@ -133,6 +134,9 @@
       Count += Each.ServingTasks_;
     return Count;
   }
+  /// The workers on which each task fails as soon as it has started. The tasks
+  /// of jobs whose names begin with "hopeless" do so on any worker.
+  std::set<std::size_t> FailingWorkers_;
   /// The most processors, in thousandths, that best-effort tasks requested at
   /// once on one worker.
   std::int64_t MostRequested_ = 0;
@@ -219,6 +223,12 @@
   }
   auto accept(std::size_t Index, const BindTask &Bind) -> void {
     auto &To = Workers_[Index];
+    const auto IsHopeless = Bind.Task_.Job_.Value_.rfind("hopeless", 0) == 0;
+    if (IsHopeless || FailingWorkers_.count(Index) != 0) {
+      Inbox_.push_back({Index, reportOf(Bind, TaskPhase::Running)});
+      Inbox_.push_back({Index, reportOf(Bind, TaskPhase::Failed)});
+      return;
+    }
     if (Bind.BestEffort_) {
       To.BestEffort_.push_back({Bind, BestEffortRunTime});
     } else if (Bind.Kind_ == WorkKind::Batch) {
--- a/test/correctness/FleetTest.cpp
+++ b/test/correctness/FleetTest.cpp
@@ -46,6 +46,53 @@
 
 BOOST_AUTO_TEST_SUITE(Fleet)
 
+// The failures of one hopeless job kept all its workers from work for 20 s.
+BOOST_AUTO_TEST_CASE(AJobRunsOnWorkersOnWhichAHopelessOneFails) {
+  FleetFixture Fixture(8);
+  for (int Job = 0; Job < 4; ++Job) {
+    Fixture.submitShort("hopeless-" + std::to_string(Job), 32);
+    Fixture.advance(Millis{500});
+  }
+  Fixture.submitShort("sound", 16);
+  Fixture.advance(ShortRunTime + Millis{2000});
+  BOOST_TEST((Fixture.state("sound") == JobState::Completed));
+}
+
+/// Two workers, of which the first is full; the other fails all that it starts
+/// for a while.
+class LastRoomFixture : public FleetFixture {
+public:
+  LastRoomFixture() : FleetFixture(2) {
+    FailingWorkers_ = {1};
+    submitServing("full", 1);
+    advance(Millis{3000});
+    BOOST_REQUIRE(servingTasks() == 1U);
+  }
+};
+
+// A worker on which tasks had failed got no work for 20 s, also if no other had
+// room.
+BOOST_FIXTURE_TEST_CASE(ALastingTaskGetsAWorkerThatFailedOnceItIsSound,
+                        LastRoomFixture) {
+  submitServing("lasting", 1);
+  submitServing("another", 1);
+  advance(Millis{6000});
+  BOOST_TEST(servingTasks() == 1U);
+  FailingWorkers_.clear();
+  advance(Millis{3000});
+  BOOST_TEST(servingTasks() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AJobIsNotFailedByAWorkerThatFailsAll, LastRoomFixture) {
+  submitServing("full-too", 1);
+  submitShort("victim", 12);
+  advance(Millis{15000});
+  BOOST_TEST((state("victim") != JobState::Failed));
+  FailingWorkers_.clear();
+  advance(Millis{8000});
+  BOOST_TEST((state("victim") == JobState::Completed));
+}
+
 BOOST_AUTO_TEST_CASE(AJobTooLargeForTheStoreIsRefusedAtOnce) {
   FleetFixture Fixture(4);
   const auto Refused = Fixture.submit("large", sequenceOf(900));
