--- a/command/NativeProtocols.cpp
+++ b/command/NativeProtocols.cpp
@@ -12,6 +12,10 @@
   return std::make_unique<ConsulStore>(Http, Settings.Store_.text());
 }
 
+auto maxValueSize(const Settings &Settings) -> std::size_t {
+  return Settings.Entry_.MaxValueSize_;
+}
+
 auto makeCallerServer(asio::io_context &Traffic, const Settings &Settings,
                       CallerHandlers Handlers)
     -> std::unique_ptr<CallerServer> {
@@ -28,7 +32,7 @@
 } // namespace
 
 auto nativeEntryProtocols() -> EntryProtocols {
-  return {makeStore, makeCallerServer};
+  return {makeStore, makeCallerServer, maxValueSize};
 }
 
 auto nativeAgentProtocols() -> AgentProtocols {
--- a/entry/CallerServer.h
+++ b/entry/CallerServer.h
@@ -52,6 +52,8 @@
   std::unique_ptr<CallerServer> (*MakeCallerServer_)(asio::io_context &,
                                                      const Settings &,
                                                      CallerHandlers);
+  /// Size in bytes of the largest value that the store takes.
+  std::size_t (*MaxValueSize_)(const Settings &);
 };
 
 } // namespace skylark
--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -36,7 +36,7 @@
 class EntryProcess {
 public:
   EntryProcess(const Settings &Settings, const EntryProtocols &Protocols)
-      : Settings_(Settings), Core_(identity(Settings)),
+      : Settings_(Settings), Core_(identity(Settings, Protocols)),
         Http_(Threads_.traffic()),
         Store_(Protocols.MakeStore_(Http_, Settings)),
         Links_(Threads_.traffic(), linkHandlers()),
@@ -69,8 +69,10 @@
   }
 
 private:
-  static auto identity(const Settings &Settings) -> EntryIdentity {
+  static auto identity(const Settings &Settings,
+                       const EntryProtocols &Protocols) -> EntryIdentity {
     auto Identity = Settings.Entry_;
+    Identity.MaxValueSize_ = Protocols.MaxValueSize_(Settings);
     Identity.Incarnation_ = newIncarnation();
     if (Identity.Seed_ == 0)
       Identity.Seed_ = std::random_device{}();
--- a/wire/CheckedJson.cpp
+++ b/wire/CheckedJson.cpp
@@ -146,6 +146,15 @@
   return Texts;
 }
 
+auto CheckedObject::objectText(const std::string &Name) -> std::string {
+  const auto *Found = find(Name);
+  if (Found == nullptr)
+    return "{}";
+  if (!Found->is_object())
+    Problems_.push_back({pathOf(Name), abbreviate(*Found), "an object"});
+  return Found->dump();
+}
+
 auto CheckedObject::names(const std::string &Name) -> std::vector<std::string> {
   const auto *Found = find(Name);
   if (Found != nullptr && Found->is_array() && !Found->empty())
--- a/wire/CheckedJson.h
+++ b/wire/CheckedJson.h
@@ -48,6 +48,9 @@
   auto number(const std::string &Name, double Min, double Max, double Default)
       -> double;
   auto flag(const std::string &Name, bool Default) -> bool;
+  /// The text of a nested object that another reader checks; "{}" if it is
+  /// missing.
+  auto objectText(const std::string &Name) -> std::string;
   /// A list of one or more strings.
   auto names(const std::string &Name) -> std::vector<std::string>;
   /// A list of strings, which may be empty.
--- a/wire/Settings.cpp
+++ b/wire/Settings.cpp
@@ -124,6 +124,7 @@
     Entry.MaxValueSize_ = static_cast<std::size_t>(
         Object.integer("value_bytes", StoreValueSizes,
                        static_cast<std::int64_t>(Entry.MaxValueSize_)));
+    Result.StoreOptions_ = Object.objectText("options");
   });
   Root.object("limits", false, [&](CheckedObject &Object) {
     auto &Limits = Result.Limits_;
--- a/wire/Settings.h
+++ b/wire/Settings.h
@@ -44,6 +44,8 @@
   EnvironmentName Environment_;
   // Both roles; port 0 where not configured.
   Address Store_;
+  /// JSON text of the options that are particular to the kind of store.
+  std::string StoreOptions_ = "{}";
   Address Metrics_;
 };
 
