Agent: a binding that comes while the worker has more ends waits instead of being dropped

While the worker had more ends than it lists, the agent dropped each binding, and its owner repeats one after 2 s only. Change: the binding is taken and waits for a whole list, only where the worker may have run the attempt or an earlier one: for an agent that has seen no whole list yet, and for later attempts. Agent/ATaskStarts- OnceTheWorkerListsAllEnds was added and not run on the earlier code.

--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -102,6 +102,7 @@
   WorkerClock_ = Inventory.Clock_;
   WorkerClockAt_ = Now;
   MoreEnds_ = Inventory.MoreEnds_;
+  ListWasWhole_ |= !MoreEnds_;
   std::map<AttemptKey, const WorkerTask *> Observed;
   for (const auto &Task : Inventory.Tasks_)
     Observed[keyOf(Task.Bind_)] = &Task;
@@ -271,9 +272,13 @@
   const auto Held = Tasks_.find(Later.Task_);
   if (Held != Tasks_.end() && Held->second.Phase_ == TaskPhase::Finished)
     return reportOf(Held->second);
-  for (auto Each = UnheldAttempts_.lower_bound({Later.Task_, 0});
-       Each != UnheldAttempts_.end() && Each->first.first == Later.Task_;
-       ++Each)
+  return finishedUnheld(Later.Task_);
+}
+
+auto TaskManager::finishedUnheld(const TaskId &Task) const
+    -> std::optional<TaskReport> {
+  for (auto Each = UnheldAttempts_.lower_bound({Task, 0});
+       Each != UnheldAttempts_.end() && Each->first.first == Task; ++Each)
     if (Each->second.Phase_ == TaskPhase::Finished)
       return Each->second;
   return std::nullopt;
@@ -506,10 +511,6 @@
       return;
     }
   }
-  // The attempt, or an earlier one, may be among the ends that the worker
-  // doesn't list yet. The binding is taken when the owner repeats it.
-  if (MoreEnds_)
-    return;
   // An earlier attempt that was given up still runs and is being stopped.
   const auto Runs = [&](const auto &Each) {
     return Each.first.first == Bind.Task_ && !isEnded(Each.second.Phase_);
@@ -526,6 +527,7 @@
   Held.Bind_ = Bind;
   Held.Checkpoint_ = Bind.Checkpoint_;
   Held.LeaseUntil_ = runUntil(Held, Permits);
+  Held.AwaitsList_ = MoreEnds_ && (!ListWasWhole_ || Bind.Attempt_ > 1);
   const auto MadeForLargerCapacity =
       Now < StaleBindingsUntil_ && !Ledger_.fits(Bind.Resources_);
   if (!Ledger_.capacity().holds(Bind.Resources_) || MadeForLargerCapacity)
@@ -661,6 +663,8 @@
         std::min({Held->LeaseUntil_, runUntil(*Held, Permits), StartUntil});
     if (LeaseUntil <= Now)
       continue;
+    if (!mayStart(*Held))
+      continue;
     if (!Ledger_.fits(Held->Bind_.Resources_) &&
         !isMutationActive(Mutation::StartWithoutCapacity))
       continue;
@@ -671,6 +675,16 @@
   }
 }
 
+auto TaskManager::mayStart(HeldTask &Held) const -> bool {
+  if (!Held.AwaitsList_)
+    return true;
+  // The owner stops an attempt whose task turns out to have finished before.
+  if (MoreEnds_ || finishedUnheld(Held.Bind_.Task_))
+    return false;
+  Held.AwaitsList_ = false;
+  return true;
+}
+
 auto TaskManager::tryAdmit(TimePoint Now, HeldTask &Held, AgentOutbox &Out)
     -> bool {
   const auto &Bind = Held.Bind_;
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -125,6 +125,9 @@
     Revision StartRevision_ = 0;
     /// Adopted after a restart of the agent; only the ids in Bind_ are known.
     bool NeedsBinding_ = false;
+    /// The attempt, or an earlier one, may be among the ends that the worker
+    /// doesn't list yet, so it isn't started before they are listed.
+    bool AwaitsList_ = false;
     /// Adopted after a restart of the agent; its pace is unknown.
     bool Adopted_ = false;
     /// Whether the worker was told to stop the task. While the start is
@@ -183,6 +186,11 @@
   /// Returns the report of a finished attempt of the task, if there is one.
   auto finishedAttempt(const BindTask &Later) const
       -> std::optional<TaskReport>;
+  /// The same among the attempts that the agent doesn't hold.
+  auto finishedUnheld(const TaskId &Task) const -> std::optional<TaskReport>;
+  /// Whether a queued task waits for no list of the worker's attempts any more,
+  /// and none shows that the task has finished.
+  auto mayStart(HeldTask &Held) const -> bool;
   auto end(HeldTask &Held, TaskPhase Phase, ErrorKind Reason, AgentOutbox &Out)
       -> void;
   auto report(const HeldTask &Held, AgentOutbox &Out) const -> void;
@@ -238,6 +246,9 @@
   std::map<AttemptKey, TaskPhase> AcknowledgedEnds_;
   /// Whether the worker has more ended attempts than its last inventory lists.
   bool MoreEnds_ = false;
+  /// Whether the agent has seen a whole list, and so knows all attempts that
+  /// were on the worker before its own.
+  bool ListWasWhole_ = false;
   std::map<ShardNumber, Owner> Owners_;
 };
 
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -456,6 +456,12 @@
   Bind.Task_ = {{"b"}, 0};
   Bind.Attempt_ = 1;
   Core.receive(Now, OwnerSession, Bind, Out);
+  const auto Starts = [&] {
+    return std::count_if(Out.begin(), Out.end(), [](const auto &Each) {
+      return std::holds_alternative<StartOnWorker>(Each);
+    });
+  };
+  BOOST_TEST(Starts() == 0);
   Out.clear();
   auto Whole = Lists.inventoryWithFinished("b");
   Whole.Clock_ += Seconds{1};
@@ -468,6 +474,28 @@
   BOOST_TEST((Last.Phase_ == TaskPhase::Finished));
 }
 
+// A binding was dropped while the worker had more ends than it lists, and
+// started when its owner repeated it, two seconds later.
+BOOST_AUTO_TEST_CASE(ATaskStartsOnceTheWorkerListsAllEnds) {
+  for (const AttemptNumber Attempt : {1U, 2U}) {
+    AgentFixture Fixture;
+    auto Cut = Fixture.inventoryWithFinished("x");
+    Cut.Complete_ = false;
+    Cut.MoreEnds_ = true;
+    Fixture.answerPollAfter(Millis{100}, Cut);
+    Fixture.clear();
+    Fixture.bind("a", 1000, Attempt);
+    // The first attempt of a task can't have run on this worker.
+    BOOST_TEST(Fixture.countOutputs<StartOnWorker>() ==
+               (Attempt == 1 ? 1U : 0U));
+    auto Whole = Fixture.inventoryOf({});
+    Whole.Clock_ = Cut.Clock_ + Seconds{1};
+    Fixture.answerPollAfter(Millis{50}, Whole);
+    Fixture.advance(Millis{50});
+    BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 1U);
+  }
+}
+
 // The owner had acknowledged another end, and the finish was discarded.
 BOOST_AUTO_TEST_CASE(AFinishListedAfterAnotherEndWasAcknowledgedIsReported) {
   AgentFixture Fixture;
