--- a/runtime/HttpClient.cpp
+++ b/runtime/HttpClient.cpp
@@ -48,6 +48,13 @@
   return Size * Count;
 }
 
+/// Called before each copy of the request is sent.
+auto countCopy(void *User, char * /*RemoteAddress*/, char * /*LocalAddress*/,
+               int /*RemotePort*/, int /*LocalPort*/) -> int {
+  ++static_cast<Transfer *>(User)->Result_.Copies_;
+  return CURL_PREREQFUNC_OK;
+}
+
 auto neverSent(CURLcode Code) -> bool {
   return Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST;
 }
@@ -115,6 +122,8 @@
     curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Each);
     curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, writeHeader);
     curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Each);
+    curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, countCopy);
+    curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &Each);
     if (Call.Method_ == "POST" || Call.Method_ == "PUT") {
       curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Call.Body_.data());
       curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
--- a/runtime/HttpClient.h
+++ b/runtime/HttpClient.h
@@ -32,6 +32,10 @@
   bool Complete_ = false;
   /// True if the request was certainly never sent.
   bool NeverSent_ = false;
+  /// How often the request was sent. On a reused connection that breaks before
+  /// any answer, libcurl sends it again, and each copy may have been carried
+  /// out; the answer is that to the last one.
+  int Copies_ = 0;
   std::uint16_t Status_ = 0;
   std::string Body_;
   /// Header lines of the answer, without line ends.
