--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -637,6 +637,21 @@
   BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
 }
 
+// The answer to one copy of a start order was taken for the order's outcome,
+// and the task was bound elsewhere while another copy of it ran.
+BOOST_AUTO_TEST_CASE(ARefusedStartIsNotReportedEndedWhileACopyMayRun) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.clear();
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                              StartOutcome::Refused, Fixture.Out_);
+  BOOST_TEST(!Fixture.lastReport("a").has_value());
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf({"a"}));
+  BOOST_REQUIRE(Fixture.lastReport("a").has_value());
+  BOOST_TEST((Fixture.lastReport("a")->Phase_ == TaskPhase::Running));
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(AnEntryThatLagsBehindASeriesGetsEachConfiguration) {
   AgentFixture Fixture;
   for (const Revision Known : {3, 4, 5}) {
