Agent: a refused start ends only once the worker's list proves that no copy of it can run

Cause: a worker that answers 503 has done nothing for the copy that it answers. The HTTP client sends an order again if a kept connection breaks before an answer, so an earlier copy may have been carried out. startAnswered() took the refusal for the order's outcome, ended the attempt as not started at once and sent a stop that nobody waited for; the owner bound the task elsewhere. The count of orders in the worker client couldn't see copies, and dropped a refusal altogether once it had sent a second order. Change: a refused start stays as it is until a list of the worker decides. The next poll raises the fencing token (a fence) and is answered at once; a list made behind a later fence than the last start order proves that no copy can act any more, as does one made after the order's deadline on the worker's clock. If the list shows the attempt, it runs on. One fence is unconfirmed at a time, and its poll doesn't count toward a lost worker. Tests: ARefusedStartCannotTakeEffectLater asked for the stop, which proved nothing. It is replaced by ARefusedStartCannotTakeEffectOnceItsEndIsReported and six more. The tests that used a refusal to get an attempt reported as ended now also give the list that proves it; what they check is unchanged.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -245,6 +245,7 @@
   LastInventoryAt_ = Now.Steady_;
   if (Tasks_.update(Now.Steady_, Inventory, Out))
     startQueued(Now, Out);
+  Tasks_.fenceRefusedStarts(Now.Steady_, !WorkerUnresponsive_, Out);
   scheduleNextPoll(Now, Out);
   if (Now.Steady_ >= NextPacing_) {
     NextPacing_ = Now.Steady_ + PacingInterval;
@@ -312,6 +313,7 @@
   if (Outcome == StartOutcome::Unknown && refusalReason() != ErrorKind::None)
     return;
   Tasks_.startAnswered(Now.Steady_, Task, Attempt, Outcome, Permits_, Out);
+  Tasks_.fenceRefusedStarts(Now.Steady_, !WorkerUnresponsive_, Out);
 }
 
 auto AgentCore::scheduleNextPoll(Moment Now, AgentOutbox &Out) -> void {
--- a/core/AgentOutput.h
+++ b/core/AgentOutput.h
@@ -47,6 +47,11 @@
 /// Renews leases and requests the worker's inventory in one call.
 struct PollWorker {
   std::vector<WorkerLease> Leases_;
+  /// Number of the poll's fence. A poll with another fence than the poll before
+  /// it makes the worker refuse each start command that was given earlier.
+  std::uint64_t Fence_ = 0;
+  /// Whether the worker must not hold the poll open until a task ends.
+  bool AnswerAtOnce_ = false;
 };
 
 /// An attempt as listed in the worker's inventory.
@@ -85,7 +90,8 @@
 enum class StartOutcome : std::uint8_t {
   /// The worker has the attempt, from this command or an earlier copy of it.
   Accepted,
-  /// The command was refused, and no copy of it can take effect any more.
+  /// The worker refused a copy of the command. Another copy, which the HTTP
+  /// client or the network has made of it, may have taken effect or still do.
   Refused,
   /// No answer; the command may still take effect.
   Unknown
@@ -103,6 +109,10 @@
   /// Whether the worker has more ended attempts than it lists at a time. It
   /// lists the others once it has discarded some of these.
   bool MoreEnds_ = false;
+  /// The fence of the poll that this answers: when the list was made, the
+  /// worker already refused all start commands that were given before that
+  /// fence. 0 if the worker has no fences.
+  std::uint64_t Fence_ = 0;
 };
 
 /// Forwards a quick request to the target.
--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -26,6 +26,7 @@
   NewerDocumentIsNoContact,
   TakeListForWhole,
   UnlimitedCommits,
+  TrustRefusals,
   Count
 };
 
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -18,6 +18,12 @@
 /// its owner made for the larger one.
 constexpr Millis StaleBindingPeriod{1000};
 
+/// A number that is higher than those of all earlier fences of the process.
+auto fenceAt(TimePoint Now) -> std::uint64_t {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Micros>(Now.time_since_epoch()).count());
+}
+
 auto keyOf(const BindTask &Bind) -> std::pair<TaskId, AttemptNumber> {
   return {Bind.Task_, Bind.Attempt_};
 }
@@ -67,6 +73,10 @@
                         TimePoint LeasesUntil) -> void {
   Worker_ = Inventory.Worker_;
   MoreEnds_ = Inventory.MoreEnds_;
+  // An answer to a poll of an earlier state machine of this process, which may
+  // still arrive, has a lower fence.
+  Fence_ = fenceAt(Now);
+  ConfirmedFence_ = Fence_;
   for (const auto &Task : Inventory.Tasks_) {
     adoptTask(Task);
     if (!isEnded(Task.Phase_))
@@ -101,6 +111,7 @@
     return false;
   WorkerClock_ = Inventory.Clock_;
   WorkerClockAt_ = Now;
+  ConfirmedFence_ = std::max(ConfirmedFence_, Inventory.Fence_);
   MoreEnds_ = Inventory.MoreEnds_;
   ListWasWhole_ |= !MoreEnds_;
   std::map<AttemptKey, const WorkerTask *> Observed;
@@ -352,13 +363,14 @@
     return;
   }
   if (Outcome == StartOutcome::Refused) {
-    // The HTTP client may have sent a copy that is carried out later; after a
-    // stop the worker refuses it.
-    Out.push_back(StopOnWorker{Task, Attempt});
-    end(Held, TaskPhase::NotStarted, ErrorKind::WorkerGone, Out);
+    Held.StartRefused_ = true;
+    if (isMutationActive(Mutation::TrustRefusals)) {
+      Out.push_back(StopOnWorker{Task, Attempt});
+      end(Held, TaskPhase::NotStarted, ErrorKind::WorkerGone, Out);
+    }
     return;
   }
-  if (Held.StopRequested_)
+  if (Held.StopRequested_ || Held.StartRefused_)
     return;
   // A second copy of the start command is harmless: the worker runs an attempt
   // only once.
@@ -368,9 +380,29 @@
     return;
   recordLease(Now, Until);
   Held.StartLeaseUntil_ = std::max(Held.StartLeaseUntil_, toWorkerClock(Until));
+  commandStart(Held, Out);
+}
+
+auto TaskManager::commandStart(HeldTask &Held, AgentOutbox &Out) const -> void {
+  Held.StartFence_ = Fence_;
   Out.push_back(StartOnWorker{Held.Bind_, Held.StartLeaseUntil_});
 }
 
+auto TaskManager::fenceRefusedStarts(TimePoint Now, bool Renew,
+                                     AgentOutbox &Out) -> void {
+  const auto MayStartStill = [&](const auto &Each) {
+    const auto &Held = Each.second;
+    return Held.Phase_ == TaskPhase::Starting && Held.StartRefused_ &&
+           Held.StartFence_ == Fence_;
+  };
+  if (ConfirmedFence_ != Fence_ ||
+      std::none_of(Tasks_.begin(), Tasks_.end(), MayStartStill))
+    return;
+  Fence_ = std::max(Fence_ + 1, fenceAt(Now));
+  poll(Now, Renew, Out);
+  std::get<PollWorker>(Out.back()).AnswerAtOnce_ = true;
+}
+
 auto TaskManager::endAllTasks(AgentOutbox &Out) -> void {
   for (auto &[Task, Held] : Tasks_)
     if (!isEnded(Held.Phase_))
@@ -386,11 +418,8 @@
   if (isEnded(Held.Phase_) || Held.Phase_ == TaskPhase::Queued ||
       !Inventory.Complete_)
     return;
-  // The worker refuses a start command whose lease has expired on its own
-  // clock. From then on, a task that is missing from its inventory can no
-  // longer start.
   const auto StartedHere = Held.StartLeaseUntil_ != Micros{0};
-  if (StartedHere && Inventory.Clock_ <= Held.StartLeaseUntil_)
+  if (StartedHere && !cannotStartAfter(Held, Inventory))
     return;
   const auto Phase = Held.Phase_ == TaskPhase::Starting ? TaskPhase::NotStarted
                                                         : TaskPhase::Failed;
@@ -400,6 +429,16 @@
       Out);
 }
 
+auto TaskManager::cannotStartAfter(const HeldTask &Held,
+                                   const WorkerInventory &Inventory) -> bool {
+  // The worker refuses a start command whose lease has expired on its own
+  // clock.
+  if (Inventory.Clock_ > Held.StartLeaseUntil_)
+    return true;
+  // One that was not refused is repeated behind a later fence.
+  return Held.StartRefused_ && Inventory.Fence_ > Held.StartFence_;
+}
+
 auto TaskManager::end(HeldTask &Held, TaskPhase Phase, ErrorKind Reason,
                       AgentOutbox &Out) -> void {
   SKYLARK_ASSERT(!isEnded(Held.Phase_),
@@ -725,7 +764,7 @@
   Held.StartRevision_ = Observed;
   Held.StartLeaseUntil_ = toWorkerClock(LeaseUntil);
   log("start-ordered", Held, Out);
-  Out.push_back(StartOnWorker{Held.Bind_, Held.StartLeaseUntil_});
+  commandStart(Held, Out);
 }
 
 auto TaskManager::drain(ErrorKind Reason, AgentOutbox &Out) -> void {
@@ -771,6 +810,7 @@
 
 auto TaskManager::poll(TimePoint Now, bool Renew, AgentOutbox &Out) -> void {
   PollWorker Poll;
+  Poll.Fence_ = Fence_;
   for (const auto &[Task, Held] : Tasks_) {
     if (!Renew)
       break;
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -35,7 +35,9 @@
   /// Returns the queued tasks for which a shrunk capacity has left no room to
   /// their owners, which can place them on other workers.
   auto returnUnplaceable(TimePoint Now, AgentOutbox &Out) -> void;
-  /// Handles the outcome of a start command, which may be unknown.
+  /// Handles the outcome of a start command, which may be unknown. A refused
+  /// one leaves the attempt as it is until an inventory shows whether another
+  /// copy of the command has taken effect.
   auto startAnswered(TimePoint Now, const TaskId &Task, AttemptNumber Attempt,
                      StartOutcome Outcome, const StartPermits &Permits,
                      AgentOutbox &Out) -> void;
@@ -91,6 +93,10 @@
   /// Requests the worker's inventory.
   /// \param Renew whether to renew task leases in the same call.
   auto poll(TimePoint Now, bool Renew, AgentOutbox &Out) -> void;
+  /// Sends a poll with a new fence if a start command was refused of which
+  /// another copy may still take effect. There is one such poll at a time; if
+  /// it is lost, the next regular poll has its fence.
+  auto fenceRefusedStarts(TimePoint Now, bool Renew, AgentOutbox &Out) -> void;
   /// When all leases given to the worker have expired. By then the worker has
   /// stopped all its tasks by itself, if it gets no further command.
   auto latestLeaseEnd() const -> TimePoint { return LatestLeaseEnd_; }
@@ -121,6 +127,11 @@
     /// Time on the worker's clock after which a start command can no longer
     /// take effect.
     Micros StartLeaseUntil_{0};
+    /// The fence at the time of the last start command, which no longer takes
+    /// effect once the worker knows a later one.
+    std::uint64_t StartFence_ = 0;
+    /// Whether a copy of the start command was refused.
+    bool StartRefused_ = false;
     /// The configuration revision under which the task was started.
     Revision StartRevision_ = 0;
     /// Adopted after a restart of the agent; only the ids in Bind_ are known.
@@ -197,6 +208,13 @@
   auto sendReport(const TaskReport &Report, AgentOutbox &Out) const -> void;
   auto startTask(HeldTask &Held, TimePoint LeaseUntil, Revision Observed,
                  AgentOutbox &Out) -> void;
+  /// Commands the start of a task of which all but the end of its lease is
+  /// decided.
+  auto commandStart(HeldTask &Held, AgentOutbox &Out) const -> void;
+  /// Whether no copy of the task's start command can take effect after the
+  /// worker has made this list.
+  static auto cannotStartAfter(const HeldTask &Held,
+                               const WorkerInventory &Inventory) -> bool;
   /// Handles that the worker has the task, whose start was commanded.
   auto startObserved(HeldTask &Held, AgentOutbox &Out) -> void;
   /// Ends a queued task, and commands the worker to stop any other.
@@ -232,6 +250,10 @@
 
   TimePoint LatestLeaseEnd_{};
   Incarnation Worker_ = 0;
+  /// The fence of the next poll.
+  std::uint64_t Fence_ = 0;
+  /// The latest fence that the worker is known to have seen.
+  std::uint64_t ConfirmedFence_ = 0;
   Micros WorkerClock_{0};
   TimePoint WorkerClockAt_{};
   /// Whether the worker's last inventory lists running attempts for which
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -90,6 +90,40 @@
     return Inventory;
   }
 
+  /// The last poll that was sent; one with no fence if there is none.
+  auto lastPoll() const -> PollWorker {
+    PollWorker Last;
+    for (const auto &Each : Out_)
+      if (const auto *Poll = std::get_if<PollWorker>(&Each))
+        Last = *Poll;
+    return Last;
+  }
+
+  /// The worker refuses to start the first task of this job.
+  auto refuse(const std::string &Job) -> void {
+    Core_.startAnswered(Now_, {{Job}, 0}, 1, StartOutcome::Refused, Out_);
+  }
+
+  /// The worker answers a poll with this fence.
+  auto answerPoll(std::uint64_t Fence,
+                  const std::vector<std::string> &RunningJobs) -> void {
+    auto Inventory = inventoryOf(RunningJobs);
+    Inventory.Fence_ = Fence;
+    Core_.inventoryReceived(Now_, Inventory, Out_);
+  }
+
+  /// The worker refuses to start the task, and its list then shows that no copy
+  /// of the command took effect.
+  auto refuseForGood(const std::string &Job) -> void {
+    refuse(Job);
+    answerPoll(lastPoll().Fence_, {});
+  }
+
+  auto lastPhase(const std::string &Job) const -> TaskPhase {
+    const auto Last = lastReport(Job);
+    return Last ? Last->Phase_ : TaskPhase::Queued;
+  }
+
   /// Acknowledges the latest heartbeat and grants starting and running.
   auto acknowledgeHeartbeat() -> void {
     HeartbeatAck Ack;
@@ -500,8 +534,7 @@
 BOOST_AUTO_TEST_CASE(AFinishListedAfterAnotherEndWasAcknowledgedIsReported) {
   AgentFixture Fixture;
   Fixture.bind("a", 1000);
-  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
-                              StartOutcome::Refused, Fixture.Out_);
+  Fixture.refuseForGood("a");
   Fixture.receive(TaskReportAck{{{"a"}, 0}, 1, TaskPhase::NotStarted});
   Fixture.clear();
   Fixture.answerPollAfter(Millis{100}, Fixture.inventoryWithFinished("a"));
@@ -513,8 +546,7 @@
 BOOST_AUTO_TEST_CASE(AnAttemptReportedNotStartedThatFinishedIsReportedAgain) {
   AgentFixture Fixture;
   Fixture.bind("a", 1000);
-  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
-                              StartOutcome::Refused, Fixture.Out_);
+  Fixture.refuseForGood("a");
   BOOST_TEST((Fixture.lastReport("a")->Phase_ == TaskPhase::NotStarted));
   Fixture.answerPollAfter(Millis{100}, Fixture.inventoryWithFinished("a"));
   BOOST_TEST((Fixture.lastReport("a")->Phase_ == TaskPhase::Finished));
@@ -523,8 +555,7 @@
 BOOST_AUTO_TEST_CASE(AnAttemptReportedNotStartedThatRunsIsStopped) {
   AgentFixture Fixture;
   Fixture.bind("a", 1000);
-  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
-                              StartOutcome::Refused, Fixture.Out_);
+  Fixture.refuseForGood("a");
   Fixture.clear();
   Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf({"a"}));
   BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
@@ -598,8 +629,7 @@
 BOOST_AUTO_TEST_CASE(AnAcknowledgementOfAnotherEndDoesNotDiscardAFinish) {
   AgentFixture Fixture;
   Fixture.bind("a", 1000);
-  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
-                              StartOutcome::Refused, Fixture.Out_);
+  Fixture.refuseForGood("a");
   BOOST_REQUIRE((Fixture.lastReport("a")->Phase_ == TaskPhase::NotStarted));
   Fixture.Core_.inventoryReceived(
       Fixture.Now_, Fixture.inventoryWithFinished("a"), Fixture.Out_);
@@ -615,8 +645,7 @@
   for (const auto Acknowledged : {false, true}) {
     AgentFixture Fixture;
     Fixture.bind("a", 1000);
-    Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
-                                StartOutcome::Refused, Fixture.Out_);
+    Fixture.refuseForGood("a");
     if (Acknowledged)
       Fixture.receive(TaskReportAck{{{"a"}, 0}, 1});
     // Another copy of the start command was carried out.
@@ -628,23 +657,13 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(ARefusedStartCannotTakeEffectLater) {
-  AgentFixture Fixture;
-  Fixture.bind("a", 1000);
-  Fixture.clear();
-  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
-                              StartOutcome::Refused, Fixture.Out_);
-  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
-}
-
 // The answer to one copy of a start order was taken for the order's outcome,
 // and the task was bound elsewhere while another copy of it ran.
 BOOST_AUTO_TEST_CASE(ARefusedStartIsNotReportedEndedWhileACopyMayRun) {
   AgentFixture Fixture;
   Fixture.bind("a", 1000);
   Fixture.clear();
-  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
-                              StartOutcome::Refused, Fixture.Out_);
+  Fixture.refuse("a");
   BOOST_TEST(!Fixture.lastReport("a").has_value());
   Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf({"a"}));
   BOOST_REQUIRE(Fixture.lastReport("a").has_value());
@@ -652,6 +671,105 @@
   BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(ARefusedStartCannotTakeEffectOnceItsEndIsReported) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.advance(Millis{600});
+  const auto FenceOfStart = Fixture.lastPoll().Fence_;
+  Fixture.clear();
+  Fixture.refuse("a");
+  BOOST_TEST(Fixture.countOutputs<PollWorker>() == 1U);
+  const auto Poll = Fixture.lastPoll();
+  BOOST_TEST(Poll.Fence_ > FenceOfStart);
+  BOOST_TEST(Poll.AnswerAtOnce_);
+  // The worker may have made this list before it carries a copy out.
+  Fixture.answerPoll(FenceOfStart, {});
+  BOOST_TEST(!Fixture.lastReport("a").has_value());
+  Fixture.answerPoll(Poll.Fence_, {});
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::NotStarted));
+}
+
+BOOST_AUTO_TEST_CASE(AListThatIsNotWholeEndsNoRefusedStart) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.clear();
+  Fixture.refuse("a");
+  auto Inventory = Fixture.inventoryOf({});
+  Inventory.Fence_ = Fixture.lastPoll().Fence_;
+  Inventory.Complete_ = false;
+  Fixture.answerPollAfter(Millis{0}, Inventory);
+  BOOST_TEST(!Fixture.lastReport("a").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ARefusedStartOnAWorkerWithoutFencesEndsWithItsLease) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.clear();
+  Fixture.refuse("a");
+  auto Inventory = Fixture.inventoryOf({});
+  Fixture.answerPollAfter(Millis{0}, Inventory);
+  BOOST_TEST(!Fixture.lastReport("a").has_value());
+  Inventory.Clock_ += Seconds{2};
+  Fixture.answerPollAfter(Millis{0}, Inventory);
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::NotStarted));
+}
+
+BOOST_AUTO_TEST_CASE(ARefusedStartIsNotRepeated) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.refuse("a");
+  Fixture.clear();
+  // Another copy of the order gets no answer.
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                              StartOutcome::Unknown, Fixture.Out_);
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AStartBehindAFenceNeedsTheNextOne) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.refuse("a");
+  const auto First = Fixture.lastPoll().Fence_;
+  Fixture.bind("b", 1000);
+  Fixture.refuse("b");
+  Fixture.clear();
+  Fixture.answerPoll(First, {});
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::NotStarted));
+  BOOST_TEST(!isEnded(Fixture.lastPhase("b")));
+  const auto Second = Fixture.lastPoll().Fence_;
+  BOOST_REQUIRE(Second > First);
+  Fixture.answerPoll(Second, {});
+  BOOST_TEST((Fixture.lastPhase("b") == TaskPhase::NotStarted));
+}
+
+// Another task's refusal must not return a task whose start is on its way.
+BOOST_AUTO_TEST_CASE(AFenceEndsNoStartThatWasNotRefused) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.bind("b", 1000);
+  Fixture.refuseForGood("a");
+  BOOST_TEST(!isEnded(Fixture.lastPhase("b")));
+  Fixture.clear();
+  // The fence has made the worker refuse the order for its token.
+  Fixture.Core_.startAnswered(Fixture.Now_, {{"b"}, 0}, 1,
+                              StartOutcome::Unknown, Fixture.Out_);
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsDoNotMakeASilentWorkerCountAsLostEarlier) {
+  AgentFixture Quiet;
+  AgentFixture Refusing;
+  for (auto *Each : {&Quiet, &Refusing})
+    for (const auto *Job : {"a", "b", "c", "d", "e"})
+      Each->bind(Job, 100);
+  for (const auto *Job : {"a", "b", "c", "d", "e"}) {
+    Refusing.refuse(Job);
+    for (auto *Each : {&Quiet, &Refusing})
+      Each->advance(Millis{200});
+    BOOST_TEST(Refusing.Core_.leaving() == Quiet.Core_.leaving());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnEntryThatLagsBehindASeriesGetsEachConfiguration) {
   AgentFixture Fixture;
   for (const Revision Known : {3, 4, 5}) {
--- a/test/correctness/CapacityTest.cpp
+++ b/test/correctness/CapacityTest.cpp
@@ -62,9 +62,12 @@
   }
 
   /// The worker answers a poll; it runs the first task of each of these jobs.
-  auto poll(const std::vector<std::string> &RunningJobs) -> void {
+  /// \param Fence the fence behind which the worker has made its list.
+  auto poll(const std::vector<std::string> &RunningJobs,
+            std::uint64_t Fence = 0) -> void {
     WorkerInventory Inventory;
     Inventory.Worker_ = Worker;
+    Inventory.Fence_ = Fence;
     Inventory.Clock_ =
         std::chrono::duration_cast<Micros>(Now_.Steady_.time_since_epoch());
     for (const auto &Job : RunningJobs) {
@@ -278,6 +281,9 @@
   Fixture.bind("a", 3000);
   Fixture.Core_.startAnswered(Fixture.Now_, Fixture.taskOf("a"), 1,
                               StartOutcome::Refused, Fixture.Out_);
+  const auto *Poll = std::get_if<PollWorker>(&Fixture.Out_.back());
+  BOOST_REQUIRE(Poll != nullptr);
+  Fixture.poll({}, Poll->Fence_);
   Fixture.tick(Millis{50});
   Fixture.poll({"a"});
   Fixture.Out_.clear();
--- a/test/correctness/WorkerClientTest.cpp
+++ b/test/correctness/WorkerClientTest.cpp
@@ -42,6 +42,78 @@
   std::int64_t Clock_ = 1000;
 };
 
+/// Keeps each call until the test answers it.
+class HeldCalls : public HttpCaller {
+public:
+  auto call(HttpCall Call, std::function<void(HttpResult)> Done)
+      -> void override {
+    Calls_.push_back({std::move(Call), std::move(Done)});
+  }
+
+  auto count() const -> std::size_t { return Calls_.size(); }
+  auto path(std::size_t Index) const -> std::string {
+    const auto &Url = Calls_.at(Index).first.Url_;
+    return Url.substr(Url.rfind('/'));
+  }
+  auto body(std::size_t Index) const -> Json {
+    return Json::parse(Calls_.at(Index).first.Body_);
+  }
+  auto token(std::size_t Index) const -> Incarnation {
+    return body(Index).at("fence").get<Incarnation>();
+  }
+  auto answer(std::size_t Index, std::uint16_t Status, const Json &Body)
+      -> void {
+    HttpResult Answer;
+    Answer.Complete_ = true;
+    Answer.Status_ = Status;
+    Answer.Body_ = Body.dump();
+    Calls_.at(Index).second(std::move(Answer));
+  }
+  /// The connection ends without an answer.
+  auto lose(std::size_t Index) -> void { Calls_.at(Index).second({}); }
+
+private:
+  std::vector<std::pair<HttpCall, std::function<void(HttpResult)>>> Calls_;
+};
+
+struct OrderFixture {
+  auto start() -> void {
+    StartOnWorker Start;
+    Start.Bind_.Task_ = {{"j"}, 0};
+    Start.Bind_.Attempt_ = 1;
+    Start.LeaseUntil_ = Seconds{10};
+    Client_.execute(Start);
+  }
+  auto poll(std::uint64_t Fence) -> void {
+    PollWorker Poll;
+    Poll.Fence_ = Fence;
+    Client_.execute(Poll);
+  }
+
+  asio::io_context Traffic_;
+  HeldCalls Calls_;
+  std::vector<StartOutcome> Outcomes_;
+  std::vector<WorkerInventory> Inventories_;
+  WorkerLinkHandlers Handlers_ = [this] {
+    WorkerLinkHandlers Handlers;
+    Handlers.StartAnswered_ = [this](const TaskId &, AttemptNumber,
+                                     StartOutcome Outcome) {
+      Outcomes_.push_back(Outcome);
+    };
+    Handlers.InventoryReceived_ = [this](WorkerInventory Received) {
+      Inventories_.push_back(std::move(Received));
+    };
+    return Handlers;
+  }();
+  Platform::WorkerClient Client_{
+      Traffic_, Calls_, {"127.0.0.1:1", {}, 100}, Handlers_};
+};
+
+const Json EmptyList{{"born", 0},
+                     {"clock_ms", 1000},
+                     {"running", Json::array()},
+                     {"finished", Json::array()}};
+
 struct ClientFixture {
   auto poll() -> const WorkerInventory & {
     Client_.execute(PollWorker{});
@@ -83,4 +155,75 @@
   BOOST_TEST(Inventory_.Tasks_.size() == 200U);
 }
 
+BOOST_FIXTURE_TEST_CASE(AFenceRaisesTheTokenOfLaterOrders, OrderFixture) {
+  poll(5);
+  start();
+  poll(5);
+  poll(6);
+  start();
+  BOOST_TEST(Calls_.token(1) == Calls_.token(0));
+  BOOST_TEST(Calls_.token(2) == Calls_.token(0));
+  BOOST_TEST(Calls_.token(3) > Calls_.token(0));
+  BOOST_TEST(Calls_.token(4) == Calls_.token(3));
+}
+
+BOOST_FIXTURE_TEST_CASE(AListNamesTheFenceOfItsPoll, OrderFixture) {
+  poll(5);
+  poll(6);
+  Calls_.answer(1, 200, EmptyList);
+  Calls_.answer(0, 200, EmptyList);
+  BOOST_REQUIRE(Inventories_.size() == 2U);
+  BOOST_TEST(Inventories_[0].Fence_ == 6U);
+  BOOST_TEST(Inventories_[1].Fence_ == 5U);
+}
+
+// A list that was made before the token changed for another reason than a
+// fence shows nothing about the orders that were sent before it.
+BOOST_FIXTURE_TEST_CASE(AListFromBeforeAHigherTokenWasSeenIsIgnored,
+                        OrderFixture) {
+  poll(5);
+  start();
+  Calls_.answer(1, 409, {{"reason", "fence"}});
+  Calls_.answer(0, 200, EmptyList);
+  BOOST_TEST(Inventories_.empty());
+}
+
+// Each of several orders that a fence had overtaken raised the token by a
+// second's worth, beyond that of an agent started anew.
+BOOST_FIXTURE_TEST_CASE(OrdersThatAFenceHasOvertakenDoNotRaiseTheToken,
+                        OrderFixture) {
+  poll(5);
+  start();
+  start();
+  poll(6);
+  Calls_.answer(1, 409, {{"reason", "fence"}});
+  Calls_.answer(2, 409, {{"reason", "fence"}});
+  poll(6);
+  BOOST_TEST(Calls_.token(4) == Calls_.token(3));
+  BOOST_TEST((Outcomes_ == std::vector<StartOutcome>{StartOutcome::Unknown,
+                                                     StartOutcome::Unknown}));
+}
+
+BOOST_FIXTURE_TEST_CASE(AStopThatAFenceHasOvertakenIsSentAgain, OrderFixture) {
+  poll(5);
+  Client_.execute(StopOnWorker{{{"j"}, 0}, 1});
+  poll(6);
+  Calls_.answer(1, 409, {{"reason", "fence"}});
+  BOOST_REQUIRE(Calls_.count() == 4U);
+  BOOST_TEST(Calls_.path(3) == "/run-stop");
+  BOOST_TEST(Calls_.token(3) == Calls_.token(2));
+  // The worker has seen the token of another agent, which may be the later one.
+  Calls_.answer(3, 409, {{"reason", "fence"}});
+  BOOST_TEST(Calls_.count() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARefusalIsReportedWhateverWasSentBefore, OrderFixture) {
+  start();
+  start();
+  Calls_.lose(0);
+  Calls_.answer(1, 503, {{"clock_ms", 1000}});
+  BOOST_TEST((Outcomes_ == std::vector<StartOutcome>{StartOutcome::Unknown,
+                                                     StartOutcome::Refused}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/fuzz/FakeWorker.cpp
+++ b/test/fuzz/FakeWorker.cpp
@@ -4,10 +4,10 @@
 
 namespace skylark::Fuzz {
 
-auto FakeWorker::acceptsAgent(Incarnation Agent) -> bool {
-  if (Agent < NewestAgent_)
+auto FakeWorker::accepts(CommandToken Token) -> bool {
+  if (Token < HighestToken_)
     return false;
-  NewestAgent_ = Agent;
+  HighestToken_ = Token;
   return true;
 }
 
@@ -18,9 +18,9 @@
 }
 
 auto FakeWorker::start(TrueTime Now, Micros Clock, const StartOnWorker &Start,
-                       Incarnation Agent, Revision AgentRevision)
+                       CommandToken Token, Revision AgentRevision)
     -> StartOutcome {
-  if (!acceptsAgent(Agent))
+  if (!accepts(Token))
     return StartOutcome::Unknown;
   const auto &Bind = Start.Bind_;
   const auto *Known = find(Bind.Task_, Bind.Attempt_);
@@ -58,8 +58,8 @@
   Checker_.taskEnded(Config_.Name_, Bind.Task_, Bind.Attempt_, Phase, Reason);
 }
 
-auto FakeWorker::stop(const StopOnWorker &Stop, Incarnation Agent) -> void {
-  if (!acceptsAgent(Agent))
+auto FakeWorker::stop(const StopOnWorker &Stop, CommandToken Token) -> void {
+  if (!accepts(Token))
     return;
   auto *Known = find(Stop.Task_, Stop.Attempt_);
   if (Known != nullptr && !isEnded(Known->Task_.Phase_))
@@ -67,20 +67,20 @@
   LastEnded_[Stop.Task_] = std::max(LastEnded_[Stop.Task_], Stop.Attempt_);
 }
 
-auto FakeWorker::forget(const ForgetOnWorker &Forget, Incarnation Agent)
+auto FakeWorker::forget(const ForgetOnWorker &Forget, CommandToken Token)
     -> void {
   const auto *Known = find(Forget.Task_, Forget.Attempt_);
-  if (!acceptsAgent(Agent) || Known == nullptr || !isEnded(Known->Task_.Phase_))
+  if (!accepts(Token) || Known == nullptr || !isEnded(Known->Task_.Phase_))
     return;
   if (Known->Task_.Phase_ == TaskPhase::Finished && !Known->LapsedSinceEnd_)
     Checker_.finishAcknowledged(Config_.Name_, Forget.Task_, Forget.Attempt_);
   Attempts_.erase({Forget.Task_, Forget.Attempt_});
 }
 
-auto FakeWorker::renewLeases(const PollWorker &Poll, Incarnation Agent)
-    -> void {
-  if (!acceptsAgent(Agent))
-    return;
+auto FakeWorker::renewLeases(const PollWorker &Poll, CommandToken Token)
+    -> bool {
+  if (!accepts(Token))
+    return false;
   for (const auto &Lease : Poll.Leases_) {
     auto *Known = find(Lease.Task_, Lease.Attempt_);
     if (Known != nullptr)
@@ -93,6 +93,7 @@
                        });
   if (First != Poll.Leases_.end())
     WorkerLease_ = std::max(WorkerLease_, First->LeaseUntil_);
+  return true;
 }
 
 auto FakeWorker::leaseOf(const AttemptState &Each) const -> Micros {
--- a/test/fuzz/FakeWorker.h
+++ b/test/fuzz/FakeWorker.h
@@ -22,10 +22,22 @@
 /// real worker, so that few tasks reach it.
 constexpr std::size_t MaxListedEnds = 2;
 
+/// The token of an agent's command: its incarnation, and how many fences it had
+/// raised before.
+struct CommandToken {
+  Incarnation Agent_ = 0;
+  std::uint64_t Fences_ = 0;
+
+  friend auto operator<(const CommandToken &Left, const CommandToken &Right)
+      -> bool {
+    return std::tie(Left.Agent_, Left.Fences_) <
+           std::tie(Right.Agent_, Right.Fences_);
+  }
+};
+
 /// Simulates a worker that runs tasks under leases, and reports their starts
 /// and ends to the checker. Of its ended attempts it lists the earliest only.
-/// Commands of an agent incarnation older than the newest one seen have no
-/// effect.
+/// Commands with a lower token than the highest one seen have no effect.
 class FakeWorker {
 public:
   FakeWorker(WorkerConfig Config, Checker &Checker)
@@ -33,15 +45,16 @@
 
   /// \param Now time of the simulation, for the checker.
   /// \param Clock time on the worker's own clock, on which leases end.
-  /// \param Agent incarnation of the agent that gives the command.
+  /// \param Token the command's token.
   /// \param AgentRevision revision that the agent had when it gave the command.
   /// \returns Accepted if the worker has the attempt, Refused if it is too late
-  ///   or not newer than one that has ended, and Unknown for an older agent.
+  ///   or not newer than one that has ended, and Unknown for a lower token.
   auto start(TrueTime Now, Micros Clock, const StartOnWorker &Start,
-             Incarnation Agent, Revision AgentRevision) -> StartOutcome;
-  auto stop(const StopOnWorker &Stop, Incarnation Agent) -> void;
-  auto forget(const ForgetOnWorker &Forget, Incarnation Agent) -> void;
-  auto renewLeases(const PollWorker &Poll, Incarnation Agent) -> void;
+             CommandToken Token, Revision AgentRevision) -> StartOutcome;
+  auto stop(const StopOnWorker &Stop, CommandToken Token) -> void;
+  auto forget(const ForgetOnWorker &Forget, CommandToken Token) -> void;
+  /// \returns false if the poll has a lower token, and so gets no inventory.
+  auto renewLeases(const PollWorker &Poll, CommandToken Token) -> bool;
   auto inventory(Micros Clock) const -> WorkerInventory;
   /// Advances the running tasks by `Elapsed`, and ends those that are complete
   /// or whose leases have expired.
@@ -68,8 +81,8 @@
     /// Whether the attempt's lease has expired since the attempt ended.
     bool LapsedSinceEnd_ = false;
   };
-  /// Whether an agent's command may take effect; records the agent if so.
-  auto acceptsAgent(Incarnation Agent) -> bool;
+  /// Whether a command may take effect; records its token if so.
+  auto accepts(CommandToken Token) -> bool;
   auto find(const TaskId &Task, AttemptNumber Attempt) -> AttemptState *;
   auto leaseOf(const AttemptState &Each) const -> Micros;
   auto end(AttemptState &Each, TaskPhase Phase, ErrorKind Reason) -> void;
@@ -79,8 +92,8 @@
 
   WorkerConfig Config_;
   Checker &Checker_;
-  /// The highest agent incarnation seen.
-  Incarnation NewestAgent_ = 0;
+  /// The highest token seen.
+  CommandToken HighestToken_;
   /// Running attempts, and ended ones that the agent has not discarded.
   std::map<AttemptKey, AttemptState> Attempts_;
   /// The highest attempt of each task that was stopped or ended here; only
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -19,12 +19,14 @@
                "store-writes-late", "reorder",          "duplicate",
                "damage-answers",    "failing-worker",   "take-out",
                "bring-back",        "apply-document",   "cancel-jobs",
-               "change-series"};
+               "change-series",     "workers-refuse",   "workers-break"};
 const std::array<const char *, 3> DataCentres{"hobart", "launceston", "burnie"};
 constexpr Millis TickInterval{50};
 constexpr Millis StoreTimeout{1000};
 /// Time after which a start command counts as unanswered.
 constexpr Millis OrderTimeout{400};
+/// How many copies of an order libcurl sends at most.
+constexpr int MaxCopies = 6;
 /// Steady clocks start far from zero, and each one has its own rate.
 constexpr Seconds SteadyStart{1000};
 const WallTime WallStart{Seconds{1796000000}};
@@ -125,9 +127,10 @@
   bool Leaving_ = false;
   std::deque<std::function<void()>> DeferredCommands_;
   Revision HighestRevision_ = 0;
-  /// How many copies of each start command without a definite answer this
-  /// process has sent.
-  std::map<std::pair<TaskId, AttemptNumber>, int> UnansweredStarts_;
+  /// The fence of the last poll.
+  std::uint64_t Fence_ = 0;
+  /// How many fences this process has raised.
+  std::uint64_t Fences_ = 0;
 };
 
 /// A connection between an agent and an entry, with the state at either end.
@@ -220,7 +223,8 @@
   Identity.Services_ = {{"check"}, {"lodge"}};
   Node.Incarnation_ = Identity.Incarnation_;
   Node.Core_ = std::make_unique<AgentCore>(Identity);
-  Node.UnansweredStarts_.clear();
+  Node.Fence_ = 0;
+  Node.Fences_ = 0;
   Node.Leaving_ = false;
   Node.FrozenUntil_ = TrueTime{0};
   Node.DeferredCommands_.clear();
@@ -716,25 +720,48 @@
              });
 }
 
+auto Simulation::sendOrder(std::size_t Agent,
+                           std::function<StartOutcome(FakeWorker &)> Order,
+                           std::function<void(StartOutcome)> Answered,
+                           int Copies) -> void {
+  const auto Active = [&](FaultKind Kind) { return ActiveUntil_[Kind] > Now_; };
+  const auto Refused = Active(FaultKind::WorkersRefuse) && chance(0.4);
+  const auto Breaks = Active(FaultKind::WorkersBreakConnections) && chance(0.4);
+  callWorker(
+      Agent, [this, Order, Answered, Refused, Breaks](FakeWorker &Worker) {
+        const auto Outcome = Refused ? StartOutcome::Refused : Order(Worker);
+        const auto AnswerLost =
+            Breaks || !Answered ||
+            (ActiveUntil_[FaultKind::Reorder] > Now_ && chance(0.2));
+        if (!AnswerLost)
+          scheduleAt(Now_ + randomDelay() / 4,
+                     [Answered, Outcome] { Answered(Outcome); });
+      });
+  if (!Breaks || Copies == 1)
+    return;
+  const auto Generation = Agents_[Agent]->Generation_;
+  scheduleAt(Now_ + randomDelay() / 2,
+             [this, Agent, Generation, Order, Answered, Copies] {
+               if (Agents_[Agent]->Generation_ == Generation)
+                 sendOrder(Agent, Order, Answered, Copies - 1);
+             });
+}
+
+auto Simulation::tokenOf(std::size_t Agent) const -> CommandToken {
+  const auto &Node = *Agents_[Agent];
+  return {Node.Incarnation_, Node.Fences_};
+}
+
 auto Simulation::executeForAgent(std::size_t Agent, const StartOnWorker &Start)
     -> void {
   auto &Node = *Agents_[Agent];
-  const auto AgentIncarnation = Node.Incarnation_;
   const auto Generation = Node.Generation_;
   const auto Revision = Node.Core_->configuration().Head_.Revision_;
-  const auto Answered = std::make_shared<bool>(!Config_.MinimalWorkers_);
-  const auto AnswerOnce = [this, Agent, Generation, Answered,
-                           Bind = Start.Bind_](StartOutcome Outcome) {
-    if (!std::exchange(*Answered, true) &&
-        Agents_[Agent]->Generation_ == Generation)
-      answerStart(Agent, Bind, Outcome);
-  };
-  callWorker(Agent, [this, Agent, Start, AgentIncarnation, Revision,
-                     AnswerOnce](FakeWorker &Worker) {
+  const auto Order = [this, Agent, Start, Token = tokenOf(Agent),
+                      Revision](FakeWorker &Worker) {
     const auto Clock = std::chrono::duration_cast<Micros>(
         localTime(Agents_[Agent]->WorkerClockRate_).Steady_.time_since_epoch());
-    const auto Outcome =
-        Worker.start(Now_, Clock, Start, AgentIncarnation, Revision);
+    const auto Outcome = Worker.start(Now_, Clock, Start, Token, Revision);
     if (Outcome == StartOutcome::Accepted &&
         Start.Bind_.Payload_ == CrashingPayload)
       scheduleAfter(
@@ -743,62 +770,58 @@
             if (Agents_[Agent]->WorkerGeneration_ == Generation)
               crashWorker(Agent);
           });
-    const auto AnswerLost = Config_.MinimalWorkers_ &&
-                            ActiveUntil_[FaultKind::Reorder] > Now_ &&
-                            chance(0.2);
-    if (Config_.MinimalWorkers_ && !AnswerLost)
-      scheduleAt(Now_ + randomDelay() / 4,
-                 [AnswerOnce, Outcome] { AnswerOnce(Outcome); });
-  });
-  if (!Config_.MinimalWorkers_)
+    return Outcome;
+  };
+  // Other workers don't answer a start.
+  if (!Config_.MinimalWorkers_) {
+    sendOrder(Agent, Order, {}, MaxCopies);
     return;
-  ++Node.UnansweredStarts_[{Start.Bind_.Task_, Start.Bind_.Attempt_}];
+  }
+  const auto Answered = std::make_shared<bool>(false);
+  const auto AnswerOnce = [this, Agent, Generation, Answered,
+                           Bind = Start.Bind_](StartOutcome Outcome) {
+    if (std::exchange(*Answered, true) ||
+        Agents_[Agent]->Generation_ != Generation)
+      return;
+    callAgent(
+        Agent, [Bind, Outcome](AgentCore &Core, Moment Then, AgentOutbox &Out) {
+          Core.startAnswered(Then, Bind.Task_, Bind.Attempt_, Outcome, Out);
+        });
+  };
+  sendOrder(Agent, Order, AnswerOnce, MaxCopies);
   scheduleAfter(OrderTimeout,
                 [AnswerOnce] { AnswerOnce(StartOutcome::Unknown); });
 }
 
-auto Simulation::answerStart(std::size_t Agent, const BindTask &Bind,
-                             StartOutcome Outcome) -> void {
-  auto &Unanswered = Agents_[Agent]->UnansweredStarts_;
-  const auto Found = Unanswered.find({Bind.Task_, Bind.Attempt_});
-  if (Found == Unanswered.end())
-    return;
-  const auto Copies = Found->second;
-  if (Outcome != StartOutcome::Unknown)
-    Unanswered.erase(Found);
-  if (Outcome == StartOutcome::Refused && Copies != 1)
-    return;
-  callAgent(Agent,
-            [Bind, Outcome](AgentCore &Core, Moment Then, AgentOutbox &Out) {
-              Core.startAnswered(Then, Bind.Task_, Bind.Attempt_, Outcome, Out);
-            });
-}
-
 auto Simulation::executeForAgent(std::size_t Agent, const StopOnWorker &Stop)
     -> void {
-  callWorker(Agent,
-             [Stop, AgentIncarnation = Agents_[Agent]->Incarnation_](
-                 FakeWorker &Worker) { Worker.stop(Stop, AgentIncarnation); });
+  const auto Order = [Stop, Token = tokenOf(Agent)](FakeWorker &Worker) {
+    Worker.stop(Stop, Token);
+    return StartOutcome::Accepted;
+  };
+  sendOrder(Agent, Order, {}, MaxCopies);
 }
 
 auto Simulation::executeForAgent(std::size_t Agent,
                                  const ForgetOnWorker &Forget) -> void {
-  callWorker(Agent, [Forget, AgentIncarnation = Agents_[Agent]->Incarnation_](
-                        FakeWorker &Worker) {
-    Worker.forget(Forget, AgentIncarnation);
+  callWorker(Agent, [Forget, Token = tokenOf(Agent)](FakeWorker &Worker) {
+    Worker.forget(Forget, Token);
   });
 }
 
 auto Simulation::executeForAgent(std::size_t Agent, const PollWorker &Poll)
     -> void {
-  callWorker(Agent, [this, Agent, Poll,
-                     AgentIncarnation = Agents_[Agent]->Incarnation_,
-                     Generation =
-                         Agents_[Agent]->Generation_](FakeWorker &Worker) {
-    Worker.renewLeases(Poll, AgentIncarnation);
+  auto &Node = *Agents_[Agent];
+  if (std::exchange(Node.Fence_, Poll.Fence_) != Poll.Fence_)
+    ++Node.Fences_;
+  callWorker(Agent, [this, Agent, Poll, Token = tokenOf(Agent),
+                     Generation = Node.Generation_](FakeWorker &Worker) {
+    if (!Worker.renewLeases(Poll, Token))
+      return;
     const auto Clock = std::chrono::duration_cast<Micros>(
         localTime(Agents_[Agent]->WorkerClockRate_).Steady_.time_since_epoch());
-    const auto Inventory = Worker.inventory(Clock);
+    auto Inventory = Worker.inventory(Clock);
+    Inventory.Fence_ = Poll.Fence_;
     scheduleAt(Now_ + randomDelay() / 4, [this, Agent, Inventory, Generation] {
       if (Agents_[Agent]->Generation_ != Generation)
         return;
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -66,6 +66,11 @@
   /// Operators change the configuration many times a second, while callers
   /// submit urgent jobs.
   ChangeSeries,
+  /// Workers refuse some orders, which then have no effect.
+  WorkersRefuse,
+  /// Some connections to workers break before an order is answered, and the
+  /// HTTP client sends it again on a new one. Each copy may be carried out.
+  WorkersBreakConnections,
   Count
 };
 
@@ -213,10 +218,6 @@
   auto execute(std::size_t Entry, const ExitProcess &Exit) -> void;
   auto executeForAgent(std::size_t Agent, const SendToEntry &Send) -> void;
   auto executeForAgent(std::size_t Agent, const StartOnWorker &Start) -> void;
-  /// Reports the outcome of a start command to the agent's present process if
-  /// it is definite, as the platform's worker client does.
-  auto answerStart(std::size_t Agent, const BindTask &Bind,
-                   StartOutcome Outcome) -> void;
   auto executeForAgent(std::size_t Agent, const StopOnWorker &Stop) -> void;
   auto executeForAgent(std::size_t Agent, const ForgetOnWorker &Forget) -> void;
   auto executeForAgent(std::size_t Agent, const PollWorker &Poll) -> void;
@@ -230,6 +231,17 @@
   /// Runs an action on an agent's worker after the delay of a call.
   auto callWorker(std::size_t Agent, std::function<void(FakeWorker &)> Action)
       -> void;
+  /// Sends an order to an agent's worker, in one copy or several.
+  /// \param Order carries one copy out.
+  /// \param Answered gets the outcome of the copy that is answered, if any is;
+  ///   may be empty.
+  /// \param Copies how many copies are sent at most.
+  auto sendOrder(std::size_t Agent,
+                 std::function<StartOutcome(FakeWorker &)> Order,
+                 std::function<void(StartOutcome)> Answered, int Copies)
+      -> void;
+  /// The token of the agent's next command.
+  auto tokenOf(std::size_t Agent) const -> CommandToken;
 
   // Callers, operators and faults.
 
