HTTP client: a request of which one copy was sent doesn't count as never sent

Cause: on a kept connection that breaks before the answer libcurl sends the request again. If the new connection can't be opened, the transfer ends with "couldn't connect", which was taken for the outcome of all copies. Calls that must not run twice have a connection of their own and are not concerned. Change: NeverSent_ also needs that no copy was sent, by the count of libcurl's callback before each copy. Evidence: HttpClients/ARequestOfWhichOneCopyWasSentDoesNotCountAsNeverSent, on real sockets, failed before and passes.

--- a/runtime/HttpClient.cpp
+++ b/runtime/HttpClient.cpp
@@ -55,8 +55,11 @@
   return CURL_PREREQFUNC_OK;
 }
 
-auto neverSent(CURLcode Code) -> bool {
-  return Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST;
+/// \returns whether no copy of the request was sent. Another copy may have been
+/// sent before the connection for this one failed.
+auto neverSent(CURLcode Code, int Copies) -> bool {
+  return Copies == 0 &&
+         (Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST);
 }
 
 } // namespace
@@ -226,7 +229,7 @@
       long Status = 0;
       curl_easy_getinfo(Each->Easy_, CURLINFO_RESPONSE_CODE, &Status);
       Each->Result_.Complete_ = Code == CURLE_OK;
-      Each->Result_.NeverSent_ = neverSent(Code);
+      Each->Result_.NeverSent_ = neverSent(Code, Each->Result_.Copies_);
       Each->Result_.Status_ = static_cast<std::uint16_t>(Status);
       Each->Done_(std::move(Each->Result_));
     }
