Agent: a start that gets no answer is repeated at most each 50 ms

What callers saw: nothing yet; it costs a worker that restarts, and the agent, the more the more starts wait. Cause: startAnswered() repeated an unanswered start at once. Where the worker's port refuses connections, or resets each, every order fails at once, and the next one followed without a pause until the lease ended. Change: the first repeat goes out at once, as before; each further one 50 ms after the last, with a tick.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -383,6 +383,8 @@
     NextReportResend_ = Now.Steady_ + ReportResendInterval;
     Tasks_.resendReports(Out);
   }
+  if (refusalReason() == ErrorKind::None)
+    Tasks_.repeatStarts(Now.Steady_, Permits_, Out);
   startQueued(Now, Out);
   Requests_.advance(Now.Steady_, Out);
   if (Leaving_ && !ExitSent_ && Requests_.idle() && Tasks_.empty()) {
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -17,6 +17,8 @@
 /// How long after a shrink of the worker's capacity bindings may arrive that
 /// its owner made for the larger one.
 constexpr Millis StaleBindingPeriod{1000};
+/// A worker that can't be connected to fails each start command at once.
+constexpr Millis StartRepeatInterval{50};
 
 /// A number that is higher than those of all earlier fences of the process.
 auto fenceAt(TimePoint Now) -> std::uint64_t {
@@ -370,6 +372,23 @@
     }
     return;
   }
+  Held.StartUnanswered_ = true;
+  repeatStart(Now, Held, Permits, Out);
+}
+
+auto TaskManager::repeatStarts(TimePoint Now, const StartPermits &Permits,
+                               AgentOutbox &Out) -> void {
+  for (auto &[Task, Held] : Tasks_)
+    repeatStart(Now, Held, Permits, Out);
+}
+
+auto TaskManager::repeatStart(TimePoint Now, HeldTask &Held,
+                              const StartPermits &Permits, AgentOutbox &Out)
+    -> void {
+  if (Held.Phase_ != TaskPhase::Starting || !Held.StartUnanswered_ ||
+      Now < Held.NextStartRepeat_)
+    return;
+  Held.StartUnanswered_ = false;
   if (Held.StopRequested_ || Held.StartRefused_)
     return;
   // A second copy of the start command is harmless: the worker runs an attempt
@@ -378,6 +397,7 @@
       std::min(Held.LeaseUntil_, Permits.startUntil(Held.StartRevision_));
   if (Until <= Now)
     return;
+  Held.NextStartRepeat_ = Now + StartRepeatInterval;
   recordLease(Now, Until);
   Held.StartLeaseUntil_ = std::max(Held.StartLeaseUntil_, toWorkerClock(Until));
   commandStart(Held, Out);
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -93,6 +93,9 @@
   /// Requests the worker's inventory.
   /// \param Renew whether to renew task leases in the same call.
   auto poll(TimePoint Now, bool Renew, AgentOutbox &Out) -> void;
+  /// Repeats the unanswered start commands whose turn has come.
+  auto repeatStarts(TimePoint Now, const StartPermits &Permits,
+                    AgentOutbox &Out) -> void;
   /// Sends a poll with a new fence if a start command was refused of which
   /// another copy may still take effect. There is one such poll at a time; if
   /// it is lost, the next regular poll has its fence.
@@ -132,6 +135,10 @@
     std::uint64_t StartFence_ = 0;
     /// Whether a copy of the start command was refused.
     bool StartRefused_ = false;
+    /// Whether the last start command got no answer and wasn't repeated yet.
+    bool StartUnanswered_ = false;
+    /// The start command isn't repeated before this time.
+    TimePoint NextStartRepeat_{};
     /// The configuration revision under which the task was started.
     Revision StartRevision_ = 0;
     /// Adopted after a restart of the agent; only the ids in Bind_ are known.
@@ -208,6 +215,9 @@
   auto sendReport(const TaskReport &Report, AgentOutbox &Out) const -> void;
   auto startTask(HeldTask &Held, TimePoint LeaseUntil, Revision Observed,
                  AgentOutbox &Out) -> void;
+  /// Repeats the start command if it is unanswered and its turn has come.
+  auto repeatStart(TimePoint Now, HeldTask &Held, const StartPermits &Permits,
+                   AgentOutbox &Out) -> void;
   /// Commands the start of a task of which all but the end of its lease is
   /// decided.
   auto commandStart(HeldTask &Held, AgentOutbox &Out) const -> void;
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -277,6 +277,32 @@
   BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 1U);
 }
 
+// A worker whose port refuses connections got thousands of orders a second.
+BOOST_AUTO_TEST_CASE(AWorkerThatRefusesConnectionsGetsFewStarts) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.clear();
+  constexpr int Ticks = 10;
+  std::size_t Orders = 0;
+  for (int Tick = 0; Tick < Ticks; ++Tick) {
+    // Each order fails at once.
+    for (int Repeat = 0; Repeat < 100; ++Repeat) {
+      if (Tick != 0 || Repeat != 0) {
+        const auto Sent = Fixture.countOutputs<StartOnWorker>();
+        if (Sent == 0)
+          break;
+        Orders += Sent;
+        Fixture.clear();
+      }
+      Fixture.Core_.startAnswered(Fixture.Now_, {{"a"}, 0}, 1,
+                                  StartOutcome::Unknown, Fixture.Out_);
+    }
+    Fixture.advance(Millis{50});
+  }
+  BOOST_TEST(Orders >= 5U);
+  BOOST_TEST(Orders <= 10U);
+}
+
 BOOST_AUTO_TEST_CASE(NoStartIsRepeatedWhileTheDataCentreIsOut) {
   AgentFixture Fixture;
   Fixture.bind("a", 1000);
