--- a/test/correctness/WorkerClientTest.cpp
+++ b/test/correctness/WorkerClientTest.cpp
@@ -217,6 +217,26 @@
   BOOST_TEST(Calls_.count() == 4U);
 }
 
+// Such a start took effect after the next agent, with a lower token, had a
+// list.
+BOOST_FIXTURE_TEST_CASE(NoStartCarriesATokenThatTheWorkerHasNotAccepted,
+                        OrderFixture) {
+  poll(5);
+  Calls_.answer(0, 200, EmptyList);
+  start();
+  Calls_.answer(1, 409, {{"reason", "fence"}});
+  start();
+  BOOST_REQUIRE(Calls_.count() == 2U);
+  BOOST_TEST((Outcomes_ == std::vector<StartOutcome>{StartOutcome::Unknown,
+                                                     StartOutcome::Unknown}));
+  poll(5);
+  Calls_.answer(2, 200, EmptyList);
+  start();
+  BOOST_REQUIRE(Calls_.count() == 4U);
+  BOOST_TEST(Calls_.path(3) == "/run-start");
+  BOOST_TEST(Calls_.token(3) == Calls_.token(2));
+}
+
 BOOST_FIXTURE_TEST_CASE(ARefusalIsReportedWhateverWasSentBefore, OrderFixture) {
   start();
   start();
