--- a/test/correctness/WorkerClientTest.cpp
+++ b/test/correctness/WorkerClientTest.cpp
@@ -217,8 +217,7 @@
   BOOST_TEST(Calls_.count() == 4U);
 }
 
-// Such a start took effect after the next agent, with a lower token, had a
-// list.
+// Such a start ran after the next agent, with a lower token, had its list.
 BOOST_FIXTURE_TEST_CASE(NoStartCarriesATokenThatTheWorkerHasNotAccepted,
                         OrderFixture) {
   poll(5);
@@ -237,6 +236,32 @@
   BOOST_TEST(Calls_.token(3) == Calls_.token(2));
 }
 
+// After a step back of the clock the leases ended before it was accepted.
+BOOST_FIXTURE_TEST_CASE(AnAgentSoonReachesTheTokenOfItsForerunner,
+                        OrderFixture) {
+  constexpr Incarnation Seen = 100 + 60 * 1000000;
+  poll(5);
+  std::size_t Answered = 0;
+  for (; Answered < Calls_.count() && Calls_.token(Answered) < Seen; ++Answered)
+    Calls_.answer(Answered, 409, {{"reason", "fence"}});
+  BOOST_REQUIRE(Answered < Calls_.count());
+  BOOST_TEST(Answered <= 6U);
+  Calls_.answer(Answered, 200, EmptyList);
+  BOOST_TEST(Inventories_.size() == 1U);
+  BOOST_TEST(Calls_.count() == Answered + 1);
+}
+
+// Two agents that use one worker must not call it without a pause.
+BOOST_FIXTURE_TEST_CASE(AWorkerThatAcceptsNoTokenGetsFewPolls, OrderFixture) {
+  poll(5);
+  for (std::size_t Call = 0; Call < Calls_.count() && Call < 100; ++Call)
+    Calls_.answer(Call, 409, {{"reason", "fence"}});
+  BOOST_TEST(Calls_.count() <= 11U);
+  poll(5);
+  Calls_.answer(Calls_.count() - 1, 409, {{"reason", "fence"}});
+  BOOST_TEST(Calls_.count() <= 12U);
+}
+
 BOOST_FIXTURE_TEST_CASE(ARefusalIsReportedWhateverWasSentBefore, OrderFixture) {
   start();
   start();
