--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -796,6 +796,33 @@
   }
 }
 
+// The owner puts back what the first confirmation on a connection doesn't name.
+BOOST_AUTO_TEST_CASE(ABindingIsConfirmedOrNeverTaken) {
+  for (const auto Late : {false, true}) {
+    AgentFixture Fixture;
+    constexpr SessionNumber NextSession = 2;
+    Fixture.Core_.openSession(Fixture.Now_, NextSession, Fixture.Out_);
+    Fixture.clear();
+    if (!Late)
+      Fixture.bind("a", 1000);
+    Fixture.Core_.receive(Fixture.Now_, NextSession, ClaimOwnership{0, 1},
+                          Fixture.Out_);
+    std::optional<std::size_t> Confirmed;
+    for (const auto &Each : Fixture.Out_)
+      if (const auto *Send = std::get_if<SendToEntry>(&Each))
+        if (const auto *Confirm =
+                std::get_if<ConfirmOwnership>(&Send->Message_))
+          Confirmed = Confirm->HeldTasks_.size();
+    BOOST_REQUIRE(Confirmed.has_value());
+    BOOST_TEST(*Confirmed == (Late ? 0U : 1U));
+    // The binding was held on the earlier connection.
+    if (Late)
+      Fixture.bind("a", 1000);
+    Fixture.advance(Millis{200});
+    BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == (Late ? 0U : 1U));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnEntryThatLagsBehindASeriesGetsEachConfiguration) {
   AgentFixture Fixture;
   for (const Revision Known : {3, 4, 5}) {
