Randomised runs: copies of calls to the store; ledger test of a write whose copy conflicts

The copy of a transaction that was carried out is answered 412, a lease is created twice. Until now no run and no test had such copies. The new kind of fault, store-resends, carries a share of the calls out twice, the first copy possibly seconds after the second, and returns the second answer. The entries take no conflict for the outcome: the ledger and the updater of configurations read back and look for their own write, documents are stored under their digest, a second lease stays without keys. So nothing had to change. Ledger/RecognisesItsOwnWriteIfACopyOfItConflicts passes on the code as it was.

--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -124,6 +124,9 @@
                   !isMutationActive(Mutation::UnlimitedCommits);
   if (Result.Status_ == StoreStatus::Ok)
     swapResolved(Now, true, Result.Index_);
+  else if (Result.Status_ == StoreStatus::Conflict &&
+           isMutationActive(Mutation::TrustConflicts))
+    giveUpWrite();
   else
     readBackHead();
 }
--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -27,6 +27,7 @@
   TakeListForWhole,
   UnlimitedCommits,
   TrustRefusals,
+  TrustConflicts,
   Count
 };
 
--- a/test/correctness/LedgerTest.cpp
+++ b/test/correctness/LedgerTest.cpp
@@ -35,6 +35,8 @@
           continue;
         recordWrite(Call->Operation_);
         auto Result = Store_.apply(Micros{0}, Call->Operation_);
+        if (EachCallTwice_)
+          Result = Store_.apply(Micros{0}, Call->Operation_);
         if (std::holds_alternative<CompareAndSwap>(Call->Operation_) &&
             AnswersToDrop-- > 0)
           Result = {};
@@ -60,6 +62,8 @@
       LargestWrite_ = std::max(LargestWrite_, encode(Write->Value_).size());
   }
 
+  /// Each call is carried out twice; the answer is that to the second copy.
+  bool EachCallTwice_ = false;
   /// Size in bytes of the largest value written.
   std::size_t LargestWrite_ = 0;
   /// Runs in each round, while calls are in flight.
@@ -222,6 +226,27 @@
   BOOST_TEST(Fixture.Writer_.state().claims().size() == 1U);
 }
 
+// A copy of a call is sent if the connection breaks before the answer.
+BOOST_AUTO_TEST_CASE(RecognisesItsOwnWriteIfACopyOfItConflicts) {
+  Fuzz::FakeStore Store;
+  LedgerFixture First(Store, "a");
+  First.EachCallTwice_ = true;
+  First.acquire();
+  BOOST_REQUIRE(First.Writer_.owning());
+  BOOST_TEST(First.Writer_.epoch() == 1U);
+  First.Writer_.append(claimRecord(1));
+  First.runStoreCalls();
+  First.Writer_.append(claimRecord(2));
+  First.runStoreCalls();
+  BOOST_TEST(First.Writer_.owning());
+  BOOST_TEST(First.Writer_.takeCommitted().size() == 2U);
+  BOOST_TEST(First.Writer_.commits() == 2U);
+  LedgerFixture Second(Store, "b");
+  Second.acquire();
+  BOOST_REQUIRE(Second.Writer_.owning());
+  BOOST_TEST(Second.Writer_.epoch() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(ACommitWritesOnlyNewRecords) {
   Fuzz::FakeStore Store;
   LedgerFixture Fixture(Store, "a");
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -19,7 +19,8 @@
                "store-writes-late", "reorder",          "duplicate",
                "damage-answers",    "failing-worker",   "take-out",
                "bring-back",        "apply-document",   "cancel-jobs",
-               "change-series",     "workers-refuse",   "workers-break"};
+               "change-series",     "workers-refuse",   "workers-break",
+               "store-resends"};
 const std::array<const char *, 3> DataCentres{"hobart", "launceston", "burnie"};
 constexpr Millis TickInterval{50};
 constexpr Millis StoreTimeout{1000};
@@ -615,6 +616,14 @@
   auto AppliedAt = Now_ + randomDelay();
   if (Active(FaultKind::StoreSlow))
     AppliedAt += randomDelay() * 100;
+  if (Active(FaultKind::StoreResends) && chance(0.4)) {
+    const auto FirstCopyAt =
+        chance(0.3) ? AppliedAt + randomDelay() * 250 : AppliedAt;
+    scheduleAt(FirstCopyAt, [this, Operation = Call.Operation_] {
+      Store_.apply(Now_, Operation);
+    });
+    AppliedAt += randomDelay();
+  }
   const auto AppliedLate = Active(FaultKind::StoreWritesLate) && chance(0.4);
   if (AppliedLate)
     AppliedAt += Micros(StoreTimeout) + randomDelay() * 250;
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -71,6 +71,10 @@
   /// Some connections to workers break before an order is answered, and the
   /// HTTP client sends it again on a new one. Each copy may be carried out.
   WorkersBreakConnections,
+  /// Some connections to the store break before a call is answered, and the
+  /// HTTP client sends it again on a new one. Each copy is carried out, the
+  /// first one possibly after the second was answered.
+  StoreResends,
   Count
 };
 
