Owner: failing test of a job behind many steps that no worker may take

Callers see that no other job starts while 48 steps are without a worker. A binding pass ends after 48 failed placements (MaxFailedPlacements), and each pass begins with the same steps.

--- a/test/correctness/FleetTest.cpp
+++ b/test/correctness/FleetTest.cpp
@@ -169,4 +169,21 @@
   BOOST_TEST((Fixture.state("sequence") == JobState::Completed));
 }
 
+// Steps for which there was no worker ended each pass before other jobs' turn.
+BOOST_AUTO_TEST_CASE(AJobIsBoundBehindManyStepsThatNoWorkerMayTake) {
+  constexpr std::uint32_t WorkerCount = 4;
+  FleetFixture Fixture(WorkerCount);
+  StepDeclaration Step;
+  Step.TaskCount_ = WorkerCount + 1;
+  Step.Resources_ = {100, 100, 0};
+  Step.LongRunning_ = true;
+  Step.MaxPerWorker_ = 1;
+  for (int Job = 0; Job < 150; ++Job)
+    Fixture.submit("lasting-" + std::to_string(Job), Step);
+  Fixture.advance(Millis{8000});
+  Fixture.submitShort("short", WorkerCount);
+  Fixture.advance(2 * ShortRunTime + Millis{1000});
+  BOOST_TEST((Fixture.state("short") == JobState::Completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
