Owner: steps that no worker may take no longer hide all other jobs

Cause: a binding pass ended after 48 failed placements, and each began at the front of the same order.

Change: behind the limit a pass goes on for 48 more failed placements, and skips the steps that earlier passes tried there until a pass has reached the end of the order. A pass has at most twice as many failed placements.

Evidence: Fleet/AJobIsBoundBehindManyStepsThatNoWorkerMayTake failed on the code before and passes.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -24,7 +24,9 @@
 /// Interval of the checks of bound tasks and of the binding passes that no
 /// commit has triggered.
 constexpr Millis PassInterval{150};
-/// Number of failed placements after which a binding pass ends.
+/// Number of failed placements after which a binding pass skips the steps that
+/// earlier passes have tried behind this limit, and further failed placements
+/// after which it ends.
 constexpr int MaxFailedPlacements = 48;
 /// Maximum number of workers considered for one task.
 constexpr std::size_t MaxCandidates = 24;
@@ -679,6 +681,7 @@
   Returned_.clear();
   Proposed_.clear();
   UnplacedSince_.clear();
+  TriedSteps_.clear();
   Closing_.clear();
   Cancelling_.clear();
   Failing_.clear();
@@ -1236,15 +1239,24 @@
   recordShortDemand(Now, Order);
   for (const auto &Ranked : Order) {
     if (Binds >= MaxBindsPerPass ||
-        Pass.FailedPlacements_ >= MaxFailedPlacements)
-      break;
+        Pass.FailedPlacements_ >= 2 * MaxFailedPlacements)
+      return;
+    const auto &Task = Ranked.Rank_.Task_;
     // Another task of the job may have been given up in this pass.
-    if (Failing_.count(Ranked.Rank_.Task_.Job_) != 0)
+    if (Failing_.count(Task.Job_) != 0)
+      continue;
+    const auto IsBehindLimit = Pass.FailedPlacements_ >= MaxFailedPlacements;
+    if (IsBehindLimit && TriedSteps_.count(stepKeyOf(Task)) != 0)
       continue;
-    NotBefore_.erase(Ranked.Rank_.Task_);
+    const auto FailedBefore = Pass.FailedPlacements_;
+    NotBefore_.erase(Task);
     if (tryBind(Now, Ranked.Rank_, Pass, Generator, Out))
       ++Binds;
+    else if (IsBehindLimit && Pass.FailedPlacements_ > FailedBefore)
+      TriedSteps_.insert(stepKeyOf(Task));
   }
+  // Each step has had its turn.
+  TriedSteps_.clear();
 }
 
 auto ShardOwner::sendBind(Moment Now, const TaskId &Id, Target &To,
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -444,6 +444,9 @@
   std::map<TaskId, TimePoint> NotBefore_;
   /// Since when pending tasks have waited for a worker.
   std::map<TaskId, TimePoint> UnplacedSince_;
+  /// Steps that binding passes have tried in vain behind their limit of failed
+  /// placements, since a pass last reached the end of the order.
+  std::set<StepKey> TriedSteps_;
   /// Resources held by tasks that are bound or proposed to be bound.
   ShardUsage Usage_;
   CrashBlame Crashes_;
