--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -544,6 +544,30 @@
   BOOST_TEST(std::get<UnstartedJobsReply>(*Reply).Count_ == 1U);
 }
 
+// A cancellation was answered "no such job", and the job ran afterwards.
+BOOST_AUTO_TEST_CASE(AJobWhoseSubmissionWaitsForTheStoreIsNotUnknown) {
+  EntryFixture Fixture;
+  const auto Owner = Fixture.owner();
+  for (std::size_t Index = 0; Index < EntryCount; ++Index)
+    Fixture.StoreUnreachable_[Index] = true;
+  Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{500});
+  const auto Cancel =
+      Fixture.sendRequest(Owner, CancelInQueue{{"portal.example", "/jobs/a"}});
+  Fixture.advance(Millis{500});
+  const auto *Reply = Fixture.replyOf(Cancel);
+  const auto *Error =
+      Reply == nullptr ? nullptr : std::get_if<ErrorReply>(Reply);
+  const auto IsUnknown =
+      Error != nullptr && Error->Kind_ == ErrorKind::UnknownJob;
+  for (std::size_t Index = 0; Index < EntryCount; ++Index)
+    Fixture.StoreUnreachable_[Index] = false;
+  Fixture.advance(Millis{3000});
+  const auto *Task = Fixture.taskStatus("a");
+  BOOST_REQUIRE(Task != nullptr);
+  BOOST_TEST(!IsUnknown);
+}
+
 BOOST_AUTO_TEST_CASE(UnknownQueuesAndJobsHaveDifferentErrors) {
   EntryFixture Fixture;
   const auto NoQueue =
