Worker client: an overtaken pace doesn't replace a later one

Cause: sends a pace again that a fence has overtaken. If a later pace for the attempt had been taken meanwhile, the old one replaced it, and the controller repeats no full pace.

--- a/test/correctness/WorkerClientTest.cpp
+++ b/test/correctness/WorkerClientTest.cpp
@@ -262,6 +262,27 @@
   BOOST_TEST(Calls_.count() <= 12U);
 }
 
+// An overtaken pace that was sent again replaced the one that had followed it.
+BOOST_FIXTURE_TEST_CASE(AnOvertakenPaceDoesNotReplaceALaterOne, OrderFixture) {
+  Client_.execute(PaceOnWorker{{{"j"}, 0}, 1, 20});
+  poll(5);
+  Client_.execute(PaceOnWorker{{{"j"}, 0}, 1, 100});
+  Calls_.answer(1, 200, EmptyList);
+  Calls_.answer(2, 200, {{"clock_ms", 1000}});
+  Calls_.answer(0, 409, {{"reason", "fence"}});
+  BOOST_TEST(Calls_.count() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(APaceThatAFenceHasOvertakenIsSentAgain, OrderFixture) {
+  poll(5);
+  Client_.execute(PaceOnWorker{{{"j"}, 0}, 1, 20});
+  poll(6);
+  Calls_.answer(1, 409, {{"reason", "fence"}});
+  BOOST_REQUIRE(Calls_.count() == 4U);
+  BOOST_TEST(Calls_.path(3) == "/pace");
+  BOOST_TEST(Calls_.body(3).at("percent") == 20);
+}
+
 BOOST_FIXTURE_TEST_CASE(ARefusalIsReportedWhateverWasSentBefore, OrderFixture) {
   start();
   start();
