--- a/core/AgentOutput.h
+++ b/core/AgentOutput.h
@@ -46,6 +46,8 @@
 
 /// Renews leases and requests the worker's inventory in one call.
 struct PollWorker {
+  /// The incarnation on whose clock the leases are.
+  Incarnation Worker_ = 0;
   std::vector<WorkerLease> Leases_;
   /// Number of the poll's fence. A poll with another fence than the poll before
   /// it makes the worker refuse each start command that was given earlier.
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -834,6 +834,7 @@
 
 auto TaskManager::poll(TimePoint Now, bool Renew, AgentOutbox &Out) -> void {
   PollWorker Poll;
+  Poll.Worker_ = Worker_;
   Poll.Fence_ = Fence_;
   for (const auto &[Task, Held] : Tasks_) {
     if (!Renew)
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -838,6 +838,25 @@
   BOOST_TEST((Fixture.lastPhase("b") == TaskPhase::NotStarted));
 }
 
+// The owner put back a running task whose row couldn't be read.
+BOOST_AUTO_TEST_CASE(AnUnreadableFirstListDoesNotMakeATaskMissing) {
+  AgentFixture Fixture;
+  AgentIdentity Identity;
+  Identity.Agent_ = {"agent"};
+  Identity.Capacity_ = {4000, 8000, 0};
+  AgentCore Restarted(Identity);
+  AgentOutbox Out;
+  Restarted.openSession(Fixture.Now_, OwnerSession, Out);
+  auto Inventory = Fixture.inventoryOf({});
+  Inventory.Complete_ = false;
+  Restarted.inventoryReceived(Fixture.Now_, Inventory, Out);
+  Restarted.receive(Fixture.Now_, OwnerSession, ClaimOwnership{0, 1}, Out);
+  for (const auto &Each : Out)
+    if (const auto *Send = std::get_if<SendToEntry>(&Each))
+      if (const auto *Confirm = std::get_if<ConfirmOwnership>(&Send->Message_))
+        BOOST_TEST(Confirm->MoreEnds_);
+}
+
 BOOST_AUTO_TEST_CASE(AnEntryThatLagsBehindASeriesGetsEachConfiguration) {
   AgentFixture Fixture;
   for (const Revision Known : {3, 4, 5}) {
--- a/test/correctness/WorkerClientTest.cpp
+++ b/test/correctness/WorkerClientTest.cpp
@@ -283,6 +283,24 @@
   BOOST_TEST(Calls_.body(3).at("percent") == 20);
 }
 
+// A worker that had started again under its id got a lease that had no end on
+// its own clock.
+BOOST_FIXTURE_TEST_CASE(ALeaseOnTheClockOfAnEarlierWorkerIsNotSent,
+                        OrderFixture) {
+  auto List = EmptyList;
+  for (const auto Born : {1, 2}) {
+    List["born"] = Born;
+    Client_.execute(PollWorker{});
+    Calls_.answer(Calls_.count() - 1, 200, List);
+  }
+  // The state machine has decided on this poll before it heard of the new one.
+  PollWorker Poll;
+  Poll.Worker_ = Inventories_.at(0).Worker_;
+  Poll.Leases_.push_back({{{"j"}, 0}, 1, Seconds{480}});
+  Client_.execute(Poll);
+  BOOST_TEST(!Calls_.body(2).contains("deadline_ms"));
+}
+
 BOOST_FIXTURE_TEST_CASE(ARefusalIsReportedWhateverWasSentBefore, OrderFixture) {
   start();
   start();
