--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -729,10 +729,9 @@
              });
 }
 
-auto Simulation::sendOrder(std::size_t Agent,
-                           std::function<StartOutcome(FakeWorker &)> Order,
-                           std::function<void(StartOutcome)> Answered,
-                           int Copies) -> void {
+auto Simulation::sendOrder(
+    std::size_t Agent, const std::function<StartOutcome(FakeWorker &)> &Order,
+    const std::function<void(StartOutcome)> &Answered, int Copies) -> void {
   const auto Active = [&](FaultKind Kind) { return ActiveUntil_[Kind] > Now_; };
   const auto Refused = Active(FaultKind::WorkersRefuse) && chance(0.4);
   const auto Breaks = Active(FaultKind::WorkersBreakConnections) && chance(0.4);
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -241,8 +241,8 @@
   ///   may be empty.
   /// \param Copies how many copies are sent at most.
   auto sendOrder(std::size_t Agent,
-                 std::function<StartOutcome(FakeWorker &)> Order,
-                 std::function<void(StartOutcome)> Answered, int Copies)
+                 const std::function<StartOutcome(FakeWorker &)> &Order,
+                 const std::function<void(StartOutcome)> &Answered, int Copies)
       -> void;
   /// The token of the agent's next command.
   auto tokenOf(std::size_t Agent) const -> CommandToken;
