Kept connections that go silent together cost one time-out

Callers saw: an entry whose kept connections to the store went silent for good, while new ones worked, read nothing for one time-out of 1 s per kept connection, and a read of the environment needs two calls that both succeed. Changes of the configuration weren't in force in time.

Cause: after a time-out libcurl closes that connection only and reuses the next one of its cache.

Change: the connections to each host form a pool. A request that was sent and timed out without a byte of an answer retires the pool: calls under way end on their connections, and later calls open new ones. Pools of other hosts are untouched, and a call on a new connection isn't sent again by libcurl, so requests aren't repeated more often. TCP_USER_TIMEOUT isn't used: libcurl sends a request again when a reused connection breaks before any answer.

--- a/runtime/HttpClient.cpp
+++ b/runtime/HttpClient.cpp
@@ -62,13 +62,31 @@
          (Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST);
 }
 
-} // namespace
+/// \returns whether the request was sent and nothing came back in time, after
+/// which the other connections to the host may be silent too.
+auto sentUnanswered(CURLcode Code, const HttpResult &Result) -> bool {
+  return Code == CURLE_OPERATION_TIMEDOUT && Result.Copies_ > 0 &&
+         Result.Headers_.empty();
+}
 
-class HttpClient::Implementation
-    : public std::enable_shared_from_this<Implementation> {
+/// The host and port of a URL.
+auto hostOf(const std::string &Url) -> std::string {
+  constexpr std::string_view Separator = "://";
+  const auto Scheme = Url.find(Separator);
+  const auto Begin =
+      Scheme == std::string::npos ? 0 : Scheme + Separator.size();
+  return Url.substr(Begin, Url.find_first_of("/?", Begin) - Begin);
+}
+
+/// The kept connections to one host and the calls that use them.
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
 public:
-  explicit Implementation(asio::io_context &Traffic)
-      : Traffic_(Traffic), Timer_(Traffic), Multi_(curl_multi_init()) {
+  /// \param Unanswered called when a request has been sent and nothing came
+  ///   back in time, before the result of the call is reported.
+  ConnectionPool(asio::io_context &Traffic,
+                 std::function<void(const ConnectionPool &)> Unanswered)
+      : Traffic_(Traffic), Unanswered_(std::move(Unanswered)), Timer_(Traffic),
+        Multi_(curl_multi_init()) {
     curl_multi_setopt(Multi_, CURLMOPT_SOCKETFUNCTION, onSocket);
     curl_multi_setopt(Multi_, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(Multi_, CURLMOPT_TIMERFUNCTION, onTimer);
@@ -76,7 +94,7 @@
     curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS, MaxCachedConnections);
   }
 
-  ~Implementation() {
+  ~ConnectionPool() {
     for (auto &Each : Transfers_)
       curl_multi_remove_handle(Multi_, Each.first);
     Transfers_.clear();
@@ -85,6 +103,11 @@
       Each.second->Descriptor_.release();
   }
 
+  ConnectionPool(const ConnectionPool &) = delete;
+  auto operator=(const ConnectionPool &) -> ConnectionPool & = delete;
+
+  auto idle() const -> bool { return Transfers_.empty(); }
+
   auto call(HttpCall Call, std::function<void(HttpResult)> Done) -> void {
     auto Each = std::make_unique<Transfer>();
     Each->Easy_ = curl_easy_init();
@@ -142,12 +165,12 @@
 
   static auto onSocket(CURL * /*Easy*/, curl_socket_t SocketFd, int PollAction,
                        void *User, void * /*SocketData*/) -> int {
-    static_cast<Implementation *>(User)->updateSocket(SocketFd, PollAction);
+    static_cast<ConnectionPool *>(User)->updateSocket(SocketFd, PollAction);
     return 0;
   }
 
   static auto onTimer(CURLM * /*Multi*/, long TimeoutMs, void *User) -> int {
-    static_cast<Implementation *>(User)->setTimer(TimeoutMs);
+    static_cast<ConnectionPool *>(User)->setTimer(TimeoutMs);
     return 0;
   }
 
@@ -231,17 +254,60 @@
       Each->Result_.Complete_ = Code == CURLE_OK;
       Each->Result_.NeverSent_ = neverSent(Code, Each->Result_.Copies_);
       Each->Result_.Status_ = static_cast<std::uint16_t>(Status);
+      if (sentUnanswered(Code, Each->Result_))
+        Unanswered_(*this);
       Each->Done_(std::move(Each->Result_));
     }
   }
 
   asio::io_context &Traffic_;
+  std::function<void(const ConnectionPool &)> Unanswered_;
   asio::steady_timer Timer_;
   CURLM *Multi_;
   std::map<CURL *, std::unique_ptr<Transfer>> Transfers_;
   std::map<curl_socket_t, std::shared_ptr<Socket>> Sockets_;
 };
 
+} // namespace
+
+class HttpClient::Implementation
+    : public std::enable_shared_from_this<Implementation> {
+public:
+  explicit Implementation(asio::io_context &Traffic) : Traffic_(Traffic) {}
+
+  auto call(HttpCall Call, std::function<void(HttpResult)> Done) -> void {
+    const auto Idle = [](const auto &Each) { return Each->idle(); };
+    Retired_.erase(std::remove_if(Retired_.begin(), Retired_.end(), Idle),
+                   Retired_.end());
+    const auto Host = hostOf(Call.Url_);
+    auto &Pool = Pools_[Host];
+    if (!Pool)
+      Pool = std::make_shared<ConnectionPool>(
+          Traffic_,
+          [Weak = weak_from_this(), Host](const ConnectionPool &Silent) {
+            if (const auto Self = Weak.lock())
+              Self->retire(Host, Silent);
+          });
+    Pool->call(std::move(Call), std::move(Done));
+  }
+
+private:
+  /// Lets the calls of a pool end, but makes no more with it.
+  auto retire(const std::string &Host, const ConnectionPool &Silent) -> void {
+    const auto Found = Pools_.find(Host);
+    if (Found == Pools_.end() || Found->second.get() != &Silent)
+      return;
+    Retired_.push_back(std::move(Found->second));
+    Pools_.erase(Found);
+  }
+
+  asio::io_context &Traffic_;
+  std::map<std::string, std::shared_ptr<ConnectionPool>> Pools_;
+  /// Pools of which a call wasn't answered: all their connections may be
+  /// silent. Each is kept until its last call has ended.
+  std::vector<std::shared_ptr<ConnectionPool>> Retired_;
+};
+
 HttpClient::HttpClient(asio::io_context &Traffic)
     : Implementation_(std::make_shared<Implementation>(Traffic)) {}
 
--- a/runtime/HttpClient.h
+++ b/runtime/HttpClient.h
@@ -54,7 +54,9 @@
       -> void = 0;
 };
 
-/// Makes HTTP calls. All methods and callbacks run on the context's thread.
+/// Makes HTTP calls on kept connections. Once a call has timed out without an
+/// answer, later calls to its host use none of the connections opened before.
+/// All methods and callbacks run on the context's thread.
 class HttpClient : public HttpCaller {
 public:
   explicit HttpClient(asio::io_context &Traffic);
--- a/test/correctness/HttpClientTest.cpp
+++ b/test/correctness/HttpClientTest.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Tests what the HTTP client reports of a call whose connection breaks.
+/// Tests what the HTTP client does when connections break or go silent.
 
 #include "runtime/HttpClient.h"
 
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 using namespace skylark;
 
@@ -78,6 +79,95 @@
   int Requests_ = 0;
 };
 
+/// Answers requests, but none on a connection that has gone silent. Requests to
+/// /held are answered by release() instead, on whatever connection.
+class SilentServer {
+public:
+  explicit SilentServer(asio::io_context &Traffic)
+      : Acceptor_(Traffic, {asio::ip::address_v4::loopback(), 0}) {
+    accept();
+  }
+
+  auto url() const -> std::string {
+    return "http://127.0.0.1:" +
+           std::to_string(Acceptor_.local_endpoint().port()) + "/";
+  }
+  auto connections() const -> std::size_t { return Connections_.size(); }
+  auto heldRequests() const -> std::size_t { return Held_.size(); }
+  /// Silences every connection that has been accepted so far.
+  auto silence() -> void { SilentBefore_ = Connections_.size(); }
+  auto release() -> void {
+    for (const auto Each : Held_)
+      answer(Each);
+    Held_.clear();
+  }
+
+private:
+  struct Connection {
+    explicit Connection(asio::ip::tcp::socket Socket)
+        : Socket_(std::move(Socket)) {}
+    asio::ip::tcp::socket Socket_;
+    asio::streambuf Buffer_;
+  };
+
+  auto accept() -> void {
+    Acceptor_.async_accept([this](std::error_code Error,
+                                  asio::ip::tcp::socket Socket) {
+      if (Error)
+        return;
+      Connections_.push_back(std::make_shared<Connection>(std::move(Socket)));
+      read(Connections_.size() - 1);
+      accept();
+    });
+  }
+  auto read(std::size_t Index) -> void {
+    const auto From = Connections_[Index];
+    asio::async_read_until(
+        From->Socket_, From->Buffer_, "\r\n\r\n",
+        [this, From, Index](std::error_code Error, std::size_t Size) {
+          if (Error)
+            return;
+          std::string Request(asio::buffers_begin(From->Buffer_.data()),
+                              asio::buffers_begin(From->Buffer_.data()) +
+                                  static_cast<std::ptrdiff_t>(Size));
+          From->Buffer_.consume(Size);
+          if (Request.find(" /held ") != std::string::npos)
+            Held_.push_back(Index);
+          else if (Index >= SilentBefore_)
+            answer(Index);
+          read(Index);
+        });
+  }
+  auto answer(std::size_t Index) -> void {
+    const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    asio::write(Connections_[Index]->Socket_, asio::buffer(Answer));
+  }
+
+  asio::ip::tcp::acceptor Acceptor_;
+  std::vector<std::shared_ptr<Connection>> Connections_;
+  std::vector<std::size_t> Held_;
+  std::size_t SilentBefore_ = 0;
+};
+
+/// Makes the same call `Count` times at once. \returns how many were answered.
+auto answeredOf(asio::io_context &Traffic, HttpClient &Client,
+                const HttpCall &Call, std::size_t Count) -> std::size_t {
+  std::size_t Ended = 0;
+  std::size_t Answered = 0;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Client.call(Call, [&](const HttpResult &Result) {
+      ++Ended;
+      Answered += Result.Complete_ ? 1 : 0;
+    });
+  Traffic.restart();
+  while (Ended < Count && Traffic.run_one_for(Seconds{5}) != 0)
+    ;
+  BOOST_REQUIRE(Ended == Count);
+  return Answered;
+}
+
+constexpr std::size_t KeptConnections = 4;
+
 /// The last result of calls that are made one after the other.
 auto resultOfCalls(asio::io_context &Traffic, const HttpCall &Call, int Count)
     -> HttpResult {
@@ -129,4 +219,66 @@
   }
 }
 
+// Each kept connection that had gone silent cost one time-out.
+BOOST_AUTO_TEST_CASE(ConnectionsThatGoSilentTogetherCostOneTimeOut) {
+  asio::io_context Traffic;
+  SilentServer Server(Traffic);
+  HttpClient Client(Traffic);
+  HttpCall Call;
+  Call.Url_ = Server.url();
+  Call.Timeout_ = Millis{200};
+  BOOST_REQUIRE(answeredOf(Traffic, Client, Call, KeptConnections) ==
+                KeptConnections);
+  BOOST_REQUIRE(Server.connections() == KeptConnections);
+  Server.silence();
+  BOOST_TEST(answeredOf(Traffic, Client, Call, 1) == 0);
+  for (std::size_t Next = 0; Next < KeptConnections; ++Next)
+    BOOST_TEST(answeredOf(Traffic, Client, Call, 1) == 1);
+  // The calls after the time-out share one new connection.
+  BOOST_TEST(Server.connections() == KeptConnections + 1);
+}
+
+// A read of the environment takes two calls that both succeed.
+BOOST_AUTO_TEST_CASE(TwoCallsAtOnceSucceedAfterTwoThatWereNotAnswered) {
+  asio::io_context Traffic;
+  SilentServer Server(Traffic);
+  HttpClient Client(Traffic);
+  HttpCall Call;
+  Call.Url_ = Server.url();
+  Call.Timeout_ = Millis{200};
+  BOOST_REQUIRE(answeredOf(Traffic, Client, Call, KeptConnections) ==
+                KeptConnections);
+  Server.silence();
+  BOOST_TEST(answeredOf(Traffic, Client, Call, 2) == 0);
+  BOOST_TEST(answeredOf(Traffic, Client, Call, 2) == 2);
+  BOOST_TEST(Server.connections() == KeptConnections + 2);
+}
+
+BOOST_AUTO_TEST_CASE(ACallUnderWayIsAnsweredAfterAnotherHasTimedOut) {
+  asio::io_context Traffic;
+  SilentServer Server(Traffic);
+  HttpClient Client(Traffic);
+  HttpCall Call;
+  Call.Url_ = Server.url();
+  Call.Timeout_ = Millis{200};
+  BOOST_REQUIRE(answeredOf(Traffic, Client, Call, KeptConnections) ==
+                KeptConnections);
+  HttpCall Long = Call;
+  Long.Url_ += "held";
+  Long.Timeout_ = Seconds{5};
+  std::optional<HttpResult> Held;
+  Client.call(Long, [&](HttpResult Result) { Held = std::move(Result); });
+  Server.silence();
+  BOOST_TEST(answeredOf(Traffic, Client, Call, 1) == 0);
+  BOOST_TEST(answeredOf(Traffic, Client, Call, 1) == 1);
+  BOOST_REQUIRE(Server.heldRequests() == 1);
+  Server.release();
+  Traffic.restart();
+  while (!Held && Traffic.run_one_for(Seconds{5}) != 0)
+    ;
+  BOOST_REQUIRE(Held.has_value());
+  BOOST_TEST(Held->Complete_);
+  BOOST_TEST(Held->Copies_ == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
