An old view doesn't prove that a queue is absent

Callers saw: 404 for a route that had been added, at an entry that the store turned away, for as long as it did so; 404 for a quick request at an entry that had read nothing yet.

Cause: a queue (or a service) that the configuration held doesn't name counted as absent, however old the view was.

Change: only a fresh view proves an absence and answers 404. Any other one answers 503 with Retry-After (store-unavailable, not run; key-not-checked for a quick request with a key, since an earlier copy may have run). It holds for submissions, reads and cancellations. skylark_unproven_absences_total counts these refusals.

--- a/core/Counters.h
+++ b/core/Counters.h
@@ -50,6 +50,9 @@
   std::uint64_t TasksGivenUp_ = 0;
   /// Workers that were kept from work since tasks failed on them.
   std::uint64_t WorkersEjected_ = 0;
+  /// Requests for a queue or a service that the configuration held doesn't
+  /// name, refused since it may no longer be the newest one.
+  std::uint64_t UnprovenAbsences_ = 0;
   std::uint64_t StoreCalls_ = 0;
   std::uint64_t StoreFailures_ = 0;
   /// Writes that the store refused for good.
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -100,7 +100,8 @@
   const auto *Service =
       View_.configuration().Document_.findService(Request.Service_);
   if (Service == nullptr) {
-    refuseRequest(Counters_, Token, Request, ErrorKind::UnknownService,
+    refuseRequest(Counters_, Token, Request,
+                  absenceError(Now, ErrorKind::UnknownService),
                   Request.Service_.Value_, Out);
     return;
   }
@@ -192,22 +193,29 @@
 
 // Requests to queues; the address of a request identifies its queue.
 
-auto EntryCore::resolveQueue(CallerToken Token, const QueueAddress &Address,
-                             EntryOutbox &Out) -> const QueueDeclaration * {
-  if (View_.revision() == 0) {
-    refuse(Token, ErrorKind::StoreUnavailable, "no configuration yet", Out);
-    return nullptr;
-  }
+auto EntryCore::absenceError(Moment Now, ErrorKind Absent) -> ErrorKind {
+  const auto Proven =
+      View_.revision() != 0 && View_.storeContact(Now) == StoreContact::Fresh;
+  if (Proven)
+    return Absent;
+  ++Counters_.UnprovenAbsences_;
+  return ErrorKind::StoreUnavailable;
+}
+
+auto EntryCore::resolveQueue(Moment Now, CallerToken Token,
+                             const QueueAddress &Address, EntryOutbox &Out)
+    -> const QueueDeclaration * {
   const auto *Found =
       View_.configuration().Document_.findQueue(Address.Host_, Address.Path_);
   if (Found == nullptr)
-    refuse(Token, ErrorKind::UnknownQueue, Address.Host_ + Address.Path_, Out);
+    refuse(Token, absenceError(Now, ErrorKind::UnknownQueue),
+           Address.Host_ + Address.Path_, Out);
   return Found;
 }
 
 auto EntryCore::handle(Moment Now, CallerToken Token,
                        const SubmitToQueue &Request, EntryOutbox &Out) -> void {
-  const auto *Queue = resolveQueue(Token, Request.Address_, Out);
+  const auto *Queue = resolveQueue(Now, Token, Request.Address_, Out);
   if (Queue == nullptr)
     return;
   SubmitJob Submission;
@@ -227,7 +235,7 @@
 
 auto EntryCore::handle(Moment Now, CallerToken Token, const ReadQueue &Request,
                        EntryOutbox &Out) -> void {
-  const auto *Queue = resolveQueue(Token, Request.Address_, Out);
+  const auto *Queue = resolveQueue(Now, Token, Request.Address_, Out);
   if (Queue == nullptr)
     return;
   const JobId Job{Request.Address_.Path_.substr(Queue->PathPrefix_.size())};
@@ -239,7 +247,7 @@
 
 auto EntryCore::handle(Moment Now, CallerToken Token,
                        const CancelInQueue &Request, EntryOutbox &Out) -> void {
-  const auto *Queue = resolveQueue(Token, Request.Address_, Out);
+  const auto *Queue = resolveQueue(Now, Token, Request.Address_, Out);
   if (Queue == nullptr)
     return;
   const JobId Job{Request.Address_.Path_.substr(Queue->PathPrefix_.size())};
--- /dev/null
+++ b/test/correctness/ConfigurationOffersTest.cpp
@@ -0,0 +1,248 @@
+/// \file
+/// Tests what entries answer by which configuration while one of them can't
+/// read the store, on a virtual clock with the fake store.
+
+#include "core/EntryCore.h"
+#include "test/fuzz/FakeStore.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+
+using namespace skylark;
+
+namespace {
+
+constexpr std::size_t EntryCount = 3;
+/// An entry that can't reach the store.
+constexpr std::size_t CutOff = 1;
+constexpr Millis StoreTimeout{1000};
+
+auto entryIdOf(std::size_t Index) -> EntryId {
+  return {"entry-" + std::to_string(Index)};
+}
+
+/// Connected entries, each of which can be cut off from the store.
+class Entries {
+public:
+  Entries() {
+    changeQueues({"first"});
+    for (std::size_t Index = 0; Index < EntryCount; ++Index)
+      start(Index);
+    for (std::size_t Index = 0; Index < EntryCount; ++Index)
+      for (std::size_t Peer = 0; Peer < EntryCount; ++Peer)
+        if (Peer != Index)
+          runOn(Index, [&](EntryCore &Core, EntryOutbox &Out) {
+            Core.peerConnected(Now_, entryIdOf(Peer), Out);
+          });
+  }
+
+  /// Starts an entry without the knowledge of an earlier process.
+  auto start(std::size_t Index) -> void {
+    EntryIdentity Identity;
+    Identity.Entry_ = entryIdOf(Index);
+    Identity.Incarnation_ = ++LastIncarnation_;
+    Identity.Environment_ = {"test"};
+    Identity.PeerAddress_ = entryIdOf(Index).Value_;
+    Identity.ShardCount_ = 1;
+    Cores_[Index] = std::make_unique<EntryCore>(Identity);
+  }
+
+  /// Stores a configuration with these queues, each of which is at the path
+  /// that is its name.
+  auto changeQueues(const std::vector<std::string> &Names,
+                    const std::string &Service = "portal") -> void {
+    Document Changed;
+    Changed.Text_ = "document " + std::to_string(++StoredRevision_);
+    Changed.DataCentres_ = {{"hobart"}};
+    for (const auto &Name : Names) {
+      QueueDeclaration Queue;
+      Queue.Name_ = {Name};
+      Queue.Host_ = "portal.example";
+      Queue.PathPrefix_ = "/" + Name + "/";
+      Queue.Service_ = {Service};
+      Changed.Queues_.push_back(Queue);
+    }
+    EnvironmentHead Head;
+    Head.Revision_ = StoredRevision_;
+    Head.DocumentDigest_ = digestText(Changed.Text_);
+    Store_.apply(storeTime(),
+                 WriteValue{documentKey(Head.DocumentDigest_), Changed});
+    Store_.apply(storeTime(), WriteValue{headKey({"test"}), Head});
+  }
+
+  auto advance(Millis Period) -> void {
+    constexpr Millis TickInterval{50};
+    for (Millis Elapsed{0}; Elapsed < Period; Elapsed += TickInterval) {
+      Now_ = Now_.after(TickInterval);
+      failOverdueCalls(TickInterval);
+      for (std::size_t Index = 0; Index < EntryCount; ++Index)
+        runOn(Index,
+              [&](EntryCore &Core, EntryOutbox &Out) { Core.tick(Now_, Out); });
+    }
+  }
+
+  /// The error with which an entry answers a request; None if it has accepted
+  /// or forwarded it.
+  auto errorOf(std::size_t Index, const CallerRequest &Request) -> ErrorKind {
+    const auto Token = ++LastToken_;
+    runOn(Index, [&](EntryCore &Core, EntryOutbox &Out) {
+      Core.callerAsked(Now_, Token, Request, Out);
+    });
+    const auto Found = Replies_.find(Token);
+    if (Found == Replies_.end())
+      return ErrorKind::None;
+    const auto *Refusal = std::get_if<ErrorReply>(&Found->second);
+    return Refusal == nullptr ? ErrorKind::None : Refusal->Kind_;
+  }
+  auto errorOfSubmission(std::size_t Index, const std::string &Queue)
+      -> ErrorKind {
+    SubmitToQueue Request;
+    Request.Address_ = {"portal.example",
+                        "/" + Queue + "/" + std::to_string(LastToken_)};
+    return errorOf(Index, Request);
+  }
+
+  auto healthy(std::size_t Index) const -> bool {
+    return Cores_[Index]->healthy(Now_);
+  }
+  auto countersOf(std::size_t Index) const -> const Counters & {
+    return Cores_[Index]->counters();
+  }
+  template <typename Function>
+  auto runOn(std::size_t Index, Function Callback) -> void {
+    EntryOutbox Out;
+    Callback(*Cores_[Index], Out);
+    for (auto &Each : Out)
+      std::visit([&](auto &Action) { this->perform(Index, Action); }, Each);
+  }
+
+  /// Entries whose calls of the store are never answered.
+  std::array<bool, EntryCount> StoreSilent_{};
+  Moment Now_{TimePoint(Seconds{100}), WallTime(Seconds{1000})};
+
+private:
+  struct OpenCall {
+    std::size_t Entry_ = 0;
+    std::uint64_t Call_ = 0;
+    Millis Remaining_{0};
+  };
+
+  auto storeTime() const -> Micros {
+    return std::chrono::duration_cast<Micros>(Now_.Steady_.time_since_epoch());
+  }
+  /// Ends the calls that have timed out; a suspended entry's timers stand
+  /// still.
+  auto failOverdueCalls(Millis Elapsed) -> void {
+    std::vector<OpenCall> Overdue;
+    for (auto &Each : OpenCalls_) {
+      Each.Remaining_ -= Elapsed;
+      if (Each.Remaining_ <= Millis{0})
+        Overdue.push_back(Each);
+    }
+    OpenCalls_.erase(std::remove_if(OpenCalls_.begin(), OpenCalls_.end(),
+                                    [](const OpenCall &Each) {
+                                      return Each.Remaining_ <= Millis{0};
+                                    }),
+                     OpenCalls_.end());
+    for (const auto &Each : Overdue) {
+      StoreResult Result;
+      Result.Call_ = Each.Call_;
+      runOn(Each.Entry_, [&](EntryCore &Core, EntryOutbox &Out) {
+        Core.storeAnswered(Now_, Result, Out);
+      });
+    }
+  }
+  auto perform(std::size_t From, const CallStore &Call) -> void {
+    if (StoreSilent_[From]) {
+      OpenCalls_.push_back({From, Call.Call_, StoreTimeout});
+      return;
+    }
+    auto Result = Store_.apply(storeTime(), Call.Operation_);
+    Result.Call_ = Call.Call_;
+    runOn(From, [&](EntryCore &Core, EntryOutbox &Out) {
+      Core.storeAnswered(Now_, Result, Out);
+    });
+  }
+  auto perform(std::size_t From, const SendToPeer &Send) -> void {
+    for (std::size_t Index = 0; Index < EntryCount; ++Index) {
+      if (entryIdOf(Index) == Send.Entry_)
+        runOn(Index, [&](EntryCore &Core, EntryOutbox &Out) {
+          Core.peerSent(Now_, entryIdOf(From), Send.Message_, Out);
+        });
+    }
+  }
+  auto perform(std::size_t /*From*/, const AnswerCaller &Answer) -> void {
+    Replies_[Answer.Token_] = Answer.Reply_;
+  }
+  template <typename Other>
+  auto perform(std::size_t /*From*/, const Other & /*Each*/) -> void {}
+
+  std::array<std::unique_ptr<EntryCore>, EntryCount> Cores_;
+  Fuzz::FakeStore Store_;
+  std::vector<OpenCall> OpenCalls_;
+  std::map<CallerToken, CallerReply> Replies_;
+  CallerToken LastToken_ = 0;
+  Revision StoredRevision_ = 0;
+  Incarnation LastIncarnation_ = 0;
+};
+
+/// Requests of each kind for a queue.
+auto requestsFor(const std::string &Queue) -> std::vector<CallerRequest> {
+  const QueueAddress Job{"portal.example", "/" + Queue + "/a"};
+  SubmitToQueue Submission;
+  Submission.Address_ = Job;
+  return {Submission, ReadQueue{Job}, CancelInQueue{Job},
+          ReadQueue{{"portal.example", "/" + Queue + "/"}}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OldViews)
+
+// A route that had been added was refused with 404 for as long as the store
+// turned the entry away.
+BOOST_AUTO_TEST_CASE(AnOldViewDoesNotProveThatAQueueIsAbsent) {
+  Entries Fixture;
+  Fixture.advance(Millis{3000});
+  for (const auto &Request : requestsFor("added"))
+    BOOST_TEST((Fixture.errorOf(CutOff, Request) == ErrorKind::UnknownQueue));
+  BOOST_TEST(Fixture.countersOf(CutOff).UnprovenAbsences_ == 0);
+  Fixture.StoreSilent_.fill(true);
+  Fixture.advance(Millis{1500});
+  for (const auto &Request : requestsFor("added"))
+    BOOST_TEST(
+        (Fixture.errorOf(CutOff, Request) == ErrorKind::StoreUnavailable));
+  BOOST_TEST(Fixture.countersOf(CutOff).UnprovenAbsences_ == 4);
+  // What the view names is served meanwhile.
+  BOOST_TEST((Fixture.errorOfSubmission(CutOff, "first") == ErrorKind::None));
+}
+
+BOOST_AUTO_TEST_CASE(AnOldViewDoesNotProveThatAServiceIsAbsent) {
+  Entries Fixture;
+  Fixture.advance(Millis{3000});
+  QuickRequest Request;
+  Request.Service_ = {"added"};
+  BOOST_TEST((Fixture.errorOf(CutOff, Request) == ErrorKind::UnknownService));
+  Fixture.StoreSilent_.fill(true);
+  Fixture.advance(Millis{1500});
+  BOOST_TEST((Fixture.errorOf(CutOff, Request) == ErrorKind::StoreUnavailable));
+  Request.Key_ = {"key"};
+  BOOST_TEST((Fixture.errorOf(CutOff, Request) == ErrorKind::KeyNotChecked));
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryThatHasReadNothingRefusesNothingAsUnknown) {
+  Entries Fixture;
+  Fixture.StoreSilent_.fill(true);
+  Fixture.advance(Millis{300});
+  BOOST_TEST(!Fixture.healthy(CutOff));
+  QuickRequest Quick;
+  Quick.Service_ = {"portal"};
+  BOOST_TEST((Fixture.errorOf(CutOff, Quick) == ErrorKind::StoreUnavailable));
+  for (const auto &Request : requestsFor("first"))
+    BOOST_TEST(
+        (Fixture.errorOf(CutOff, Request) == ErrorKind::StoreUnavailable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
