An entry that can't read the store gets changes from its peers

Callers saw: an entry that the store alone turned away went on serving a queue that had been removed and refused one that had been added, for as long as that lasted. An entry that started meanwhile had no configuration at all.

Cause: heartbeats between entries carry each one's revision and the age of its last read, but nobody acted on them. Agents send entries a configuration, but only the part that they need where its start revision is tracked, and that part is refused by its digest.

Change: an entry with a fresh view sends its configuration to a connected peer whose heartbeat shows an older revision and a read older than two read intervals. One entry sends at a time, the next one 300 ms later if the peer's revision hasn't risen; what has no effect is repeated after 1, 2, 4 and then every 8 s, so that a long configuration doesn't fill a slow link. The peer checks the digest and takes newer revisions only. That is no contact with the store: neither its last read nor the revision known from the store moves, so it grants no more than before. Entries of earlier versions ignore the message. Counters skylark_configurations_sent_total and skylark_configurations_from_peers_total; log lines configuration-sent-to-peer and configuration-from-peer.

--- a/core/Counters.h
+++ b/core/Counters.h
@@ -53,6 +53,10 @@
   /// Requests for a queue or a service that the configuration held doesn't
   /// name, refused since it may no longer be the newest one.
   std::uint64_t UnprovenAbsences_ = 0;
+  /// Configurations sent to entries that couldn't read them from the store.
+  std::uint64_t ConfigurationsSent_ = 0;
+  /// Configurations adopted from other entries.
+  std::uint64_t ConfigurationsFromPeers_ = 0;
   std::uint64_t StoreCalls_ = 0;
   std::uint64_t StoreFailures_ = 0;
   /// Writes that the store refused for good.
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -407,6 +407,38 @@
     Peers_.removeOwned(Peer, *Moved);
 }
 
+auto EntryCore::handle(Moment Now, const EntryId &Peer,
+                       const ConfigurationUpdate &Message, EntryOutbox &Out)
+    -> void {
+  const auto Held = View_.revision();
+  View_.offerConfiguration(Now, Message.Configuration_);
+  if (View_.revision() == Held)
+    return;
+  ++Counters_.ConfigurationsFromPeers_;
+  Out.push_back(LogDecision{"configuration-from-peer", Peer.Value_,
+                            View_.revision(), ErrorKind::None,
+                            "instead of revision " + std::to_string(Held)});
+}
+
+auto EntryCore::offerConfiguration(Moment Now, EntryOutbox &Out) -> void {
+  if (View_.revision() == 0 || View_.storeContact(Now) != StoreContact::Fresh ||
+      isMutationActive(Mutation::WithholdConfigurations))
+    return;
+  const auto &Policy = View_.configuration().Document_.Policy_;
+  // An entry that has missed a read may miss the next ones too.
+  const auto Due =
+      Offers_.takeDue(Now.Steady_,
+                      {Identity_.Entry_, View_.revision(),
+                       2 * Policy.ReadInterval_, Policy.SilenceTimeout_},
+                      Peers_);
+  for (const auto &Peer : Due) {
+    ++Counters_.ConfigurationsSent_;
+    Out.push_back(SendToPeer{Peer, ConfigurationUpdate{View_.configuration()}});
+    Out.push_back(LogDecision{"configuration-sent-to-peer", Peer.Value_,
+                              View_.revision(), ErrorKind::None, ""});
+  }
+}
+
 auto EntryCore::sendPeerHeartbeats(Moment Now, EntryOutbox &Out) -> void {
   if (Now.Steady_ < NextPeerHeartbeat_)
     return;
@@ -797,6 +829,7 @@
   closeSilentSessions(Now, Out);
   expireForwardedCalls(Now, Out);
   sendPeerHeartbeats(Now, Out);
+  offerConfiguration(Now, Out);
   sendInterferenceTable(Now, Out);
   announceEntries(Out);
   if (Leaving_)
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -2,6 +2,7 @@
 /// Defines the state machine of an entry.
 #pragma once
 
+#include "core/ConfigurationOffers.h"
 #include "core/ConfigurationUpdater.h"
 #include "core/EnvironmentView.h"
 #include "core/ForwardedCalls.h"
@@ -140,6 +141,10 @@
               EntryOutbox &Out) -> void;
   auto handle(Moment Now, const EntryId &Peer, const ForwardReply &Message,
               EntryOutbox &Out) -> void;
+  auto handle(Moment Now, const EntryId &Peer,
+              const ConfigurationUpdate &Message, EntryOutbox &Out) -> void;
+  /// Sends the configuration to peers that can't read it from the store.
+  auto offerConfiguration(Moment Now, EntryOutbox &Out) -> void;
 
   /// Acknowledges a heartbeat, with the grants that this entry may give the
   /// agent.
@@ -232,6 +237,7 @@
   ConfigurationUpdater Changes_;
   std::vector<std::unique_ptr<ShardOwner>> Shards_;
   PeerTable Peers_;
+  ConfigurationOffers Offers_;
   ForwardedCalls Calls_;
   /// Shards that this entry has relinquished, and their epochs.
   std::map<ShardNumber, Epoch> Relinquished_;
--- a/core/EntryOutput.h
+++ b/core/EntryOutput.h
@@ -364,7 +364,10 @@
   }
 };
 
-using PeerMessage = std::variant<PeerHeartbeat, ForwardRequest, ForwardReply>;
+/// An entry ignores messages that its version doesn't know, so later versions
+/// may append types.
+using PeerMessage = std::variant<PeerHeartbeat, ForwardRequest, ForwardReply,
+                                 ConfigurationUpdate>;
 
 struct SendToAgent {
   SessionNumber Session_ = 0;
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -267,7 +267,8 @@
   }
 };
 
-/// A configuration that the receiver has not seen yet. Sent in both directions.
+/// A configuration that the receiver has not seen yet. Sent in both directions
+/// between entries and agents, and between entries.
 struct ConfigurationUpdate {
   Configuration Configuration_;
 
--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -28,6 +28,12 @@
   UnlimitedCommits,
   TrustRefusals,
   TrustConflicts,
+  Reserved18,
+  Reserved19,
+  Reserved20,
+  Reserved21,
+  Reserved22,
+  WithholdConfigurations,
   Count
 };
 
--- a/test/correctness/ConfigurationOffersTest.cpp
+++ b/test/correctness/ConfigurationOffersTest.cpp
@@ -17,13 +17,16 @@
 constexpr std::size_t EntryCount = 3;
 /// An entry that can't reach the store.
 constexpr std::size_t CutOff = 1;
+/// Within which a change must be in force.
+constexpr Millis ApplyTime{2000};
 constexpr Millis StoreTimeout{1000};
 
 auto entryIdOf(std::size_t Index) -> EntryId {
   return {"entry-" + std::to_string(Index)};
 }
 
-/// Connected entries, each of which can be cut off from the store.
+/// Connected entries, each of which can be cut off from the store, from its
+/// peers, or be suspended.
 class Entries {
 public:
   Entries() {
@@ -78,8 +81,10 @@
       Now_ = Now_.after(TickInterval);
       failOverdueCalls(TickInterval);
       for (std::size_t Index = 0; Index < EntryCount; ++Index)
-        runOn(Index,
-              [&](EntryCore &Core, EntryOutbox &Out) { Core.tick(Now_, Out); });
+        if (!Suspended_[Index])
+          runOn(Index, [&](EntryCore &Core, EntryOutbox &Out) {
+            Core.tick(Now_, Out);
+          });
     }
   }
 
@@ -104,12 +109,46 @@
     return errorOf(Index, Request);
   }
 
+  auto owner() const -> std::size_t {
+    std::size_t Index = 0;
+    while (Index < EntryCount && Cores_[Index]->ownedShards() == 0)
+      ++Index;
+    return Index;
+  }
+  auto jobAt(std::size_t Index, const std::string &Job) const
+      -> const skylark::Job * {
+    const auto *Shard = Cores_[Index]->shardState(0);
+    return Shard == nullptr ? nullptr : Shard->findJob({Job});
+  }
+  auto revisionOf(std::size_t Index) const -> Revision {
+    return Cores_[Index]->configuration().Head_.Revision_;
+  }
   auto healthy(std::size_t Index) const -> bool {
     return Cores_[Index]->healthy(Now_);
   }
   auto countersOf(std::size_t Index) const -> const Counters & {
     return Cores_[Index]->counters();
   }
+  auto configurationsSent() const -> std::uint64_t {
+    std::uint64_t Sent = 0;
+    for (std::size_t Index = 0; Index < EntryCount; ++Index)
+      Sent += countersOf(Index).ConfigurationsSent_;
+    return Sent;
+  }
+  /// Whether the entry would grant an agent permission to start tasks, and the
+  /// revision of the grant.
+  auto grantOf(std::size_t Index) -> HeartbeatAck {
+    LastAck_ = {};
+    runOn(Index, [&](EntryCore &Core, EntryOutbox &Out) {
+      Hello Joining;
+      Joining.Agent_ = {"agent"};
+      Joining.DataCentre_ = {"hobart"};
+      Core.agentSent(Now_, 1, Joining, Out);
+      Core.agentSent(Now_, 1, Heartbeat{}, Out);
+    });
+    return LastAck_;
+  }
+
   template <typename Function>
   auto runOn(std::size_t Index, Function Callback) -> void {
     EntryOutbox Out;
@@ -120,6 +159,12 @@
 
   /// Entries whose calls of the store are never answered.
   std::array<bool, EntryCount> StoreSilent_{};
+  std::array<bool, EntryCount> Suspended_{};
+  /// Entries that drop configurations from peers, like those of a version that
+  /// doesn't know the message.
+  std::array<bool, EntryCount> OldVersion_{};
+  /// Entries whose configurations don't reach the others.
+  std::array<bool, EntryCount> LosesConfigurations_{};
   Moment Now_{TimePoint(Seconds{100}), WallTime(Seconds{1000})};
 
 private:
@@ -137,7 +182,8 @@
   auto failOverdueCalls(Millis Elapsed) -> void {
     std::vector<OpenCall> Overdue;
     for (auto &Each : OpenCalls_) {
-      Each.Remaining_ -= Elapsed;
+      if (!Suspended_[Each.Entry_])
+        Each.Remaining_ -= Elapsed;
       if (Each.Remaining_ <= Millis{0})
         Overdue.push_back(Each);
     }
@@ -167,12 +213,19 @@
   }
   auto perform(std::size_t From, const SendToPeer &Send) -> void {
     for (std::size_t Index = 0; Index < EntryCount; ++Index) {
-      if (entryIdOf(Index) == Send.Entry_)
+      const auto Dropped =
+          (OldVersion_[Index] || LosesConfigurations_[From]) &&
+          std::holds_alternative<ConfigurationUpdate>(Send.Message_);
+      if (entryIdOf(Index) == Send.Entry_ && !Suspended_[Index] && !Dropped)
         runOn(Index, [&](EntryCore &Core, EntryOutbox &Out) {
           Core.peerSent(Now_, entryIdOf(From), Send.Message_, Out);
         });
     }
   }
+  auto perform(std::size_t /*From*/, const SendToAgent &Send) -> void {
+    if (const auto *Ack = std::get_if<HeartbeatAck>(&Send.Message_))
+      LastAck_ = *Ack;
+  }
   auto perform(std::size_t /*From*/, const AnswerCaller &Answer) -> void {
     Replies_[Answer.Token_] = Answer.Reply_;
   }
@@ -183,6 +236,7 @@
   Fuzz::FakeStore Store_;
   std::vector<OpenCall> OpenCalls_;
   std::map<CallerToken, CallerReply> Replies_;
+  HeartbeatAck LastAck_;
   CallerToken LastToken_ = 0;
   Revision StoredRevision_ = 0;
   Incarnation LastIncarnation_ = 0;
@@ -245,4 +299,122 @@
         (Fixture.errorOf(CutOff, Request) == ErrorKind::StoreUnavailable));
 }
 
+// Changes were not in force at an entry that the store alone turned away.
+BOOST_AUTO_TEST_CASE(AnEntryCutOffFromTheStoreFollowsChangesThroughItsPeers) {
+  Entries Fixture;
+  Fixture.advance(Millis{3000});
+  Fixture.StoreSilent_[CutOff] = true;
+  // A change just after the cut, and one long after it.
+  for (const auto *Added : {"second", "third"}) {
+    Fixture.changeQueues({Added});
+    Fixture.advance(ApplyTime);
+    BOOST_TEST((Fixture.errorOfSubmission(CutOff, Added) == ErrorKind::None));
+    BOOST_TEST((Fixture.errorOfSubmission(CutOff, "first") ==
+                ErrorKind::StoreUnavailable));
+    Fixture.advance(Millis{5000});
+  }
+  // One entry sends each configuration, once.
+  BOOST_TEST(Fixture.configurationsSent() == 2);
+  BOOST_TEST(Fixture.countersOf(CutOff).ConfigurationsFromPeers_ == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AChangeIsInForceInTimeWheneverItFollowsTheCut) {
+  for (Millis Gap{0}; Gap <= Millis{1200}; Gap += Millis{50})
+    for (const auto Phase : {Millis{0}, Millis{150}, Millis{250}}) {
+      Entries Fixture;
+      Fixture.advance(Millis{3000} + Phase);
+      Fixture.StoreSilent_[CutOff] = true;
+      Fixture.advance(Gap);
+      Fixture.changeQueues({"second"});
+      Fixture.advance(ApplyTime);
+      BOOST_TEST(Fixture.revisionOf(CutOff) == 2);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnotherEntryOffersWhatTheFirstOneDidNotDeliver) {
+  Entries Fixture;
+  Fixture.advance(Millis{3000});
+  Fixture.StoreSilent_[CutOff] = true;
+  Fixture.LosesConfigurations_[0] = true;
+  Fixture.changeQueues({"second"});
+  Fixture.advance(ApplyTime);
+  BOOST_TEST(Fixture.revisionOf(CutOff) == 2);
+  BOOST_TEST(Fixture.configurationsSent() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AConfigurationFromAPeerIsNoContactWithTheStore) {
+  Entries Fixture;
+  Fixture.advance(Millis{3000});
+  Fixture.StoreSilent_[CutOff] = true;
+  Fixture.advance(Millis{2500});
+  const auto Before = Fixture.grantOf(CutOff);
+  Fixture.changeQueues({"second"});
+  Fixture.advance(ApplyTime);
+  BOOST_REQUIRE(Fixture.revisionOf(CutOff) == 2);
+  const auto After = Fixture.grantOf(CutOff);
+  BOOST_TEST(!Before.ViewFresh_);
+  BOOST_TEST(!After.ViewFresh_);
+  BOOST_TEST(Before.AsOf_ <= After.AsOf_);
+  BOOST_TEST(After.AsOf_ <= 2U);
+  BOOST_TEST((After.StartGrantDuration_ <= Before.StartGrantDuration_));
+  BOOST_TEST((After.RunGrantDuration_ <= Before.RunGrantDuration_));
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryThatStartsWithoutTheStoreIsToldTheConfiguration) {
+  Entries Fixture;
+  Fixture.advance(Millis{3000});
+  Fixture.StoreSilent_[CutOff] = true;
+  Fixture.start(CutOff);
+  for (std::size_t Peer = 0; Peer < EntryCount; ++Peer)
+    if (Peer != CutOff)
+      Fixture.runOn(CutOff, [&](EntryCore &Core, EntryOutbox &Out) {
+        Core.peerConnected(Fixture.Now_, entryIdOf(Peer), Out);
+      });
+  Fixture.advance(ApplyTime);
+  BOOST_TEST(Fixture.revisionOf(CutOff) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(EntriesThatReadTheStoreAreSentNoConfigurations) {
+  Entries Fixture;
+  Fixture.advance(Millis{3000});
+  for (int Change = 0; Change < 20; ++Change) {
+    Fixture.changeQueues({"queue-" + std::to_string(Change)});
+    Fixture.advance(Millis{350});
+  }
+  BOOST_TEST(Fixture.configurationsSent() == 0);
+}
+
+// An earlier version can't read the message; a long configuration that it drops
+// must not fill its link.
+BOOST_AUTO_TEST_CASE(AnOfferWithoutEffectIsRepeatedEverMoreRarely) {
+  Entries Fixture;
+  Fixture.advance(Millis{3000});
+  Fixture.StoreSilent_[CutOff] = true;
+  Fixture.OldVersion_[CutOff] = true;
+  Fixture.changeQueues({"second"});
+  Fixture.advance(Millis{20000});
+  BOOST_TEST(Fixture.configurationsSent() >= 2);
+  BOOST_TEST(Fixture.configurationsSent() <= 2 * 6);
+  BOOST_TEST(Fixture.revisionOf(CutOff) == 1);
+  BOOST_TEST((Fixture.errorOfSubmission(CutOff, "second") ==
+              ErrorKind::StoreUnavailable));
+}
+
+// The timers of the calls of the store don't count the time of a suspension.
+BOOST_AUTO_TEST_CASE(AResumedEntryFollowsChangesThroughItsPeers) {
+  Entries Fixture;
+  Fixture.advance(Millis{3000});
+  Fixture.StoreSilent_[CutOff] = true;
+  Fixture.advance(Millis{400});
+  Fixture.Suspended_[CutOff] = true;
+  Fixture.changeQueues({"second"});
+  Fixture.advance(Millis{800});
+  Fixture.Suspended_[CutOff] = false;
+  // Before its first tick it has no fresh view.
+  BOOST_TEST((Fixture.errorOfSubmission(CutOff, "second") ==
+              ErrorKind::StoreUnavailable));
+  Fixture.advance(Millis{500});
+  BOOST_TEST((Fixture.errorOfSubmission(CutOff, "second") == ErrorKind::None));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/WireTest.cpp
+++ b/test/correctness/WireTest.cpp
@@ -106,6 +106,32 @@
   BOOST_TEST(!decodeAgentMessage(Bytes).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(AConfigurationBetweenEntriesIsUnchanged) {
+  Configuration Sent;
+  Sent.Head_.Revision_ = 7;
+  Sent.Document_.Text_ = "document";
+  Sent.Document_.Queues_.resize(2);
+  Sent.Head_.DocumentDigest_ = digestText(Sent.Document_.Text_);
+  const auto Decoded =
+      decodePeerMessage(encode(PeerMessage{ConfigurationUpdate{Sent}}));
+  BOOST_REQUIRE(Decoded.has_value());
+  const auto &Received = std::get<ConfigurationUpdate>(*Decoded).Configuration_;
+  BOOST_TEST(Received.Head_.Revision_ == 7);
+  BOOST_TEST(digestText(Received.Document_.Text_) ==
+             Received.Head_.DocumentDigest_);
+  BOOST_TEST(Received.Document_.Queues_.size() == 2);
+}
+
+// In a rolling update an entry gets messages that it doesn't know.
+BOOST_AUTO_TEST_CASE(AMessageOfAKindThatIsNotKnownIsNotDecoded) {
+  // Messages are encoded as [type, [fields...]], with the type in one byte.
+  auto Bytes = encode(PeerMessage{PeerHeartbeat{}});
+  BOOST_REQUIRE(decodePeerMessage(Bytes).has_value());
+  BOOST_REQUIRE(Bytes.at(1) == 0);
+  Bytes[1] = static_cast<char>(std::variant_size_v<PeerMessage>);
+  BOOST_TEST(!decodePeerMessage(Bytes).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(AHeartbeatCarriesTheCapacity) {
   Heartbeat Message;
   Message.Capacity_ = Resources{4000, 8000, 1};
