Test which configuration decides a request on its way

A request for a queue is decided by the entry that took it: it names the service, the priority, the limits and the deadline in the job that it forwards. An owner with an older configuration stores what was decided, and agents don't hold the queues. The test shows it with an owner that has missed a change, for a queue that was added and one that was removed. It passed on the code before too: no fault was found.

--- a/test/correctness/ConfigurationOffersTest.cpp
+++ b/test/correctness/ConfigurationOffersTest.cpp
@@ -417,4 +417,31 @@
   BOOST_TEST((Fixture.errorOfSubmission(CutOff, "second") == ErrorKind::None));
 }
 
+// The entry that took a request decides by its configuration; an owner that
+// holds an older one carries out what was decided.
+BOOST_AUTO_TEST_CASE(AnOwnerWithAnOlderConfigurationDoesNotDecideARequest) {
+  Entries Fixture;
+  Fixture.advance(Millis{4000});
+  const auto Owner = Fixture.owner();
+  BOOST_REQUIRE(Owner < EntryCount);
+  const auto Other = (Owner + 1) % EntryCount;
+  Fixture.changeQueues({"added"}, "new-service");
+  Fixture.Suspended_[Owner] = true;
+  Fixture.advance(Millis{400});
+  Fixture.Suspended_[Owner] = false;
+  BOOST_REQUIRE(Fixture.revisionOf(Other) == 2);
+  SubmitToQueue Added;
+  Added.Address_ = {"portal.example", "/added/a"};
+  SubmitToQueue Removed;
+  Removed.Address_ = {"portal.example", "/first/b"};
+  BOOST_TEST((Fixture.errorOf(Other, Added) == ErrorKind::None));
+  BOOST_TEST((Fixture.errorOf(Other, Removed) == ErrorKind::UnknownQueue));
+  BOOST_REQUIRE(Fixture.revisionOf(Owner) == 1);
+  Fixture.advance(Millis{100});
+  const auto *Stored = Fixture.jobAt(Owner, "a");
+  BOOST_REQUIRE(Stored != nullptr);
+  BOOST_TEST(Stored->Declaration_.Service_ == ServiceName{"new-service"});
+  BOOST_TEST((Fixture.jobAt(Owner, "b") == nullptr));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
