--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -2,6 +2,7 @@
 /// Defines the state machine of an entry.
 #pragma once
 
+#include "core/ConfigurationOffers.h"
 #include "core/ConfigurationUpdater.h"
 #include "core/EnvironmentView.h"
 #include "core/ForwardedCalls.h"
@@ -140,6 +141,10 @@
               EntryOutbox &Out) -> void;
   auto handle(Moment Now, const EntryId &Peer, const ForwardReply &Message,
               EntryOutbox &Out) -> void;
+  auto handle(Moment Now, const EntryId &Peer,
+              const ConfigurationUpdate &Message, EntryOutbox &Out) -> void;
+  /// Sends the configuration to peers that can't read it from the store.
+  auto offerConfiguration(Moment Now, EntryOutbox &Out) -> void;
 
   /// Acknowledges a heartbeat, with the grants that this entry may give the
   /// agent.
@@ -158,8 +163,11 @@
   /// refuses those that have expired.
   auto resumeParked(Moment Now, EntryOutbox &Out) -> void;
   /// Finds the queue at an address; refuses the request if there is none.
-  auto resolveQueue(CallerToken Token, const QueueAddress &Address,
+  auto resolveQueue(Moment Now, CallerToken Token, const QueueAddress &Address,
                     EntryOutbox &Out) -> const QueueDeclaration *;
+  /// The reason to refuse a request for something that the configuration held
+  /// doesn't name: `Absent` if that is the newest one as far as can be known.
+  auto absenceError(Moment Now, ErrorKind Absent) -> ErrorKind;
   auto shardOfQueue(const QueueName &Queue) const -> ShardNumber;
   auto shardOfJob(const JobId &Job, const QueueName &Queue) const
       -> ShardNumber;
@@ -229,6 +237,7 @@
   ConfigurationUpdater Changes_;
   std::vector<std::unique_ptr<ShardOwner>> Shards_;
   PeerTable Peers_;
+  ConfigurationOffers Offers_;
   ForwardedCalls Calls_;
   /// Shards that this entry has relinquished, and their epochs.
   std::map<ShardNumber, Epoch> Relinquished_;
