A connection between entries that is silent one way is replaced

Two entries send on a connection each. When only one of the two went silent for good, its sender went on getting the other end's heartbeats and kept it; the receiver replaced its own connection, which was sound, every 3 s. Nothing ended that but TCP's own limit of many minutes: forwarded requests, heartbeats and configurations didn't arrive until then. Connections with agents carry both directions, and either end closes them after its silence time-out.

Change: bytes sent on a connection between processes may stay unacknowledged for 3 s (TCP_USER_TIMEOUT), after which it counts as lost and is opened again.

--- a/wire/Link.cpp
+++ b/wire/Link.cpp
@@ -7,6 +7,9 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <map>
 
@@ -19,15 +22,33 @@
 
 constexpr long HandshakeTimeoutMs = 2000;
 constexpr long CloseTimeoutMs = 500;
+/// How long sent bytes may stay unacknowledged before the connection counts as
+/// lost. What arrives doesn't show that: entries send on a connection each.
+constexpr Millis UnacknowledgedTimeout{3000};
 constexpr Millis InitialReconnectDelay{100};
 constexpr Millis MaxReconnectDelay{2000};
 
+/// Limits how long sent bytes may stay unacknowledged on a new connection.
+template <typename Endpoint>
+auto limitUnacknowledged(Endpoint &Each, const Handle &Connection) -> void {
+  websocketpp::lib::error_code Error;
+  const auto New = Each.get_con_from_hdl(Connection, Error);
+  if (Error)
+    return;
+  const auto Timeout = static_cast<unsigned>(UnacknowledgedTimeout.count());
+  ::setsockopt(New->get_raw_socket().native_handle(), IPPROTO_TCP,
+               TCP_USER_TIMEOUT, &Timeout, sizeof(Timeout));
+}
+
 template <typename Endpoint> auto configure(Endpoint &Each) -> void {
   Each.clear_access_channels(websocketpp::log::alevel::all);
   Each.clear_error_channels(websocketpp::log::elevel::all);
   Each.set_max_message_size(MaxLinkMessageBytes);
   Each.set_open_handshake_timeout(HandshakeTimeoutMs);
   Each.set_close_handshake_timeout(CloseTimeoutMs);
+  Each.set_tcp_pre_init_handler([&Each](const Handle &Connection) {
+    limitUnacknowledged(Each, Connection);
+  });
 }
 
 /// Sends on an open connection. Closes it instead where more than
@@ -65,7 +86,6 @@
     configure(Server_);
     Server_.init_asio(&IoContext_);
     Server_.set_reuse_addr(true);
-    Server_.set_tcp_pre_init_handler([](const Handle &) {});
     Server_.set_open_handler([this](const Handle &Each) { opened(Each); });
     Server_.set_close_handler([this](const Handle &Each) { closed(Each); });
     Server_.set_message_handler(
