Randomised runs check that no entry lags behind a connected one

While two entries run, are connected and lose no messages, and one of them has reached the store without faults for 2.5 s, the other one may hold an older configuration for 2.5 s at most, whether it reads the store or not. In the runs with minimal workers agents no longer hand entries their configuration: on the users' platform they hold no whole one.

--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -48,6 +48,10 @@
 /// read the store each 300 ms, agents' heartbeats follow within 500 ms, and
 /// messages and store calls need the rest.
 constexpr Millis PropagationTime{1000};
+/// Time after a fault of the store within which every entry reads it again.
+constexpr Millis StoreRecoveryTime{2500};
+/// The longest time after which entries repeat a configuration that was lost.
+constexpr Millis ResendTime{10000};
 
 /// Whether a fault of this kind changes only the configuration, or the work
 /// that callers want done.
@@ -704,6 +708,9 @@
         if (!Each->OpenAtEntry_ || Each->SilentToEntryUntil_ > Now_ ||
             isCut(Each->Agent_, Each->Entry_))
           return;
+        if (Config_.MinimalWorkers_ &&
+            std::holds_alternative<ConfigurationUpdate>(Message))
+          return;
         callEntry(Each->Entry_, [Each, Message](EntryCore &Core, Moment Then,
                                                 EntryOutbox &Out) {
           if (Each->OpenAtEntry_)
@@ -1154,6 +1161,52 @@
   Checker_.observe(Now_, Now_ >= DisturbedUntil_, Startable);
 }
 
+auto Simulation::isRunning(std::size_t Entry) const -> bool {
+  const auto &Node = *Entries_[Entry];
+  return Node.Core_ && !Node.Core_->leaving() && Node.FrozenUntil_ <= Now_;
+}
+
+auto Simulation::readsStore(std::size_t Entry) -> bool {
+  constexpr std::array<FaultKind, 5> StoreFaults{
+      FaultKind::StoreDown, FaultKind::StoreSlow, FaultKind::StoreLosesAnswers,
+      FaultKind::StoreWritesLate, FaultKind::StoreResends};
+  const auto Reached = [&](TrueTime FaultEnd) {
+    return FaultEnd == TrueTime{0} || FaultEnd + StoreRecoveryTime <= Now_;
+  };
+  return Reached(StoreCutUntil_[Entry]) &&
+         std::all_of(
+             StoreFaults.begin(), StoreFaults.end(),
+             [&](FaultKind Each) { return Reached(ActiveUntil_[Each]); });
+}
+
+auto Simulation::areLinked(std::size_t One, std::size_t Other) -> bool {
+  const auto CutUntil =
+      EntriesCutUntil_[{std::min(One, Other), std::max(One, Other)}];
+  return Entries_[One]->PeerConnected_[Entries_[Other]->Id_] &&
+         Entries_[Other]->PeerConnected_[Entries_[One]->Id_] &&
+         (CutUntil == TrueTime{0} || CutUntil + ResendTime <= Now_);
+}
+
+auto Simulation::observeConfigurations() -> void {
+  for (std::size_t Entry = 0; Entry < Entries_.size(); ++Entry)
+    for (std::size_t Peer = 0; Peer < Entries_.size(); ++Peer) {
+      if (Peer == Entry)
+        continue;
+      const auto Comparable = isRunning(Entry) && isRunning(Peer) &&
+                              areLinked(Entry, Peer) && readsStore(Peer);
+      const auto HeldBy = [&](std::size_t Index) {
+        return Comparable
+                   ? Entries_[Index]->Core_->configuration().Head_.Revision_
+                   : 0;
+      };
+      if (ConfigurationLag_.observe(Now_, {Entry, Peer}, HeldBy(Entry),
+                                    HeldBy(Entry) < HeldBy(Peer)))
+        Checker_.addViolation(Entries_[Entry]->Id_.Value_ +
+                              " holds an older configuration than " +
+                              Entries_[Peer]->Id_.Value_ + " for too long");
+    }
+}
+
 auto Simulation::injectFault(const Fault &Each) -> void {
   ++Coverage_.FaultCounts_[static_cast<std::size_t>(Each.Kind_)];
   const auto FaultDuration = Millis{Each.DurationMs_};
@@ -1346,6 +1399,7 @@
     std::function<void()> AdvanceWorkers = [&] {
       constexpr Millis Step{50};
       observeCalm();
+      observeConfigurations();
       for (const auto &Node : Agents_)
         if (Node->Worker_)
           Node->Worker_->advance(
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -6,6 +6,7 @@
 #include "core/AgentCore.h"
 #include "core/EntryCore.h"
 #include "test/fuzz/Checker.h"
+#include "test/fuzz/ConfigurationLag.h"
 #include "test/fuzz/FakeStore.h"
 #include "test/fuzz/FakeWorker.h"
 
@@ -106,7 +107,8 @@
   /// batch work must complete.
   Millis Quiet_{60000};
   /// As on the users' platform: workers list only the ids of their attempts,
-  /// answers to start commands may be lost, and there is one shard.
+  /// answers to start commands may be lost, there is one shard, and agents
+  /// hold no whole configuration that they could send to entries.
   bool MinimalWorkers_ = false;
   /// Whether workers announce capacities that shrink and grow while they run.
   bool ChangingCapacity_ = false;
@@ -288,6 +290,15 @@
   /// Tells the checker whether only the configuration may have changed lately,
   /// and whether there is room for an urgent job.
   auto observeCalm() -> void;
+  /// Checks that no entry lags behind another one that could send it a newer
+  /// configuration.
+  auto observeConfigurations() -> void;
+  /// Whether an entry runs and takes messages.
+  auto isRunning(std::size_t Entry) const -> bool;
+  /// Whether an entry has reached the store without faults for some time.
+  auto readsStore(std::size_t Entry) -> bool;
+  /// Whether two entries are connected and lose no messages, nor have lately.
+  auto areLinked(std::size_t One, std::size_t Other) -> bool;
   /// Puts all data centres back into service and cancels all watchers, so that
   /// the remaining work can complete. Repeats this, since requests may fail.
   auto windDown(int RetriesLeft) -> void;
@@ -344,6 +355,7 @@
   /// Until when a fault, or the recovery from it, may delay starts and end
   /// leases.
   TrueTime DisturbedUntil_{0};
+  ConfigurationLag ConfigurationLag_;
   /// When each data centre was last seen out of service.
   std::map<DataCentreName, TrueTime> LastOutAt_;
   /// Whether callers send new work.
