--- a/runtime/HttpClient.cpp
+++ b/runtime/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "runtime/HttpClient.h"
 
 #include "core/Assert.h"
+#include "runtime/Process.h"
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/steady_timer.hpp>
@@ -297,6 +298,7 @@
     const auto Found = Pools_.find(Host);
     if (Found == Pools_.end() || Found->second.get() != &Silent)
       return;
+    logEvent("connections-retired", Host + " left a request unanswered");
     Retired_.push_back(std::move(Found->second));
     Pools_.erase(Found);
   }
