Entry: the connection to a peer is judged by what it carries itself

What callers saw: DELETEs and submissions that one entry forwarded to the owner were lost for as long as the process lived (UNASKED, 504, no answer).

Cause: an entry replaced the connection on which it sends to a peer if nothing arrived on the one that the peer sends on. Of two silent connections the one whose end noticed first was replaced; the other end then heard its peer again and kept its own, which carried nothing. A sound connection was replaced each 3 s, the silent one never.

Change: reconnectSilentPeers is gone. The limit is 2 s, below the 2.5 s after which a peer counts as silent.

--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -18,8 +18,6 @@
 namespace {
 
 constexpr Millis TickInterval{50};
-/// The connection to a peer that has sent nothing for this long is replaced.
-constexpr Millis PeerSilenceTimeout{3000};
 /// Time for sending the last replies before the process exits.
 constexpr Millis ShutdownFlushDelay{300};
 const std::string PeerPathPrefix = "/peer/";
@@ -30,7 +28,6 @@
   EntryRegistration Registration_;
   std::unique_ptr<LinkClient> Link_;
   SessionNumber Session_ = 0;
-  TimePoint LastSeenAt_{};
 };
 
 class EntryProcess {
@@ -51,7 +48,6 @@
     Threads_.runPeriodically(TickInterval, [this] {
       handleEvent(
           [this](Moment Now, EntryOutbox &Out) { Core_.tick(Now, Out); });
-      reconnectSilentPeers();
     });
     Threads_.onTerminate([this] {
       logEvent("stopping", "received a signal to terminate");
@@ -145,9 +141,6 @@
       return;
     postEvent([this, Peer, Message = std::move(*Message)](Moment Now,
                                                           EntryOutbox &Out) {
-      const auto Known = Peers_.find(Peer);
-      if (Known != Peers_.end())
-        Known->second.LastSeenAt_ = Now.Steady_;
       Core_.peerSent(Now, Peer, Message, Out);
     });
   }
@@ -160,13 +153,11 @@
     if (Peer.Link_)
       Peer.Link_->stop();
     Peer.Registration_ = Registration;
-    Peer.LastSeenAt_ = currentMoment().Steady_;
     const auto Id = Registration.Entry_;
     LinkHandlers Handlers;
     Handlers.Opened_ = [this, Id](SessionNumber Session, const std::string &) {
       postEvent([this, Id, Session](Moment Now, EntryOutbox &Out) {
         Peers_[Id].Session_ = Session;
-        Peers_[Id].LastSeenAt_ = Now.Steady_;
         Core_.peerConnected(Now, Id, Out);
       });
     };
@@ -184,16 +175,6 @@
     Peer.Link_->start();
   }
 
-  auto reconnectSilentPeers() -> void {
-    const auto Now = currentMoment().Steady_;
-    for (auto &[Id, Peer] : Peers_) {
-      if (Peer.Session_ == 0 || Peer.LastSeenAt_ + PeerSilenceTimeout > Now)
-        continue;
-      Peer.LastSeenAt_ = Now;
-      Peer.Link_->dropAndReconnect(Peer.Session_);
-    }
-  }
-
   // Requests of callers and operators.
 
   auto callerHandlers() -> CallerHandlers {
--- a/wire/Link.cpp
+++ b/wire/Link.cpp
@@ -24,7 +24,7 @@
 constexpr long CloseTimeoutMs = 500;
 /// How long sent bytes may stay unacknowledged before the connection counts as
 /// lost. What arrives doesn't show that: entries send on a connection each.
-constexpr Millis UnacknowledgedTimeout{3000};
+constexpr Millis UnacknowledgedTimeout{2000};
 constexpr Millis InitialReconnectDelay{100};
 constexpr Millis MaxReconnectDelay{2000};
 
