The owner logs what it knew of a job that it says is unknown

The owner logs the id with its epoch, whether a submission of the job waits for its commit, and how long ago a read of the shard's head has shown that it owns the shard, and counts these answers.

--- a/core/Counters.h
+++ b/core/Counters.h
@@ -50,6 +50,8 @@
   std::uint64_t TasksGivenUp_ = 0;
   /// Workers that were kept from work since tasks failed on them.
   std::uint64_t WorkersEjected_ = 0;
+  /// Cancellations that were answered "no such job".
+  std::uint64_t UnknownJobsCancelled_ = 0;
   std::uint64_t StoreCalls_ = 0;
   std::uint64_t StoreFailures_ = 0;
   /// Writes that the store refused for good.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -384,7 +384,8 @@
                 CallersByJob == &CancelCallers_);
       });
       if (Withdrawn)
-        Cancelling_.erase(WaitingJob);
+        (CallersByJob == &SubmitCallers_ ? Submitting_ : Cancelling_)
+            .erase(WaitingJob);
       for (const auto &Caller : Each->second)
         refuse(Caller.Token_,
                Withdrawn ? Caller.Refusal_ : ErrorKind::OutcomeUnknown,
@@ -489,6 +490,7 @@
       {Token, Now.Steady_ + CallerTimeout, Refusal, StateOnly});
   if (JobCallers.size() > 1)
     return;
+  Submitting_.insert(Id);
   Ledger_.append(std::move(Record));
   Ledger_.advance();
 }
@@ -506,6 +508,7 @@
 
 auto ShardOwner::committed(Moment Now, const JobAdded &Record, EntryOutbox &Out)
     -> void {
+  Submitting_.erase(Record.Job_.Id_);
   const auto *AddedJob = state().findJob(Record.Job_.Id_);
   MeanWork_.record(*AddedJob);
   indexJob(Now.Steady_, *AddedJob);
@@ -542,7 +545,7 @@
   const auto &Id = Request.Job_;
   const auto *ExistingJob = state().findJob(Id);
   if (ExistingJob == nullptr) {
-    refuse(Token, ErrorKind::UnknownJob, Id.Value_, Out);
+    refuseUnknown(Now, Token, Id, Out);
     return;
   }
   if (ExistingJob->Cancelled_) {
@@ -559,6 +562,22 @@
   Ledger_.advance();
 }
 
+auto ShardOwner::refuseUnknown(Moment Now, CallerToken Token, const JobId &Id,
+                               EntryOutbox &Out) -> void {
+  const auto ProvedAt = Proof_.provedAt();
+  const auto Age = std::chrono::duration_cast<Millis>(
+      Now.Steady_ - ProvedAt.value_or(Now.Steady_));
+  log("cancelled-unknown", Id.Value_, ErrorKind::UnknownJob,
+      "epoch " + std::to_string(Ledger_.epoch()) + ", submission " +
+          (Submitting_.count(Id) != 0 ? "queued" : "not queued") +
+          ", ownership " +
+          (ProvedAt ? "verified " + std::to_string(Age.count()) + " ms ago"
+                    : "not verified since it was acquired"),
+      Out);
+  ++Context_.Counters_.UnknownJobsCancelled_;
+  refuse(Token, ErrorKind::UnknownJob, Id.Value_, Out);
+}
+
 auto ShardOwner::committed(Moment Now, const JobCancelled &Record,
                            EntryOutbox &Out) -> void {
   Cancelling_.erase(Record.Job_);
@@ -683,6 +702,8 @@
   UnplacedSince_.clear();
   TriedSteps_.clear();
   Closing_.clear();
+  Proof_.clear();
+  Submitting_.clear();
   Cancelling_.clear();
   Failing_.clear();
   FailedIndexed_.clear();
@@ -790,6 +811,7 @@
 }
 
 auto ShardOwner::refused(const JobAdded &Record, EntryOutbox &Out) -> void {
+  Submitting_.erase(Record.Job_.Id_);
   refuseCallers(SubmitCallers_, Record.Job_.Id_, ErrorKind::BodyTooLarge, Out);
 }
 
@@ -1759,6 +1781,7 @@
       handleOwnershipLoss(Out);
     return;
   }
+  Proof_.update(Ledger_);
   if (!Indexed_) {
     reindex(Now.Steady_);
     log("shard-taken", std::to_string(Shard_), ErrorKind::None,
@@ -1805,7 +1828,7 @@
     return;
   if (Now.Steady_ >= NextVerify_) {
     NextVerify_ = Now.Steady_ + VerifyInterval;
-    Ledger_.verifyOwnership();
+    Proof_.request(Now.Steady_, Ledger_);
   }
   if (Draining_ && drained())
     Ledger_.release(Now);
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -7,6 +7,7 @@
 #include "core/DeadlineFeasibility.h"
 #include "core/LedgerWriter.h"
 #include "core/OutlierDetector.h"
+#include "core/OwnershipProof.h"
 #include "core/Placement.h"
 #include "core/RequestDispatcher.h"
 #include "core/ShardUsage.h"
@@ -383,6 +384,10 @@
   auto recordOutcome(Moment Now, const Target &From, const TaskId &Task,
                      bool Failed, EntryOutbox &Out) -> void;
   auto expireWaitingCallers(Moment Now, EntryOutbox &Out) -> void;
+  /// Answers "no such job" to a cancellation, and logs what is known about the
+  /// job.
+  auto refuseUnknown(Moment Now, CallerToken Token, const JobId &Id,
+                     EntryOutbox &Out) -> void;
   /// Queues the removal of old jobs and claims.
   auto removeExpired(Moment Now) -> void;
   /// Refuses all waiting callers and removes the shard from the records of all
@@ -426,6 +431,7 @@
 
   ShardNumber Shard_;
   LedgerWriter Ledger_;
+  OwnershipProof Proof_;
   ShardContext Context_;
   /// Whether the members below reflect the ledger's state.
   bool Indexed_ = false;
@@ -467,6 +473,8 @@
   /// Tasks of which an earlier attempt was reported as finished while a change
   /// of the task was being committed.
   std::set<TaskId> FinishReported_;
+  /// Jobs whose submission is not committed yet.
+  std::set<JobId> Submitting_;
   /// Jobs whose cancellation is not committed yet.
   std::set<JobId> Cancelling_;
   /// Jobs that will fail once a proposed change of one of their tasks is
