Tests: a ledger of which a commit is missing is not owned

Shows that a commit which can't be read, and is therefore left out of a listing, never makes a job unknown without notice: the numbers have a gap, and the shard isn't owned.

--- a/test/correctness/LedgerTest.cpp
+++ b/test/correctness/LedgerTest.cpp
@@ -305,6 +305,23 @@
              static_cast<std::size_t>(ClaimCount));
 }
 
+BOOST_AUTO_TEST_CASE(ALedgerThatCannotBeReadWholeIsNotOwned) {
+  for (const CommitNumber Missing : {1U, 2U, 3U}) {
+    Fuzz::FakeStore Store;
+    LedgerFixture First(Store, "a");
+    First.acquire();
+    for (int Number = 0; Number < 3; ++Number) {
+      First.Writer_.append(claimRecord(Number));
+      First.runStoreCalls();
+    }
+    BOOST_REQUIRE(First.Writer_.commits() == 3U);
+    Store.apply(Micros{0}, DeleteValue{commitKey({"test"}, 0, Missing), 0});
+    LedgerFixture Second(Store, "b");
+    Second.acquire();
+    BOOST_TEST(!Second.Writer_.owning());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CommitsAndVerificationsDontStarveEachOther) {
   Fuzz::FakeStore Store;
   LedgerFixture Fixture(Store, "a");
