Only a commit proves that a cancelled job doesn't exist

Callers saw a DELETE answered "no such job" (410), and the job ran afterwards: its submission waited for its commit, was parked or forwarded, or was sent again by its caller seconds later; or the entry that answered had lost the shard and didn't know it yet. The owner looked only at the committed state as it knew it.

An id is kept for 300 s after its last cancellation, counted on the owner's steady clock and anew by each owner; the record that removes a job removes it. There are at most 10000 ids and 512 KB of them; further cancellations of unknown jobs are refused with a retryable error and counted, those of known jobs aren't. The owner logs and counts submissions of ids that were cancelled before.

--- a/core/Counters.h
+++ b/core/Counters.h
@@ -52,6 +52,8 @@
   std::uint64_t WorkersEjected_ = 0;
   /// Cancellations that were answered "no such job".
   std::uint64_t UnknownJobsCancelled_ = 0;
+  /// Submissions with an id that was cancelled before; they never run.
+  std::uint64_t SubmittedCancelled_ = 0;
   std::uint64_t StoreCalls_ = 0;
   std::uint64_t StoreFailures_ = 0;
   /// Writes that the store refused for good.
--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -28,6 +28,7 @@
   UnlimitedCommits,
   TrustRefusals,
   TrustConflicts,
+  DenyUnknownJobs,
   Count
 };
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -491,6 +491,11 @@
   if (JobCallers.size() > 1)
     return;
   Submitting_.insert(Id);
+  if (CancelledIds_.contains(Id)) {
+    log("submitted-after-cancellation", Id.Value_, ErrorKind::Cancelled, "",
+        Out);
+    ++Context_.Counters_.SubmittedCancelled_;
+  }
   Ledger_.append(std::move(Record));
   Ledger_.advance();
 }
@@ -509,6 +514,7 @@
 auto ShardOwner::committed(Moment Now, const JobAdded &Record, EntryOutbox &Out)
     -> void {
   Submitting_.erase(Record.Job_.Id_);
+  CancelledIds_.remove(Record.Job_.Id_);
   const auto *AddedJob = state().findJob(Record.Job_.Id_);
   MeanWork_.record(*AddedJob);
   indexJob(Now.Steady_, *AddedJob);
@@ -544,11 +550,9 @@
                         EntryOutbox &Out) -> void {
   const auto &Id = Request.Job_;
   const auto *ExistingJob = state().findJob(Id);
-  if (ExistingJob == nullptr) {
-    refuseUnknown(Now, Token, Id, Out);
+  if (ExistingJob == nullptr && !mayCancelUnknown(Now, Token, Id, Out))
     return;
-  }
-  if (ExistingJob->Cancelled_) {
+  if (ExistingJob != nullptr && ExistingJob->Cancelled_) {
     Out.push_back(AnswerCaller{
         Token, jobAnswer(state(), *ExistingJob, Request.StateOnly_)});
     return;
@@ -562,6 +566,23 @@
   Ledger_.advance();
 }
 
+auto ShardOwner::mayCancelUnknown(Moment Now, CallerToken Token,
+                                  const JobId &Id, EntryOutbox &Out) -> bool {
+  // No job has an empty id.
+  if (Id.empty() || isMutationActive(Mutation::DenyUnknownJobs)) {
+    refuseUnknown(Now, Token, Id, Out);
+    return false;
+  }
+  if (Ledger_.queued() >= MaxQueuedRecords ||
+      (CancelledIds_.isFull() && !CancelledIds_.contains(Id))) {
+    Context_.Counters_.countRefusal(ErrorKind::QueueFull);
+    refuse(Token, ErrorKind::QueueFull, "cancellations of unknown jobs", Out);
+    return false;
+  }
+  CancelledIds_.add(Now.Steady_, Id);
+  return true;
+}
+
 auto ShardOwner::refuseUnknown(Moment Now, CallerToken Token, const JobId &Id,
                                EntryOutbox &Out) -> void {
   const auto ProvedAt = Proof_.provedAt();
@@ -583,8 +604,13 @@
   Cancelling_.erase(Record.Job_);
   log("job-cancelled", Record.Job_.Value_, ErrorKind::Cancelled, "", Out);
   const auto *Cancelled = state().findJob(Record.Job_);
-  if (Cancelled == nullptr)
+  if (Cancelled == nullptr) {
+    CancelledIds_.add(Now.Steady_, Record.Job_);
+    for (const auto &Caller : takeCallers(CancelCallers_, Record.Job_))
+      refuseUnknown(Now, Caller.Token_, Record.Job_, Out);
     return;
+  }
+  CancelledIds_.remove(Record.Job_);
   indexJob(Now.Steady_, *Cancelled);
   logIfOver(*Cancelled, Out);
   const auto FoundCallers = CancelCallers_.find(Record.Job_);
@@ -599,6 +625,7 @@
 auto ShardOwner::committed(Moment /*Now*/, const JobRemoved &Record,
                            EntryOutbox & /*Out*/) -> void {
   FailedIndexed_.erase(Record.Job_);
+  CancelledIds_.remove(Record.Job_);
 }
 
 // The index of pending and bound tasks and of the resources they use.
@@ -705,6 +732,7 @@
   Proof_.clear();
   Submitting_.clear();
   Cancelling_.clear();
+  CancelledIds_.reset(Now, state().cancelledIds());
   Failing_.clear();
   FailedIndexed_.clear();
   FinishedSteps_.clear();
@@ -799,15 +827,22 @@
 
 // Records that the store refuses.
 
+auto ShardOwner::takeCallers(
+    std::map<JobId, std::vector<WaitingCaller>> &Callers, const JobId &Job)
+    -> std::vector<WaitingCaller> {
+  const auto Found = Callers.find(Job);
+  if (Found == Callers.end())
+    return {};
+  auto Taken = std::move(Found->second);
+  Callers.erase(Found);
+  return Taken;
+}
+
 auto ShardOwner::refuseCallers(
     std::map<JobId, std::vector<WaitingCaller>> &Callers, const JobId &Job,
     ErrorKind Kind, EntryOutbox &Out) -> void {
-  const auto Found = Callers.find(Job);
-  if (Found == Callers.end())
-    return;
-  for (const auto &Caller : Found->second)
+  for (const auto &Caller : takeCallers(Callers, Job))
     refuse(Caller.Token_, Kind, "the store refuses to record it", Out);
-  Callers.erase(Found);
 }
 
 auto ShardOwner::refused(const JobAdded &Record, EntryOutbox &Out) -> void {
@@ -817,6 +852,8 @@
 
 auto ShardOwner::refused(const JobCancelled &Record, EntryOutbox &Out) -> void {
   Cancelling_.erase(Record.Job_);
+  if (state().cancelledIds().count(Record.Job_) == 0)
+    CancelledIds_.remove(Record.Job_);
   refuseCallers(CancelCallers_, Record.Job_, ErrorKind::StoreUnavailable, Out);
 }
 
@@ -1743,6 +1780,9 @@
   for (const auto &[Id, Job] : state().jobs())
     if (Job.SubmittedAt_ + Day < Now.Wall_ && state().progressOf(Id).isOver())
       Ledger_.append(JobRemoved{Id});
+  for (const auto &Id : CancelledIds_.expired(Now.Steady_))
+    if (Submitting_.count(Id) == 0 && Cancelling_.count(Id) == 0)
+      Ledger_.append(JobRemoved{Id});
 }
 
 auto ShardOwner::handleOwnershipLoss(EntryOutbox &Out) -> void {
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -3,6 +3,7 @@
 /// jobs, the binding of tasks to workers and the reports of agents.
 #pragma once
 
+#include "core/CancelledIds.h"
 #include "core/CrashBlame.h"
 #include "core/DeadlineFeasibility.h"
 #include "core/LedgerWriter.h"
@@ -69,7 +70,9 @@
   /// Adds a job; the caller is answered once the job is committed.
   auto submit(Moment Now, CallerToken Token, const SubmitJob &Submission,
               Random &Generator, EntryOutbox &Out) -> void;
-  /// Cancels a job; the caller is answered once that is committed.
+  /// Cancels a job; the caller is answered once that is committed. That there
+  /// is no such job is proved by the commit alone: the submission may be queued
+  /// before it, and one that follows it never runs.
   auto cancel(Moment Now, CallerToken Token, const CancelJob &Request,
               EntryOutbox &Out) -> void;
 
@@ -384,6 +387,10 @@
   auto recordOutcome(Moment Now, const Target &From, const TaskId &Task,
                      bool Failed, EntryOutbox &Out) -> void;
   auto expireWaitingCallers(Moment Now, EntryOutbox &Out) -> void;
+  /// Prepares to cancel a job that the ledger doesn't have, or refuses that.
+  /// \returns whether to go on.
+  auto mayCancelUnknown(Moment Now, CallerToken Token, const JobId &Id,
+                        EntryOutbox &Out) -> bool;
   /// Answers "no such job" to a cancellation, and logs what is known about the
   /// job.
   auto refuseUnknown(Moment Now, CallerToken Token, const JobId &Id,
@@ -425,6 +432,9 @@
   auto refused(const ClaimClosed &Record, EntryOutbox &Out) -> void;
   template <typename Other>
   auto refused(const Other & /*Record*/, EntryOutbox & /*Out*/) -> void {}
+  /// Removes and returns the callers who wait for a job.
+  static auto takeCallers(std::map<JobId, std::vector<WaitingCaller>> &Callers,
+                          const JobId &Job) -> std::vector<WaitingCaller>;
   auto refuseCallers(std::map<JobId, std::vector<WaitingCaller>> &Callers,
                      const JobId &Job, ErrorKind Kind, EntryOutbox &Out)
       -> void;
@@ -490,6 +500,7 @@
   std::map<IdempotencyKey, Claim> Closing_;
   std::map<JobId, std::vector<WaitingCaller>> SubmitCallers_;
   std::map<JobId, std::vector<WaitingCaller>> CancelCallers_;
+  CancelledIds CancelledIds_;
   std::vector<ClaimedRequest> Claimed_;
   TimePoint NextRemoval_{};
   TimePoint NextVerify_{};
--- a/core/ShardState.cpp
+++ b/core/ShardState.cpp
@@ -127,12 +127,20 @@
     return;
   auto &Job = Added->second;
   Job.Outline_ = std::make_shared<JobOutline>(Job.Declaration_);
+  if (CancelledIds_.erase(Job.Id_) != 0) {
+    Job.Cancelled_ = true;
+    cancelPending(Job, Job.SubmittedAt_, ErrorKind::Cancelled);
+  }
   const auto &Progress = Progress_.emplace(Job.Id_, Job).first->second;
   if (isUnstarted(Job, Progress))
     ++Unstarted_[Job.Declaration_.Queue_];
 }
 
 auto ShardState::apply(const JobCancelled &Record) -> void {
+  if (Jobs_.count(Record.Job_) == 0) {
+    CancelledIds_.insert(Record.Job_);
+    return;
+  }
   changeJob(Record.Job_, [&](Job &Cancelled, JobProgress &Progress) {
     Cancelled.Cancelled_ = true;
     cancelPending(Cancelled, Record.At_, ErrorKind::Cancelled);
@@ -147,6 +155,7 @@
 }
 
 auto ShardState::apply(const JobRemoved &Record) -> void {
+  CancelledIds_.erase(Record.Job_);
   const auto Found = Jobs_.find(Record.Job_);
   if (Found == Jobs_.end())
     return;
@@ -209,9 +218,11 @@
 auto ShardState::snapshot(std::size_t MaxSize) const
     -> std::vector<LedgerRecord> {
   std::vector<LedgerRecord> Records;
-  Records.reserve(Jobs_.size() + 2 * Claims_.size());
+  Records.reserve(Jobs_.size() + CancelledIds_.size() + 2 * Claims_.size());
   for (const auto &Each : Jobs_)
     addJob(Each.second, MaxSize, Records);
+  for (const auto &Id : CancelledIds_)
+    Records.emplace_back(JobCancelled{Id, {}});
   for (const auto &[Key, Claim] : Claims_) {
     Records.emplace_back(
         ClaimOpened{Key, Claim.RequestDigest_, Claim.Request_, Claim.At_});
--- a/core/ShardState.h
+++ b/core/ShardState.h
@@ -6,6 +6,7 @@
 #include "core/JobProgress.h"
 
 #include <map>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -19,7 +20,8 @@
 };
 
 /// Cancels a job. Its pending tasks end at once; its bound tasks end once their
-/// agents report so.
+/// agents report so. If there is no such job, one that is added later is
+/// cancelled from the beginning.
 struct JobCancelled {
   JobId Job_;
   WallTime At_{};
@@ -57,7 +59,8 @@
   }
 };
 
-/// Removes a job that has ended and was submitted long ago.
+/// Removes a job that has ended and was submitted long ago, or the cancellation
+/// of a job that was never submitted.
 struct JobRemoved {
   JobId Job_;
 
@@ -156,6 +159,8 @@
   /// Returns the number of the queue's jobs of which no task has started.
   auto countUnstarted(const QueueName &Queue) const -> std::uint64_t;
   auto findClaim(const IdempotencyKey &Key) const -> const Claim *;
+  /// The ids that were cancelled while there was no such job.
+  auto cancelledIds() const -> const std::set<JobId> & { return CancelledIds_; }
   auto jobs() const -> const std::map<JobId, Job> & { return Jobs_; }
   auto claims() const -> const std::map<IdempotencyKey, Claim> & {
     return Claims_;
@@ -181,6 +186,7 @@
   /// Number of jobs of which no task has started.
   std::map<QueueName, std::uint64_t> Unstarted_;
   std::map<IdempotencyKey, Claim> Claims_;
+  std::set<JobId> CancelledIds_;
 };
 
 } // namespace skylark
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -28,6 +28,8 @@
     {"skylark_crashes_blamed_total", &Counters::CrashesBlamed_},
     {"skylark_tasks_given_up_total", &Counters::TasksGivenUp_},
     {"skylark_unknown_jobs_cancelled_total", &Counters::UnknownJobsCancelled_},
+    {"skylark_cancelled_before_submission_total",
+     &Counters::SubmittedCancelled_},
     {"skylark_store_calls_total", &Counters::StoreCalls_},
     {"skylark_workers_ejected_total", &Counters::WorkersEjected_},
     {"skylark_store_failures_total", &Counters::StoreFailures_},
--- a/test/correctness/CancellationTest.cpp
+++ b/test/correctness/CancellationTest.cpp
@@ -2,6 +2,7 @@
 /// Tests what callers who cancel jobs are told, and that no cancelled job runs,
 /// on a virtual clock with the fake store.
 
+#include "core/CancelledIds.h"
 #include "test/correctness/EntryFixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -29,6 +30,98 @@
 
 BOOST_AUTO_TEST_SUITE(Cancellation)
 
+// A repeated submission that arrived after the answer "no such job" ran.
+BOOST_AUTO_TEST_CASE(ASubmissionThatArrivesAfterItsCancellationNeverRuns) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  const auto Cancel = Fixture.cancel(0, "a");
+  Fixture.advance(Millis{200});
+  BOOST_TEST((Fixture.errorOf(Cancel) == ErrorKind::UnknownJob));
+  Fixture.advance(Millis{8000});
+  const auto Submission = Fixture.submit(1, "a");
+  Fixture.advance(Millis{3000});
+  BOOST_TEST(Fixture.toldState(Submission, JobState::Cancelled));
+  BOOST_TEST(Fixture.Binds_.empty());
+  BOOST_TEST(Fixture.unstartedJobs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(TheNextOwnerKnowsWhichUnknownJobsWereCancelled) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.cancel(0, "a");
+  Fixture.advance(Millis{200});
+  Fixture.killEntry(Fixture.owner());
+  Fixture.advance(Millis{6000});
+  BOOST_REQUIRE(Fixture.owner() < EntryCount);
+  const auto Submission = Fixture.submit(Fixture.owner(), "a");
+  Fixture.advance(Millis{3000});
+  BOOST_TEST(Fixture.toldState(Submission, JobState::Cancelled));
+  BOOST_TEST(Fixture.Binds_.empty());
+}
+
+// The submission was told "outcome unknown", the cancellation "no such job".
+BOOST_AUTO_TEST_CASE(ASubmissionOfUnknownOutcomeIsCancelled) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  const auto Owner = Fixture.owner();
+  Fixture.StoreUnreachable_.fill(true);
+  const auto Submission = Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{5500});
+  BOOST_TEST((Fixture.errorOf(Submission) == ErrorKind::OutcomeUnknown));
+  const auto Cancel = Fixture.cancel(Owner, "a");
+  Fixture.advance(Millis{500});
+  Fixture.StoreUnreachable_.fill(false);
+  Fixture.advance(Millis{3000});
+  BOOST_TEST(Fixture.toldState(Cancel, JobState::Cancelled));
+  BOOST_TEST(Fixture.Binds_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AFormerOwnerDoesNotDenyAJobThatIsCancelled) {
+  PausedOwnerFixture Fixture;
+  Fixture.submit(Fixture.New_, "a");
+  Fixture.advance(Millis{200});
+  Fixture.resume();
+  const auto Cancel = Fixture.cancel(Fixture.Old_, "a");
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.toldState(Cancel, JobState::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(AllCancellationsOfAnUnknownJobAreAnswered) {
+  EntryFixture Fixture;
+  const auto Owner = Fixture.owner();
+  Fixture.StoreUnreachable_.fill(true);
+  const auto First = Fixture.cancel(Owner, "a");
+  Fixture.advance(Millis{300});
+  const auto Second = Fixture.cancel(Owner, "a");
+  Fixture.advance(Millis{300});
+  const auto Submission = Fixture.submit(Owner, "a");
+  Fixture.StoreUnreachable_.fill(false);
+  Fixture.advance(Millis{1500});
+  for (const auto Cancel : {First, Second})
+    BOOST_TEST((Fixture.errorOf(Cancel) == ErrorKind::UnknownJob ||
+                Fixture.toldState(Cancel, JobState::Cancelled)));
+  BOOST_TEST(Fixture.toldState(Submission, JobState::Cancelled));
+  const auto Third = Fixture.cancel(Owner, "a");
+  Fixture.advance(Millis{200});
+  BOOST_TEST(Fixture.toldState(Third, JobState::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(ACompletedJobThatIsCancelledIsNotUnknown) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  Fixture.submit(0, "a");
+  Fixture.advance(Millis{1000});
+  Fixture.report("a", TaskPhase::Finished);
+  Fixture.advance(Millis{200});
+  const auto Cancel = Fixture.cancel(0, "a");
+  Fixture.advance(Millis{200});
+  BOOST_TEST(isJobState(Fixture.replyOf(Cancel)));
+}
+
 BOOST_AUTO_TEST_CASE(TheOwnerLogsWhatItKnewOfAnUnknownJob) {
   EntryFixture Fixture;
   const auto Owner = Fixture.owner();
@@ -46,4 +139,88 @@
   BOOST_TEST(Fixture.Entries_[Owner]->counters().UnknownJobsCancelled_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(CancelledIdsArePartOfASnapshot) {
+  Job Added;
+  Added.Id_ = {"a"};
+  Added.Declaration_.Queue_ = {"queue"};
+  Added.Tasks_.resize(1);
+  ShardState State;
+  State.apply(LedgerRecord{JobCancelled{Added.Id_, {}}});
+  ShardState Restored;
+  for (const auto &Record : State.snapshot(1000))
+    Restored.apply(Record);
+  Restored.apply(LedgerRecord{JobAdded{Added}});
+  BOOST_TEST(Restored.findJob(Added.Id_)->Cancelled_);
+  BOOST_TEST(
+      (Restored.findTask({Added.Id_, 0})->State_ == TaskState::Cancelled));
+  BOOST_TEST(Restored.countUnstarted({"queue"}) == 0U);
+  BOOST_TEST(Restored.cancelledIds().empty());
+  // The job is removed, or its id expires before it is submitted.
+  for (auto *Each : {&State, &Restored}) {
+    Each->apply(LedgerRecord{JobRemoved{Added.Id_}});
+    Each->apply(LedgerRecord{JobAdded{Added}});
+    BOOST_TEST(!Each->findJob(Added.Id_)->Cancelled_);
+    BOOST_TEST(Each->countUnstarted({"queue"}) == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ACancelledIdIsKeptForMinutes) {
+  EntryFixture Fixture;
+  const auto Cancel = Fixture.cancel(0, "a");
+  Fixture.advance(Seconds{240});
+  BOOST_TEST((Fixture.errorOf(Cancel) == ErrorKind::UnknownJob));
+  const auto &State = *Fixture.Entries_[Fixture.owner()]->shardState(0);
+  BOOST_TEST(State.cancelledIds().count({"a"}) == 1U);
+  Fixture.advance(Seconds{180});
+  BOOST_TEST(State.cancelledIds().empty());
+  const auto Submission = Fixture.submit(0, "a");
+  Fixture.advance(Millis{200});
+  BOOST_TEST(Fixture.toldState(Submission, JobState::Queued));
+}
+
+BOOST_AUTO_TEST_CASE(ARepeatedCancellationKeepsItsIdForTheFullTime) {
+  const TimePoint Start{Seconds{100}};
+  CancelledIds Ids;
+  Ids.add(Start, {"a"});
+  Ids.add(Start, {"b"});
+  BOOST_TEST(Ids.expired(Start + Seconds{240}).empty());
+  Ids.add(Start + Seconds{240}, {"a"});
+  const auto Expired = Ids.expired(Start + Seconds{360});
+  BOOST_REQUIRE(Expired.size() == 1U);
+  BOOST_TEST(Expired.front().Value_ == "b");
+  BOOST_TEST(Ids.expired(Start + Seconds{600}).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(CancelledIdsAreLimitedInNumberAndSize) {
+  for (const auto &Suffix : {std::string(), std::string(8000, 'x')}) {
+    CancelledIds Ids;
+    std::size_t Added = 0;
+    for (; !Ids.isFull() && Added < 100000; ++Added)
+      Ids.add({}, {std::to_string(Added) + Suffix});
+    BOOST_TEST(Added <= (Suffix.empty() ? 10000U : 100U));
+    BOOST_TEST(Added >= 50U);
+    Ids.remove({std::to_string(0) + Suffix});
+    BOOST_TEST(!Ids.isFull());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(CancellationsBeyondTheLimitAreRefusedAndCounted) {
+  EntryFixture Fixture;
+  const auto Owner = Fixture.owner();
+  Fixture.submit(Owner, "known");
+  Fixture.advance(Millis{200});
+  const std::string Suffix(8000, 'x');
+  CallerToken Last = 0;
+  for (int Number = 0; Number < 100; ++Number) {
+    Last = Fixture.cancel(Owner, std::to_string(Number) + Suffix);
+    Fixture.advance(Millis{50});
+  }
+  BOOST_TEST((Fixture.errorOf(Last) == ErrorKind::QueueFull));
+  const auto &Refusals = Fixture.Entries_[Owner]->counters().Refusals_;
+  BOOST_TEST(Refusals[static_cast<std::size_t>(ErrorKind::QueueFull)] > 0U);
+  const auto Known = Fixture.cancel(Owner, "known");
+  Fixture.advance(Millis{200});
+  BOOST_TEST(Fixture.toldState(Known, JobState::Cancelled));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
