Absence is answered to a query only by a proven owner

An entry that had lost its shard while it was paused, and didn't know it yet, answered 410 for jobs that the next owner had accepted, and counted the jobs of its own time; while it couldn't reach the store it did so without limit.

"No such job" is now said only after a read of the shard's head that began after the question has shown that the entry still owns the shard. Queries share a read, and one begins each 100 ms at most. A query waits for 2.8 s at most, then it is answered 503; if the shard turns out to be lost, it goes on to the next owner as submissions do. A query of a job whose submission waits for its commit waits for that: its caller may have been told that the outcome is unknown, and would take 410 for the outcome. The number of a queue's jobs that haven't started is answered at once if the ownership was proved in the last 2 s, as old as that number may be, and otherwise after such a read.

Before: AFormerOwnerDoesNotDenyAJobThatIsQueried, AFormerOwnerDoesNotCountJobs, AnOwnerThatCannotReachTheStoreDoesNotDenyJobs and AQueryWaitsForTheSubmissionOfItsJob failed.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -155,9 +155,11 @@
   const auto Shard = shardOfJob(Request.Job_, Request.Queue_);
   if (Shard >= Identity_.ShardCount_)
     refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
-  else if (shardOwner(Shard).owning())
-    shardOwner(Shard).answerJobQuery(Token, Request, Out);
-  else
+  else if (shardOwner(Shard).owning()) {
+    Calls_.recordOwnCall(
+        {Token, Shard, Now.Steady_ + QueueRequestTimeout, Request});
+    shardOwner(Shard).answerQuery(Now, Token, Request, Out);
+  } else
     forwardToShard(
         Now, Token, Shard, Request,
         Request.Queue_.empty() ? ForwardTimeout : QueueRequestTimeout, Out);
@@ -182,11 +184,11 @@
                        const CountUnstartedJobs &Request, EntryOutbox &Out)
     -> void {
   const auto Shard = shardOfQueue(Request.Queue_);
-  if (shardOwner(Shard).owning())
-    Out.push_back(AnswerCaller{
-        Token,
-        UnstartedJobsReply{shardOwner(Shard).countUnstarted(Request.Queue_)}});
-  else
+  if (shardOwner(Shard).owning()) {
+    Calls_.recordOwnCall(
+        {Token, Shard, Now.Steady_ + QueueRequestTimeout, Request});
+    shardOwner(Shard).answerQuery(Now, Token, Request, Out);
+  } else
     forwardToShard(Now, Token, Shard, Request, QueueRequestTimeout, Out);
 }
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -49,6 +49,8 @@
 /// Interval at which an owner reads the shard's head. An owner with nothing to
 /// write learns of a successor only from these reads.
 constexpr Millis VerifyInterval{10000};
+/// How old the number of a queue's jobs that have not started may be.
+constexpr Millis MaxCountAge{2000};
 /// How long a task waits for a worker before it may use one on which tasks
 /// fail. Must be below three seconds, after which a task that isn't running
 /// although a worker has free capacity counts as starved.
@@ -532,18 +534,48 @@
   SubmitCallers_.erase(FoundCallers);
 }
 
-auto ShardOwner::answerJobQuery(CallerToken Token, const GetJob &Request,
-                                EntryOutbox &Out) const -> void {
-  const auto *Found = state().findJob(Request.Job_);
-  if (Found == nullptr)
-    refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
+auto ShardOwner::answerQuery(Moment Now, CallerToken Token,
+                             const GetJob &Request, EntryOutbox &Out) -> void {
+  if (state().findJob(Request.Job_) != nullptr)
+    answerFromState(Token, Request, Out);
   else
-    Out.push_back(
-        AnswerCaller{Token, jobAnswer(state(), *Found, Request.StateOnly_)});
+    awaitProof(Now, Token, Request);
+}
+
+auto ShardOwner::answerQuery(Moment Now, CallerToken Token,
+                             const CountUnstartedJobs &Request,
+                             EntryOutbox &Out) -> void {
+  const auto ProvedAt = Proof_.provedAt();
+  if (ProvedAt && *ProvedAt + MaxCountAge > Now.Steady_)
+    answerFromState(Token, Request, Out);
+  else
+    awaitProof(Now, Token, Request);
+}
+
+auto ShardOwner::awaitProof(Moment Now, CallerToken Token, ShardQuery Query)
+    -> void {
+  Queries_.add(Now.Steady_, Token, std::move(Query));
+  Queries_.requestProof(Now.Steady_, Proof_, Ledger_);
+  Ledger_.advance();
 }
 
-auto ShardOwner::countUnstarted(const QueueName &Queue) const -> std::uint64_t {
-  return state().countUnstarted(Queue);
+auto ShardOwner::answerFromState(CallerToken Token, const ShardQuery &Query,
+                                 EntryOutbox &Out) const -> bool {
+  if (const auto *Count = std::get_if<CountUnstartedJobs>(&Query)) {
+    Out.push_back(AnswerCaller{
+        Token, UnstartedJobsReply{state().countUnstarted(Count->Queue_)}});
+    return true;
+  }
+  const auto &Request = std::get<GetJob>(Query);
+  const auto *Found = state().findJob(Request.Job_);
+  if (Found != nullptr)
+    Out.push_back(
+        AnswerCaller{Token, jobAnswer(state(), *Found, Request.StateOnly_)});
+  else if (Submitting_.count(Request.Job_) != 0)
+    return false;
+  else
+    refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
+  return true;
 }
 
 auto ShardOwner::cancel(Moment Now, CallerToken Token, const CancelJob &Request,
@@ -1802,6 +1834,7 @@
                WaitingJob.Value_, Out);
     CallersByJob->clear();
   }
+  Queries_.refuseAll(Shard_, Out);
   for (auto *Each : Context_.Targets_.all()) {
     Each->ClaimedShards_.erase(Shard_);
     Each->ConfirmedShards_.erase(Shard_);
@@ -1838,6 +1871,13 @@
   for (const auto &Record : Committed)
     std::visit([&](const auto &Each) { committed(Now, Each, Out); }, Record);
   indexReadySteps(Now.Steady_);
+  Queries_.requestProof(Now.Steady_, Proof_, Ledger_);
+  Queries_.answerProved(
+      Now.Steady_, Ledger_,
+      [&](CallerToken Token, const ShardQuery &Query) {
+        return answerFromState(Token, Query, Out);
+      },
+      Out);
   // Every record except one that binds a task may make tasks ready or free
   // resources, so that more tasks can be bound at once.
   const auto MayBindMore =
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -13,6 +13,7 @@
 #include "core/RequestDispatcher.h"
 #include "core/ShardUsage.h"
 #include "core/ShortTaskDemand.h"
+#include "core/WaitingQueries.h"
 
 #include <set>
 
@@ -112,11 +113,14 @@
   auto afterStoreCall(Moment Now, EntryOutbox &Out) -> void;
 
   // Queries.
-  /// Answers a caller who queries a job.
-  auto answerJobQuery(CallerToken Token, const GetJob &Request,
-                      EntryOutbox &Out) const -> void;
-  /// Returns the number of the queue's jobs of which no task has started.
-  auto countUnstarted(const QueueName &Queue) const -> std::uint64_t;
+  /// Answers a caller who queries a job. That there is no such job is said only
+  /// after a proof that this entry still owns the shard.
+  auto answerQuery(Moment Now, CallerToken Token, const GetJob &Request,
+                   EntryOutbox &Out) -> void;
+  /// Answers how many of the queue's jobs have not started. The number was true
+  /// at most MaxCountAge ago.
+  auto answerQuery(Moment Now, CallerToken Token,
+                   const CountUnstartedJobs &Request, EntryOutbox &Out) -> void;
   auto owning() const -> bool { return Ledger_.owning(); }
   auto releasing() const -> bool { return Ledger_.releasing(); }
   /// True if new work may be submitted.
@@ -391,6 +395,12 @@
   /// \returns whether to go on.
   auto mayCancelUnknown(Moment Now, CallerToken Token, const JobId &Id,
                         EntryOutbox &Out) -> bool;
+  /// Answers a query once it is proved that this entry owns the shard.
+  auto awaitProof(Moment Now, CallerToken Token, ShardQuery Query) -> void;
+  /// Answers a query by the ledger's state. \returns false if a submission
+  /// that is being committed will decide it.
+  auto answerFromState(CallerToken Token, const ShardQuery &Query,
+                       EntryOutbox &Out) const -> bool;
   /// Answers "no such job" to a cancellation, and logs what is known about the
   /// job.
   auto refuseUnknown(Moment Now, CallerToken Token, const JobId &Id,
@@ -501,6 +511,7 @@
   std::map<JobId, std::vector<WaitingCaller>> SubmitCallers_;
   std::map<JobId, std::vector<WaitingCaller>> CancelCallers_;
   CancelledIds CancelledIds_;
+  WaitingQueries Queries_;
   std::vector<ClaimedRequest> Claimed_;
   TimePoint NextRemoval_{};
   TimePoint NextVerify_{};
--- /dev/null
+++ b/core/WaitingQueries.cpp
@@ -0,0 +1,63 @@
+#include "core/WaitingQueries.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace skylark {
+namespace {
+
+/// How long a query waits for the proof; no longer than entries wait for the
+/// owner's answer.
+constexpr Millis QueryTimeout{2800};
+constexpr Millis MinRequestInterval{100};
+
+auto refuse(CallerToken Token, ErrorKind Kind, std::string Detail,
+            EntryOutbox &Out) -> void {
+  Out.push_back(AnswerCaller{Token, ErrorReply{Kind, std::move(Detail), {}}});
+}
+
+} // namespace
+
+auto WaitingQueries::add(TimePoint Now, CallerToken Token, ShardQuery Query)
+    -> void {
+  Queries_.push_back(
+      {Token, std::move(Query), std::nullopt, Now + QueryTimeout});
+}
+
+auto WaitingQueries::requestProof(TimePoint Now, OwnershipProof &Proof,
+                                  LedgerWriter &Ledger) -> void {
+  // Those that were added last have no request.
+  if (Queries_.empty() || Queries_.back().Proof_ || Now < NextRequest_)
+    return;
+  NextRequest_ = Now + MinRequestInterval;
+  const auto Request = Proof.request(Now, Ledger);
+  for (auto &Each : Queries_)
+    if (!Each.Proof_)
+      Each.Proof_ = Request;
+}
+
+auto WaitingQueries::answerProved(
+    TimePoint Now, const LedgerWriter &Ledger,
+    const std::function<bool(CallerToken, const ShardQuery &)> &Answer,
+    EntryOutbox &Out) -> void {
+  const auto IsDone = [&](const WaitingQuery &Each) {
+    if (Each.Proof_ && OwnershipProof::isProvedSince(*Each.Proof_, Ledger) &&
+        Answer(Each.Token_, Each.Query_))
+      return true;
+    if (Each.ExpiresAt_ > Now)
+      return false;
+    refuse(Each.Token_, ErrorKind::StoreUnavailable,
+           "the ownership of the shard was not verified in time", Out);
+    return true;
+  };
+  Queries_.erase(std::remove_if(Queries_.begin(), Queries_.end(), IsDone),
+                 Queries_.end());
+}
+
+auto WaitingQueries::refuseAll(ShardNumber Shard, EntryOutbox &Out) -> void {
+  for (const auto &Each : std::exchange(Queries_, {}))
+    refuse(Each.Token_, ErrorKind::ShardMoving,
+           "shard " + std::to_string(Shard), Out);
+}
+
+} // namespace skylark
--- a/test/correctness/CancellationTest.cpp
+++ b/test/correctness/CancellationTest.cpp
@@ -89,6 +89,45 @@
   BOOST_TEST(Fixture.toldState(Cancel, JobState::Cancelled));
 }
 
+// A query was answered "no such job" by an entry that had lost the shard.
+BOOST_AUTO_TEST_CASE(AFormerOwnerDoesNotDenyAJobThatIsQueried) {
+  PausedOwnerFixture Fixture;
+  Fixture.submit(Fixture.New_, "a");
+  Fixture.advance(Millis{200});
+  Fixture.resume();
+  const auto Query = Fixture.query(Fixture.Old_, "a");
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.toldState(Query, JobState::Queued));
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerThatCannotReachTheStoreDoesNotDenyJobs) {
+  EntryFixture Fixture;
+  const auto Owner = Fixture.owner();
+  Fixture.StoreUnreachable_.fill(true);
+  const auto First = Fixture.query(Owner, "a");
+  const auto Second = Fixture.query(Owner, "b");
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.replyOf(First) == nullptr);
+  Fixture.advance(Millis{2500});
+  for (const auto Query : {First, Second}) {
+    BOOST_REQUIRE(Fixture.replyOf(Query) != nullptr);
+    BOOST_TEST((Fixture.errorOf(Query) == ErrorKind::StoreUnavailable));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AQueryWaitsForTheSubmissionOfItsJob) {
+  EntryFixture Fixture;
+  const auto Owner = Fixture.owner();
+  Fixture.StoreUnreachable_.fill(true);
+  Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{500});
+  const auto Query = Fixture.query(Owner, "a");
+  Fixture.advance(Millis{500});
+  Fixture.StoreUnreachable_.fill(false);
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.toldState(Query, JobState::Queued));
+}
+
 BOOST_AUTO_TEST_CASE(AllCancellationsOfAnUnknownJobAreAnswered) {
   EntryFixture Fixture;
   const auto Owner = Fixture.owner();
@@ -139,6 +178,20 @@
   BOOST_TEST(Fixture.Entries_[Owner]->counters().UnknownJobsCancelled_ == 1U);
 }
 
+// A former owner counted the jobs of its time.
+BOOST_AUTO_TEST_CASE(AFormerOwnerDoesNotCountJobs) {
+  PausedOwnerFixture Fixture;
+  Fixture.submit(Fixture.New_, "a");
+  Fixture.advance(Millis{200});
+  Fixture.resume();
+  const auto Count = Fixture.sendRequest(
+      Fixture.Old_, ReadQueue{{"portal.example", "/jobs/"}});
+  Fixture.advance(Millis{1000});
+  const auto *Reply = Fixture.replyOf(Count);
+  BOOST_REQUIRE(Reply != nullptr);
+  BOOST_TEST(std::get<UnstartedJobsReply>(*Reply).Count_ == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(CancelledIdsArePartOfASnapshot) {
   Job Added;
   Added.Id_ = {"a"};
