A cancellation that waits for the store isn't withdrawn

A cancellation whose record wasn't being written within 5 s was withdrawn and answered 503, although callers may count on it once it has waited for the bound of acknowledgements. It is idempotent and wanted: it is now carried out when the store is back, and its caller is told that the outcome is unknown (504). A repeated cancellation joins the queued one.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -377,17 +377,17 @@
         continue;
       }
       const auto WaitingJob = Each->first;
-      const auto Withdrawn = Ledger_.withdraw([&](const LedgerRecord &Record) {
-        const auto *AddedRecord = std::get_if<JobAdded>(&Record);
-        const auto *Cancelled = std::get_if<JobCancelled>(&Record);
-        return (AddedRecord != nullptr && AddedRecord->Job_.Id_ == WaitingJob &&
-                CallersByJob == &SubmitCallers_) ||
-               (Cancelled != nullptr && Cancelled->Job_ == WaitingJob &&
-                CallersByJob == &CancelCallers_);
-      });
+      // A cancellation is carried out though its callers don't wait any longer:
+      // it is idempotent, and counts as due once it has waited.
+      const auto Withdrawn = CallersByJob == &SubmitCallers_ &&
+                             Ledger_.withdraw([&](const LedgerRecord &Record) {
+                               const auto *AddedRecord =
+                                   std::get_if<JobAdded>(&Record);
+                               return AddedRecord != nullptr &&
+                                      AddedRecord->Job_.Id_ == WaitingJob;
+                             });
       if (Withdrawn)
-        (CallersByJob == &SubmitCallers_ ? Submitting_ : Cancelling_)
-            .erase(WaitingJob);
+        Submitting_.erase(WaitingJob);
       for (const auto &Caller : Each->second)
         refuse(Caller.Token_,
                Withdrawn ? Caller.Refusal_ : ErrorKind::OutcomeUnknown,
--- a/test/correctness/CancellationTest.cpp
+++ b/test/correctness/CancellationTest.cpp
@@ -148,6 +148,26 @@
   BOOST_TEST(Fixture.toldState(Third, JobState::Cancelled));
 }
 
+// A cancellation that had waited for the store was dropped.
+BOOST_AUTO_TEST_CASE(ACancellationIsCarriedOutThoughItsCallerHasGoneAway) {
+  EntryFixture Fixture;
+  const auto Owner = Fixture.owner();
+  Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{500});
+  Fixture.StoreUnreachable_.fill(true);
+  // Its record is being written while that of the cancellation is queued.
+  Fixture.submit(Owner, "b");
+  Fixture.advance(Millis{100});
+  const auto Cancel = Fixture.cancel(Owner, "a");
+  Fixture.advance(Millis{5500});
+  BOOST_TEST((Fixture.errorOf(Cancel) == ErrorKind::OutcomeUnknown));
+  Fixture.StoreUnreachable_.fill(false);
+  Fixture.advance(Millis{2000});
+  const auto Query = Fixture.query(Fixture.owner(), "a");
+  Fixture.advance(Millis{200});
+  BOOST_TEST(Fixture.toldState(Query, JobState::Cancelled));
+}
+
 BOOST_AUTO_TEST_CASE(ACompletedJobThatIsCancelledIsNotUnknown) {
   EntryFixture Fixture;
   Fixture.connectAgent(1);
