An entry repeats a cancellation whose outcome is open

A cancellation that found no owner within 1.5 s, whose owner changed too late or gave no answer, or that was dropped with the queued records of an owner that lost its shard, was answered 503 or 504 and forgotten; the job ran on. Callers may count on it once it has waited for the bound of acknowledgements.

The entry that took it from its caller now repeats it each 500 ms until an owner has answered it, for 60 s at most, and tells the caller that its outcome is unknown (504). At most 2000 are repeated at once. An entry that stops waits for them as for forwarded requests.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -245,7 +245,9 @@
   if (Queue == nullptr)
     return;
   const JobId Job{Request.Address_.Path_.substr(Queue->PathPrefix_.size())};
-  handle(Now, Token, CancelJob{Job, true, Queue->Name_}, Out);
+  const CancelJob Cancellation{Job, true, Queue->Name_};
+  Cancellations_.add(Token, Cancellation);
+  handle(Now, Token, Cancellation, Out);
 }
 
 auto EntryCore::handle(Moment Now, CallerToken Token,
@@ -764,6 +766,7 @@
   if (acceptingShards().size() != AnnouncedShardCount_)
     broadcastHeartbeat(Now, Out);
   Calls_.parkMoved(Now.Steady_, Out);
+  Cancellations_.settle(Now.Steady_, Out);
   Store_.advance(Now, Out);
   Calls_.routeAnswers(Out);
 }
@@ -790,6 +793,8 @@
       longestOldGrant(Now), Out);
   closeSilentSessions(Now, Out);
   expireForwardedCalls(Now, Out);
+  for (const auto &[Token, Request] : Cancellations_.takeDue(Now.Steady_))
+    handle(Now, Token, Request, Out);
   sendPeerHeartbeats(Now, Out);
   sendInterferenceTable(Now, Out);
   announceEntries(Out);
@@ -842,8 +847,8 @@
 }
 
 auto EntryCore::finishLeaving(Moment Now, EntryOutbox &Out) -> void {
-  const auto Idle =
-      Dispatcher_.inFlight() == 0 && Changes_.idle() && Calls_.idle();
+  const auto Idle = Dispatcher_.inFlight() == 0 && Changes_.idle() &&
+                    Calls_.idle() && Cancellations_.idle();
   const auto HandedOver =
       std::all_of(Shards_.begin(), Shards_.end(),
                   [](const auto &Shard) { return Shard->idle(); });
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -2,6 +2,7 @@
 /// Defines the state machine of an entry.
 #pragma once
 
+#include "core/CancellationRetries.h"
 #include "core/ConfigurationUpdater.h"
 #include "core/EnvironmentView.h"
 #include "core/ForwardedCalls.h"
@@ -230,6 +231,7 @@
   std::vector<std::unique_ptr<ShardOwner>> Shards_;
   PeerTable Peers_;
   ForwardedCalls Calls_;
+  CancellationRetries Cancellations_;
   /// Shards that this entry has relinquished, and their epochs.
   std::map<ShardNumber, Epoch> Relinquished_;
   /// Number of owned shards in the last heartbeat to peers.
--- a/test/correctness/CancellationTest.cpp
+++ b/test/correctness/CancellationTest.cpp
@@ -212,6 +212,26 @@
   BOOST_TEST(std::get<UnstartedJobsReply>(*Reply).Count_ == 1U);
 }
 
+// A cancellation that found no owner in time was forgotten, and the job ran.
+BOOST_AUTO_TEST_CASE(ACancellationThatFoundNoOwnerIsCarriedOutLater) {
+  EntryFixture Fixture;
+  const auto Owner = Fixture.owner();
+  Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{200});
+  Fixture.killEntry(Owner);
+  Fixture.advance(Millis{50});
+  const auto Cancel = Fixture.cancel(1 - Owner, "a");
+  Fixture.StoreUnreachable_.fill(true);
+  Fixture.advance(Millis{4000});
+  BOOST_TEST((Fixture.errorOf(Cancel) == ErrorKind::OutcomeUnknown));
+  Fixture.StoreUnreachable_.fill(false);
+  Fixture.advance(Millis{10000});
+  BOOST_REQUIRE(Fixture.owner() < EntryCount);
+  const auto Query = Fixture.query(Fixture.owner(), "a");
+  Fixture.advance(Millis{200});
+  BOOST_TEST(Fixture.toldState(Query, JobState::Cancelled));
+}
+
 BOOST_AUTO_TEST_CASE(CancelledIdsArePartOfASnapshot) {
   Job Added;
   Added.Id_ = {"a"};
