Randomised runs: callers who cancel promptly

No run submitted jobs under callers' ids, so none could cancel a job before or beside its submission. The checker sees only what callers and workers see: no task starts of a job whose cancellation was answered "no such job", ever, and no start is ordered later than 3 s after a cancellation was accepted, unless processes were disturbed since (late orders don't count: the time is that of the order). Without the option, runs are as before.

--- a/test/fuzz/Checker.cpp
+++ b/test/fuzz/Checker.cpp
@@ -12,6 +12,10 @@
 /// six messages or store calls of 8 ms.
 constexpr Millis SimulationDelays{200};
 
+/// The latest time, after a cancellation was accepted, at which a task of the
+/// job may be started.
+constexpr Millis CancellationTarget{3000};
+
 template <typename... Parts>
 auto concatenate(const Parts &...Each) -> std::string {
   std::ostringstream Out;
@@ -63,6 +67,10 @@
     addViolation(concatenate("task started again after its end was "
                              "acknowledged: ",
                              Task, " attempt ", Bind.Attempt_, " on ", Worker));
+  if (Denied_.count(Task.Job_) != 0)
+    addViolation(concatenate("started after its cancellation was answered "
+                             "\"no such job\": ",
+                             Task, " attempt ", Bind.Attempt_, " on ", Worker));
   Started_.insert(Task.Job_);
   StartableSince_.erase(Task.Job_);
   LastAttempt_[Task] = Bind.Attempt_;
@@ -82,6 +90,27 @@
                              " after ", InForce_, " was in force"));
 }
 
+auto Checker::startOrdered(TrueTime Now, const TaskId &Task) -> void {
+  const auto Found = CancelledSince_.find(Task.Job_);
+  if (Found != CancelledSince_.end() &&
+      Found->second + CancellationTarget + SimulationDelays < Now)
+    addViolation(concatenate("start ordered later than ",
+                             (CancellationTarget + SimulationDelays).count(),
+                             " ms after the job's cancellation: ", Task));
+}
+
+auto Checker::cancellationAccepted(TrueTime Now, const JobId &Job) -> void {
+  CancelledSince_.emplace(Job, Now);
+}
+
+auto Checker::cancelledJobDenied(const JobId &Job) -> void {
+  Denied_.insert(Job);
+  if (Started_.count(Job) != 0)
+    addViolation(concatenate("cancellation answered \"no such job\" although "
+                             "the job has started: ",
+                             Job));
+}
+
 auto Checker::urgentJobAccepted(TrueTime Now, const JobId &Job) -> void {
   if (Started_.count(Job) == 0)
     StartableSince_.emplace(Job, Now);
@@ -89,6 +118,9 @@
 
 auto Checker::observe(TrueTime Now, bool Calm, bool Startable) -> void {
   Calm_ = Calm;
+  if (!Calm)
+    for (auto &[Job, Since] : CancelledSince_)
+      Since = Now;
   for (auto &[Job, Since] : StartableSince_) {
     if (!Calm || !Startable)
       Since = Now;
--- a/test/fuzz/Checker.h
+++ b/test/fuzz/Checker.h
@@ -41,6 +41,9 @@
 
   // Events at workers and targets.
 
+  /// An agent has ordered its worker to start a task. The worker may carry that
+  /// out later.
+  auto startOrdered(TrueTime Now, const TaskId &Task) -> void;
   /// \param Worker name of the worker instance.
   /// \param Capacity capacity of the worker.
   /// \param AgentRevision revision that the agent had when it gave the command.
@@ -76,6 +79,11 @@
 
   /// A caller was told that an urgent job of one task was accepted.
   auto urgentJobAccepted(TrueTime Now, const JobId &Job) -> void;
+  /// A caller's cancellation of a job was accepted.
+  auto cancellationAccepted(TrueTime Now, const JobId &Job) -> void;
+  /// A caller who cancelled a job was told that there is no such job: it must
+  /// not have started, and must never start.
+  auto cancelledJobDenied(const JobId &Job) -> void;
   /// Called again and again as time advances.
   /// \param Calm whether entries reach the store, no process is disturbed, and
   ///   only the configuration changes: no lease may expire then.
@@ -126,6 +134,10 @@
   std::map<JobId, TrueTime> StartableSince_;
   /// Jobs of which a task has started.
   std::set<JobId> Started_;
+  /// Since when each cancelled job should not be started any more; a
+  /// disturbance of processes restarts the time.
+  std::map<JobId, TrueTime> CancelledSince_;
+  std::set<JobId> Denied_;
   int TaskStarts_ = 0;
   int Replies_ = 0;
   std::vector<std::string> Violations_;
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -765,6 +765,7 @@
   auto &Node = *Agents_[Agent];
   const auto Generation = Node.Generation_;
   const auto Revision = Node.Core_->configuration().Head_.Revision_;
+  Checker_.startOrdered(Now_, Start.Bind_.Task_);
   const auto Order = [this, Agent, Start, Token = tokenOf(Agent),
                       Revision](FakeWorker &Worker) {
     const auto Clock = std::chrono::duration_cast<Micros>(
@@ -1057,7 +1058,7 @@
     -> void {
   sendRequest(
       PutDocument{
-          {"production"}, simulationDocument(++LastNumber_), ExpectedRevision},
+          {"production"}, makeDocument(++LastNumber_), ExpectedRevision},
       "", true, [this, RetriesLeft](const CallerReply &Reply) {
         const auto *Change = std::get_if<ChangeReply>(&Reply);
         if (Change != nullptr && Change->InForce_)
@@ -1074,6 +1075,13 @@
       });
 }
 
+auto Simulation::makeDocument(int Version) const -> Document {
+  auto Made = simulationDocument(Version);
+  if (Config_.PromptCancellations_)
+    addQueue(Made);
+  return Made;
+}
+
 auto Simulation::storedHead() -> EnvironmentHead {
   const auto Found = Store_.apply(Now_, ReadValue{headKey({"production"})});
   return Found.Status_ == StoreStatus::Ok
@@ -1082,7 +1090,7 @@
 }
 
 auto Simulation::writeDocument() -> void {
-  const auto Written = simulationDocument(++LastNumber_);
+  const auto Written = makeDocument(++LastNumber_);
   auto Head = storedHead();
   Head.DocumentRevision_ = ++Head.Revision_;
   Head.DocumentDigest_ = digestText(Written.Text_);
@@ -1357,6 +1365,8 @@
     AdvanceWorkers();
     applyDocument(0, 3);
     scheduleAfter(Millis{2500}, [this] { generateLoad(); });
+    if (Config_.PromptCancellations_)
+      scheduleAfter(Millis{2500}, [this] { generatePromptCancellations(); });
     auto LastFaultEnd = Config_.Busy_;
     for (const auto &Each : Config_.Faults_) {
       scheduleAt(Micros(Millis{Each.StartMs_}),
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -112,6 +112,9 @@
   bool ChangingCapacity_ = false;
   /// Whether some tasks crash each worker that starts them.
   bool CrashingTasks_ = false;
+  /// Whether callers submit jobs under ids of their own and cancel them before,
+  /// beside or after the submission, which may be repeated seconds later.
+  bool PromptCancellations_ = false;
   /// Whether to print the decisions that the processes log.
   bool Trace_ = false;
 };
@@ -267,6 +270,13 @@
   auto submitUrgentJob() -> void;
   /// Cancels a job; repeats the request after an error.
   auto cancelJob(const JobId &Id, int RetriesLeft) -> void;
+  /// Submits and cancels jobs under callers' ids, until the quiet period.
+  auto generatePromptCancellations() -> void;
+  /// Submits a job to a queue; repeats the request while its outcome is not
+  /// known.
+  auto submitToQueue(const SubmitToQueue &Submission, int RetriesLeft) -> void;
+  /// Cancels a job of a queue; repeats the request until it is answered.
+  auto cancelInQueue(const JobId &Id, int RetriesLeft) -> void;
   auto injectFault(const Fault &Each) -> void;
   /// Takes a data centre out of service or puts it back, and reports to the
   /// checker what the operator was told.
@@ -278,6 +288,8 @@
   /// \param Step number of changes so far.
   auto continueChangeSeries(TrueTime Until, std::uint32_t Selector, int Step)
       -> void;
+  /// The operators' document with this version.
+  auto makeDocument(int Version) const -> Document;
   /// The head in the store; its revision is 0 if there is none.
   auto storedHead() -> EnvironmentHead;
   /// Writes a document into the store, and a head that names it.
@@ -352,5 +364,7 @@
 
 /// The operators' document of a run; `Version` makes its text unique.
 auto simulationDocument(int Version) -> Document;
+/// Adds the queue of the callers who cancel promptly.
+auto addQueue(Document &Configured) -> void;
 
 } // namespace skylark::Fuzz
