A count that can't be proved is answered as it is known

While the store was down, a caller who asked how many of a queue's jobs haven't started was answered 503 after 2.8 s, since the count waited for a proof of ownership. It is answered as it is known if there is no proof within 500 ms. Only the absence of a job has to be proved.

--- a/core/WaitingQueries.cpp
+++ b/core/WaitingQueries.cpp
@@ -9,8 +9,15 @@
 /// How long a query waits for the proof; no longer than entries wait for the
 /// owner's answer.
 constexpr Millis QueryTimeout{2800};
+/// How long a count waits for the proof. It denies no job, and while the store
+/// can't be reached, no other entry is likely to have a better one.
+constexpr Millis CountTimeout{500};
 constexpr Millis MinRequestInterval{100};
 
+auto isCount(const ShardQuery &Query) -> bool {
+  return std::holds_alternative<CountUnstartedJobs>(Query);
+}
+
 auto refuse(CallerToken Token, ErrorKind Kind, std::string Detail,
             EntryOutbox &Out) -> void {
   Out.push_back(AnswerCaller{Token, ErrorReply{Kind, std::move(Detail), {}}});
@@ -20,8 +27,8 @@
 
 auto WaitingQueries::add(TimePoint Now, CallerToken Token, ShardQuery Query)
     -> void {
-  Queries_.push_back(
-      {Token, std::move(Query), std::nullopt, Now + QueryTimeout});
+  const auto Timeout = isCount(Query) ? CountTimeout : QueryTimeout;
+  Queries_.push_back({Token, std::move(Query), std::nullopt, Now + Timeout});
 }
 
 auto WaitingQueries::requestProof(TimePoint Now, OwnershipProof &Proof,
@@ -41,10 +48,13 @@
     const std::function<bool(CallerToken, const ShardQuery &)> &Answer,
     EntryOutbox &Out) -> void {
   const auto IsDone = [&](const WaitingQuery &Each) {
-    if (Each.Proof_ && OwnershipProof::isProvedSince(*Each.Proof_, Ledger) &&
+    const auto Proved =
+        Each.Proof_ && OwnershipProof::isProvedSince(*Each.Proof_, Ledger);
+    const auto Expired = Each.ExpiresAt_ <= Now;
+    if ((Proved || (Expired && isCount(Each.Query_))) &&
         Answer(Each.Token_, Each.Query_))
       return true;
-    if (Each.ExpiresAt_ > Now)
+    if (!Expired)
       return false;
     refuse(Each.Token_, ErrorKind::StoreUnavailable,
            "the ownership of the shard was not verified in time", Out);
--- a/core/WaitingQueries.h
+++ b/core/WaitingQueries.h
@@ -25,8 +25,8 @@
   /// these reads; all queries that arrive until the next one begins share it.
   auto requestProof(TimePoint Now, OwnershipProof &Proof, LedgerWriter &Ledger)
       -> void;
-  /// Answers the queries for which there is a proof, and refuses those that
-  /// have waited for too long.
+  /// Answers the queries for which there is a proof. After some time without
+  /// one, answers counts all the same, and refuses the others.
   /// \param Answer answers one query. \returns false if it has to wait on.
   auto answerProved(
       TimePoint Now, const LedgerWriter &Ledger,
--- a/test/correctness/CancellationTest.cpp
+++ b/test/correctness/CancellationTest.cpp
@@ -316,4 +316,21 @@
   BOOST_TEST(Fixture.toldState(Known, JobState::Cancelled));
 }
 
+// Counts were refused for as long as the store was down.
+BOOST_AUTO_TEST_CASE(AnOwnerThatCannotReachTheStoreStillCountsItsJobs) {
+  EntryFixture Fixture;
+  const auto Owner = Fixture.owner();
+  Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{200});
+  Fixture.StoreUnreachable_.fill(true);
+  Fixture.advance(Millis{3000});
+  const auto Count =
+      Fixture.sendRequest(Owner, ReadQueue{{"portal.example", "/jobs/"}});
+  Fixture.advance(Millis{600});
+  const auto *Reply = Fixture.replyOf(Count);
+  BOOST_REQUIRE(Reply != nullptr);
+  BOOST_REQUIRE(std::holds_alternative<UnstartedJobsReply>(*Reply));
+  BOOST_TEST(std::get<UnstartedJobsReply>(*Reply).Count_ == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
