Callers who wait for a job's record have a file of their own

No change of behaviour: the bookkeeping of callers who wait for the commit of a submission or a cancellation moves out of the owner of a shard.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -370,31 +370,26 @@
            "the claim was not committed in time", Out);
     Each = PendingClaims_.erase(Each);
   }
-  for (auto *CallersByJob : {&SubmitCallers_, &CancelCallers_}) {
-    for (auto Each = CallersByJob->begin(); Each != CallersByJob->end();) {
-      if (Each->second.front().ExpiresAt_ > Now.Steady_) {
-        ++Each;
-        continue;
-      }
-      const auto WaitingJob = Each->first;
-      // A cancellation is carried out though its callers don't wait any longer:
-      // it is idempotent, and counts as due once it has waited.
-      const auto Withdrawn = CallersByJob == &SubmitCallers_ &&
-                             Ledger_.withdraw([&](const LedgerRecord &Record) {
-                               const auto *AddedRecord =
-                                   std::get_if<JobAdded>(&Record);
-                               return AddedRecord != nullptr &&
-                                      AddedRecord->Job_.Id_ == WaitingJob;
-                             });
-      if (Withdrawn)
-        Submitting_.erase(WaitingJob);
-      for (const auto &Caller : Each->second)
-        refuse(Caller.Token_,
-               Withdrawn ? Caller.Refusal_ : ErrorKind::OutcomeUnknown,
-               WaitingJob.Value_, Out);
-      Each = CallersByJob->erase(Each);
-    }
-  }
+  for (const auto &[WaitingJob, Callers] :
+       SubmitCallers_.takeExpired(Now.Steady_)) {
+    const auto Withdrawn =
+        Ledger_.withdraw([&, &Id = WaitingJob](const LedgerRecord &Record) {
+          const auto *AddedRecord = std::get_if<JobAdded>(&Record);
+          return AddedRecord != nullptr && AddedRecord->Job_.Id_ == Id;
+        });
+    if (Withdrawn)
+      Submitting_.erase(WaitingJob);
+    for (const auto &Caller : Callers)
+      refuse(Caller.Token_,
+             Withdrawn ? Caller.Refusal_ : ErrorKind::OutcomeUnknown,
+             WaitingJob.Value_, Out);
+  }
+  // A cancellation is carried out though its callers don't wait any longer: it
+  // is idempotent, and counts as due once it has waited.
+  for (const auto &[WaitingJob, Callers] :
+       CancelCallers_.takeExpired(Now.Steady_))
+    for (const auto &Caller : Callers)
+      refuse(Caller.Token_, ErrorKind::OutcomeUnknown, WaitingJob.Value_, Out);
 }
 
 // Jobs.
@@ -485,12 +480,10 @@
            Out);
     return;
   }
-  auto &JobCallers = SubmitCallers_[Id];
   const auto Refusal = Submission.Key_.empty() ? ErrorKind::StoreUnavailable
                                                : ErrorKind::KeyNotChecked;
-  JobCallers.push_back(
-      {Token, Now.Steady_ + CallerTimeout, Refusal, StateOnly});
-  if (JobCallers.size() > 1)
+  if (!SubmitCallers_.add(
+          Id, {Token, Now.Steady_ + CallerTimeout, Refusal, StateOnly}))
     return;
   Submitting_.insert(Id);
   if (CancelledIds_.contains(Id)) {
@@ -525,13 +518,9 @@
           std::to_string(AddedJob->Tasks_.size()) + " tasks, critical path " +
           std::to_string(AddedJob->Declaration_.criticalPath().count()) + " ms",
       Out);
-  const auto FoundCallers = SubmitCallers_.find(Record.Job_.Id_);
-  if (FoundCallers == SubmitCallers_.end())
-    return;
-  for (const auto &Caller : FoundCallers->second)
+  for (const auto &Caller : SubmitCallers_.take(Record.Job_.Id_))
     Out.push_back(AnswerCaller{
         Caller.Token_, jobAnswer(state(), *AddedJob, Caller.StateOnly_)});
-  SubmitCallers_.erase(FoundCallers);
 }
 
 auto ShardOwner::answerQuery(Moment Now, CallerToken Token,
@@ -589,10 +578,10 @@
         Token, jobAnswer(state(), *ExistingJob, Request.StateOnly_)});
     return;
   }
-  auto &JobCallers = CancelCallers_[Id];
-  JobCallers.push_back({Token, Now.Steady_ + CallerTimeout,
-                        ErrorKind::StoreUnavailable, Request.StateOnly_});
-  if (JobCallers.size() > 1 || !Cancelling_.insert(Id).second)
+  const auto IsFirst =
+      CancelCallers_.add(Id, {Token, Now.Steady_ + CallerTimeout,
+                              ErrorKind::StoreUnavailable, Request.StateOnly_});
+  if (!IsFirst || !Cancelling_.insert(Id).second)
     return;
   Ledger_.append(JobCancelled{Id, Now.Wall_});
   Ledger_.advance();
@@ -638,20 +627,16 @@
   const auto *Cancelled = state().findJob(Record.Job_);
   if (Cancelled == nullptr) {
     CancelledIds_.add(Now.Steady_, Record.Job_);
-    for (const auto &Caller : takeCallers(CancelCallers_, Record.Job_))
+    for (const auto &Caller : CancelCallers_.take(Record.Job_))
       refuseUnknown(Now, Caller.Token_, Record.Job_, Out);
     return;
   }
   CancelledIds_.remove(Record.Job_);
   indexJob(Now.Steady_, *Cancelled);
   logIfOver(*Cancelled, Out);
-  const auto FoundCallers = CancelCallers_.find(Record.Job_);
-  if (FoundCallers == CancelCallers_.end())
-    return;
-  for (const auto &Caller : FoundCallers->second)
+  for (const auto &Caller : CancelCallers_.take(Record.Job_))
     Out.push_back(AnswerCaller{
         Caller.Token_, jobAnswer(state(), *Cancelled, Caller.StateOnly_)});
-  CancelCallers_.erase(FoundCallers);
 }
 
 auto ShardOwner::committed(Moment /*Now*/, const JobRemoved &Record,
@@ -859,34 +844,16 @@
 
 // Records that the store refuses.
 
-auto ShardOwner::takeCallers(
-    std::map<JobId, std::vector<WaitingCaller>> &Callers, const JobId &Job)
-    -> std::vector<WaitingCaller> {
-  const auto Found = Callers.find(Job);
-  if (Found == Callers.end())
-    return {};
-  auto Taken = std::move(Found->second);
-  Callers.erase(Found);
-  return Taken;
-}
-
-auto ShardOwner::refuseCallers(
-    std::map<JobId, std::vector<WaitingCaller>> &Callers, const JobId &Job,
-    ErrorKind Kind, EntryOutbox &Out) -> void {
-  for (const auto &Caller : takeCallers(Callers, Job))
-    refuse(Caller.Token_, Kind, "the store refuses to record it", Out);
-}
-
 auto ShardOwner::refused(const JobAdded &Record, EntryOutbox &Out) -> void {
   Submitting_.erase(Record.Job_.Id_);
-  refuseCallers(SubmitCallers_, Record.Job_.Id_, ErrorKind::BodyTooLarge, Out);
+  SubmitCallers_.refuse(Record.Job_.Id_, ErrorKind::BodyTooLarge, Out);
 }
 
 auto ShardOwner::refused(const JobCancelled &Record, EntryOutbox &Out) -> void {
   Cancelling_.erase(Record.Job_);
   if (state().cancelledIds().count(Record.Job_) == 0)
     CancelledIds_.remove(Record.Job_);
-  refuseCallers(CancelCallers_, Record.Job_, ErrorKind::StoreUnavailable, Out);
+  CancelCallers_.refuse(Record.Job_, ErrorKind::StoreUnavailable, Out);
 }
 
 auto ShardOwner::refused(const TaskChanged &Record, EntryOutbox & /*Out*/)
@@ -1823,17 +1790,8 @@
   for (const auto &[Key, Claim] : PendingClaims_)
     refuse(Claim.Token_, ErrorKind::KeyNotChecked, Key.Value_, Out);
   PendingClaims_.clear();
-  for (auto *CallersByJob : {&SubmitCallers_, &CancelCallers_}) {
-    for (const auto &[WaitingJob, Callers] : *CallersByJob)
-      for (const auto &Caller : Callers)
-        // If the caller chose the job's id, the request can safely be repeated
-        // at the shard's next owner.
-        refuse(Caller.Token_,
-               Caller.StateOnly_ ? ErrorKind::ShardMoving
-                                 : ErrorKind::OutcomeUnknown,
-               WaitingJob.Value_, Out);
-    CallersByJob->clear();
-  }
+  SubmitCallers_.refuseAll(Out);
+  CancelCallers_.refuseAll(Out);
   Queries_.refuseAll(Shard_, Out);
   for (auto *Each : Context_.Targets_.all()) {
     Each->ClaimedShards_.erase(Shard_);
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -13,6 +13,7 @@
 #include "core/RequestDispatcher.h"
 #include "core/ShardUsage.h"
 #include "core/ShortTaskDemand.h"
+#include "core/WaitingCallers.h"
 #include "core/WaitingQueries.h"
 
 #include <set>
@@ -223,15 +224,6 @@
     /// Number of suspects that may still be bound.
     int TrialsLeft_ = 0;
   };
-  /// A caller who is answered once a job's record is committed.
-  struct WaitingCaller {
-    CallerToken Token_ = 0;
-    TimePoint ExpiresAt_{};
-    /// The error for the caller if the record was certainly never written.
-    ErrorKind Refusal_ = ErrorKind::StoreUnavailable;
-    /// Whether the caller wants the job's state only.
-    bool StateOnly_ = false;
-  };
 
   auto checkKey(Moment Now, const IdempotencyKey &Key) const -> ErrorKind;
   auto answerClaim(CallerToken Token, const Claim &ExistingClaim,
@@ -442,12 +434,6 @@
   auto refused(const ClaimClosed &Record, EntryOutbox &Out) -> void;
   template <typename Other>
   auto refused(const Other & /*Record*/, EntryOutbox & /*Out*/) -> void {}
-  /// Removes and returns the callers who wait for a job.
-  static auto takeCallers(std::map<JobId, std::vector<WaitingCaller>> &Callers,
-                          const JobId &Job) -> std::vector<WaitingCaller>;
-  auto refuseCallers(std::map<JobId, std::vector<WaitingCaller>> &Callers,
-                     const JobId &Job, ErrorKind Kind, EntryOutbox &Out)
-      -> void;
 
   ShardNumber Shard_;
   LedgerWriter Ledger_;
@@ -508,8 +494,8 @@
   std::set<RequestId> Dispatched_;
   /// Outcomes that are known and not committed yet.
   std::map<IdempotencyKey, Claim> Closing_;
-  std::map<JobId, std::vector<WaitingCaller>> SubmitCallers_;
-  std::map<JobId, std::vector<WaitingCaller>> CancelCallers_;
+  WaitingCallers SubmitCallers_;
+  WaitingCallers CancelCallers_;
   CancelledIds CancelledIds_;
   WaitingQueries Queries_;
   std::vector<ClaimedRequest> Claimed_;
