--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -156,9 +156,11 @@
   const auto Shard = shardOfJob(Request.Job_, Request.Queue_);
   if (Shard >= Identity_.ShardCount_)
     refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
-  else if (shardOwner(Shard).owning())
-    shardOwner(Shard).answerJobQuery(Token, Request, Out);
-  else
+  else if (shardOwner(Shard).owning()) {
+    Calls_.recordOwnCall(
+        {Token, Shard, Now.Steady_ + QueueRequestTimeout, Request});
+    shardOwner(Shard).answerQuery(Now, Token, Request, Out);
+  } else
     forwardToShard(
         Now, Token, Shard, Request,
         Request.Queue_.empty() ? ForwardTimeout : QueueRequestTimeout, Out);
@@ -183,11 +185,11 @@
                        const CountUnstartedJobs &Request, EntryOutbox &Out)
     -> void {
   const auto Shard = shardOfQueue(Request.Queue_);
-  if (shardOwner(Shard).owning())
-    Out.push_back(AnswerCaller{
-        Token,
-        UnstartedJobsReply{shardOwner(Shard).countUnstarted(Request.Queue_)}});
-  else
+  if (shardOwner(Shard).owning()) {
+    Calls_.recordOwnCall(
+        {Token, Shard, Now.Steady_ + QueueRequestTimeout, Request});
+    shardOwner(Shard).answerQuery(Now, Token, Request, Out);
+  } else
     forwardToShard(Now, Token, Shard, Request, QueueRequestTimeout, Out);
 }
 
@@ -251,7 +253,9 @@
   if (Queue == nullptr)
     return;
   const JobId Job{Request.Address_.Path_.substr(Queue->PathPrefix_.size())};
-  handle(Now, Token, CancelJob{Job, true, Queue->Name_}, Out);
+  const CancelJob Cancellation{Job, true, Queue->Name_};
+  Cancellations_.add(Token, Cancellation);
+  handle(Now, Token, Cancellation, Out);
 }
 
 auto EntryCore::handle(Moment Now, CallerToken Token,
@@ -802,6 +806,7 @@
   if (acceptingShards().size() != AnnouncedShardCount_)
     broadcastHeartbeat(Now, Out);
   Calls_.parkMoved(Now.Steady_, Out);
+  Cancellations_.settle(Now.Steady_, Out);
   Store_.advance(Now, Out);
   Calls_.routeAnswers(Out);
 }
@@ -828,6 +833,8 @@
       longestOldGrant(Now), Out);
   closeSilentSessions(Now, Out);
   expireForwardedCalls(Now, Out);
+  for (const auto &[Token, Request] : Cancellations_.takeDue(Now.Steady_))
+    handle(Now, Token, Request, Out);
   sendPeerHeartbeats(Now, Out);
   offerConfiguration(Now, Out);
   sendInterferenceTable(Now, Out);
@@ -881,8 +888,8 @@
 }
 
 auto EntryCore::finishLeaving(Moment Now, EntryOutbox &Out) -> void {
-  const auto Idle =
-      Dispatcher_.inFlight() == 0 && Changes_.idle() && Calls_.idle();
+  const auto Idle = Dispatcher_.inFlight() == 0 && Changes_.idle() &&
+                    Calls_.idle() && Cancellations_.idle();
   const auto HandedOver =
       std::all_of(Shards_.begin(), Shards_.end(),
                   [](const auto &Shard) { return Shard->idle(); });
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -2,6 +2,7 @@
 /// Defines the state machine of an entry.
 #pragma once
 
+#include "core/CancellationRetries.h"
 #include "core/ConfigurationOffers.h"
 #include "core/ConfigurationUpdater.h"
 #include "core/EnvironmentView.h"
@@ -239,6 +240,7 @@
   PeerTable Peers_;
   ConfigurationOffers Offers_;
   ForwardedCalls Calls_;
+  CancellationRetries Cancellations_;
   /// Shards that this entry has relinquished, and their epochs.
   std::map<ShardNumber, Epoch> Relinquished_;
   /// Number of owned shards in the last heartbeat to peers.
--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -28,7 +28,7 @@
   UnlimitedCommits,
   TrustRefusals,
   TrustConflicts,
-  Reserved18,
+  DenyUnknownJobs,
   Reserved19,
   Reserved20,
   Reserved21,
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -49,6 +49,8 @@
 /// Interval at which an owner reads the shard's head. An owner with nothing to
 /// write learns of a successor only from these reads.
 constexpr Millis VerifyInterval{10000};
+/// How old the number of a queue's jobs that have not started may be.
+constexpr Millis MaxCountAge{2000};
 /// How long a task waits for a worker before it may use one on which tasks
 /// fail. Must be below three seconds, after which a task that isn't running
 /// although a worker has free capacity counts as starved.
@@ -368,30 +370,26 @@
            "the claim was not committed in time", Out);
     Each = PendingClaims_.erase(Each);
   }
-  for (auto *CallersByJob : {&SubmitCallers_, &CancelCallers_}) {
-    for (auto Each = CallersByJob->begin(); Each != CallersByJob->end();) {
-      if (Each->second.front().ExpiresAt_ > Now.Steady_) {
-        ++Each;
-        continue;
-      }
-      const auto WaitingJob = Each->first;
-      const auto Withdrawn = Ledger_.withdraw([&](const LedgerRecord &Record) {
-        const auto *AddedRecord = std::get_if<JobAdded>(&Record);
-        const auto *Cancelled = std::get_if<JobCancelled>(&Record);
-        return (AddedRecord != nullptr && AddedRecord->Job_.Id_ == WaitingJob &&
-                CallersByJob == &SubmitCallers_) ||
-               (Cancelled != nullptr && Cancelled->Job_ == WaitingJob &&
-                CallersByJob == &CancelCallers_);
-      });
-      if (Withdrawn)
-        Cancelling_.erase(WaitingJob);
-      for (const auto &Caller : Each->second)
-        refuse(Caller.Token_,
-               Withdrawn ? Caller.Refusal_ : ErrorKind::OutcomeUnknown,
-               WaitingJob.Value_, Out);
-      Each = CallersByJob->erase(Each);
-    }
+  for (const auto &[WaitingJob, Callers] :
+       SubmitCallers_.takeExpired(Now.Steady_)) {
+    const auto Withdrawn =
+        Ledger_.withdraw([&, &Id = WaitingJob](const LedgerRecord &Record) {
+          const auto *AddedRecord = std::get_if<JobAdded>(&Record);
+          return AddedRecord != nullptr && AddedRecord->Job_.Id_ == Id;
+        });
+    if (Withdrawn)
+      Submitting_.erase(WaitingJob);
+    for (const auto &Caller : Callers)
+      refuse(Caller.Token_,
+             Withdrawn ? Caller.Refusal_ : ErrorKind::OutcomeUnknown,
+             WaitingJob.Value_, Out);
   }
+  // A cancellation is carried out though its callers don't wait any longer: it
+  // is idempotent, and counts as due once it has waited.
+  for (const auto &[WaitingJob, Callers] :
+       CancelCallers_.takeExpired(Now.Steady_))
+    for (const auto &Caller : Callers)
+      refuse(Caller.Token_, ErrorKind::OutcomeUnknown, WaitingJob.Value_, Out);
 }
 
 // Jobs.
@@ -482,13 +480,17 @@
            Out);
     return;
   }
-  auto &JobCallers = SubmitCallers_[Id];
   const auto Refusal = Submission.Key_.empty() ? ErrorKind::StoreUnavailable
                                                : ErrorKind::KeyNotChecked;
-  JobCallers.push_back(
-      {Token, Now.Steady_ + CallerTimeout, Refusal, StateOnly});
-  if (JobCallers.size() > 1)
+  if (!SubmitCallers_.add(
+          Id, {Token, Now.Steady_ + CallerTimeout, Refusal, StateOnly}))
     return;
+  Submitting_.insert(Id);
+  if (CancelledIds_.contains(Id)) {
+    log("submitted-after-cancellation", Id.Value_, ErrorKind::Cancelled, "",
+        Out);
+    ++Context_.Counters_.SubmittedCancelled_;
+  }
   Ledger_.append(std::move(Record));
   Ledger_.advance();
 }
@@ -506,6 +508,8 @@
 
 auto ShardOwner::committed(Moment Now, const JobAdded &Record, EntryOutbox &Out)
     -> void {
+  Submitting_.erase(Record.Job_.Id_);
+  CancelledIds_.remove(Record.Job_.Id_);
   const auto *AddedJob = state().findJob(Record.Job_.Id_);
   MeanWork_.record(*AddedJob);
   indexJob(Now.Steady_, *AddedJob);
@@ -514,72 +518,131 @@
           std::to_string(AddedJob->Tasks_.size()) + " tasks, critical path " +
           std::to_string(AddedJob->Declaration_.criticalPath().count()) + " ms",
       Out);
-  const auto FoundCallers = SubmitCallers_.find(Record.Job_.Id_);
-  if (FoundCallers == SubmitCallers_.end())
-    return;
-  for (const auto &Caller : FoundCallers->second)
+  for (const auto &Caller : SubmitCallers_.take(Record.Job_.Id_))
     Out.push_back(AnswerCaller{
         Caller.Token_, jobAnswer(state(), *AddedJob, Caller.StateOnly_)});
-  SubmitCallers_.erase(FoundCallers);
 }
 
-auto ShardOwner::answerJobQuery(CallerToken Token, const GetJob &Request,
-                                EntryOutbox &Out) const -> void {
-  const auto *Found = state().findJob(Request.Job_);
-  if (Found == nullptr)
-    refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
+auto ShardOwner::answerQuery(Moment Now, CallerToken Token,
+                             const GetJob &Request, EntryOutbox &Out) -> void {
+  if (state().findJob(Request.Job_) != nullptr)
+    answerFromState(Token, Request, Out);
   else
-    Out.push_back(
-        AnswerCaller{Token, jobAnswer(state(), *Found, Request.StateOnly_)});
+    awaitProof(Now, Token, Request);
 }
 
-auto ShardOwner::countUnstarted(const QueueName &Queue) const -> std::uint64_t {
-  return state().countUnstarted(Queue);
+auto ShardOwner::answerQuery(Moment Now, CallerToken Token,
+                             const CountUnstartedJobs &Request,
+                             EntryOutbox &Out) -> void {
+  const auto ProvedAt = Proof_.provedAt();
+  if (ProvedAt && *ProvedAt + MaxCountAge > Now.Steady_)
+    answerFromState(Token, Request, Out);
+  else
+    awaitProof(Now, Token, Request);
+}
+
+auto ShardOwner::awaitProof(Moment Now, CallerToken Token, ShardQuery Query)
+    -> void {
+  Queries_.add(Now.Steady_, Token, std::move(Query));
+  Queries_.requestProof(Now.Steady_, Proof_, Ledger_);
+  Ledger_.advance();
+}
+
+auto ShardOwner::answerFromState(CallerToken Token, const ShardQuery &Query,
+                                 EntryOutbox &Out) const -> bool {
+  if (const auto *Count = std::get_if<CountUnstartedJobs>(&Query)) {
+    Out.push_back(AnswerCaller{
+        Token, UnstartedJobsReply{state().countUnstarted(Count->Queue_)}});
+    return true;
+  }
+  const auto &Request = std::get<GetJob>(Query);
+  const auto *Found = state().findJob(Request.Job_);
+  if (Found != nullptr)
+    Out.push_back(
+        AnswerCaller{Token, jobAnswer(state(), *Found, Request.StateOnly_)});
+  else if (Submitting_.count(Request.Job_) != 0)
+    return false;
+  else
+    refuse(Token, ErrorKind::UnknownJob, Request.Job_.Value_, Out);
+  return true;
 }
 
 auto ShardOwner::cancel(Moment Now, CallerToken Token, const CancelJob &Request,
                         EntryOutbox &Out) -> void {
   const auto &Id = Request.Job_;
   const auto *ExistingJob = state().findJob(Id);
-  if (ExistingJob == nullptr) {
-    refuse(Token, ErrorKind::UnknownJob, Id.Value_, Out);
+  if (ExistingJob == nullptr && !mayCancelUnknown(Now, Token, Id, Out))
     return;
-  }
-  if (ExistingJob->Cancelled_) {
+  if (ExistingJob != nullptr && ExistingJob->Cancelled_) {
     Out.push_back(AnswerCaller{
         Token, jobAnswer(state(), *ExistingJob, Request.StateOnly_)});
     return;
   }
-  auto &JobCallers = CancelCallers_[Id];
-  JobCallers.push_back({Token, Now.Steady_ + CallerTimeout,
-                        ErrorKind::StoreUnavailable, Request.StateOnly_});
-  if (JobCallers.size() > 1 || !Cancelling_.insert(Id).second)
+  const auto IsFirst =
+      CancelCallers_.add(Id, {Token, Now.Steady_ + CallerTimeout,
+                              ErrorKind::StoreUnavailable, Request.StateOnly_});
+  if (!IsFirst || !Cancelling_.insert(Id).second)
     return;
   Ledger_.append(JobCancelled{Id, Now.Wall_});
   Ledger_.advance();
 }
 
+auto ShardOwner::mayCancelUnknown(Moment Now, CallerToken Token,
+                                  const JobId &Id, EntryOutbox &Out) -> bool {
+  // No job has an empty id.
+  if (Id.empty() || isMutationActive(Mutation::DenyUnknownJobs)) {
+    refuseUnknown(Now, Token, Id, Out);
+    return false;
+  }
+  if (Ledger_.queued() >= MaxQueuedRecords ||
+      (CancelledIds_.isFull() && !CancelledIds_.contains(Id))) {
+    Context_.Counters_.countRefusal(ErrorKind::QueueFull);
+    refuse(Token, ErrorKind::QueueFull, "cancellations of unknown jobs", Out);
+    return false;
+  }
+  CancelledIds_.add(Now.Steady_, Id);
+  return true;
+}
+
+auto ShardOwner::refuseUnknown(Moment Now, CallerToken Token, const JobId &Id,
+                               EntryOutbox &Out) -> void {
+  const auto ProvedAt = Proof_.provedAt();
+  const auto Age = std::chrono::duration_cast<Millis>(
+      Now.Steady_ - ProvedAt.value_or(Now.Steady_));
+  log("cancelled-unknown", Id.Value_, ErrorKind::UnknownJob,
+      "epoch " + std::to_string(Ledger_.epoch()) + ", submission " +
+          (Submitting_.count(Id) != 0 ? "queued" : "not queued") +
+          ", ownership " +
+          (ProvedAt ? "verified " + std::to_string(Age.count()) + " ms ago"
+                    : "not verified since it was acquired"),
+      Out);
+  ++Context_.Counters_.UnknownJobsCancelled_;
+  refuse(Token, ErrorKind::UnknownJob, Id.Value_, Out);
+}
+
 auto ShardOwner::committed(Moment Now, const JobCancelled &Record,
                            EntryOutbox &Out) -> void {
   Cancelling_.erase(Record.Job_);
   log("job-cancelled", Record.Job_.Value_, ErrorKind::Cancelled, "", Out);
   const auto *Cancelled = state().findJob(Record.Job_);
-  if (Cancelled == nullptr)
+  if (Cancelled == nullptr) {
+    CancelledIds_.add(Now.Steady_, Record.Job_);
+    for (const auto &Caller : CancelCallers_.take(Record.Job_))
+      refuseUnknown(Now, Caller.Token_, Record.Job_, Out);
     return;
+  }
+  CancelledIds_.remove(Record.Job_);
   indexJob(Now.Steady_, *Cancelled);
   logIfOver(*Cancelled, Out);
-  const auto FoundCallers = CancelCallers_.find(Record.Job_);
-  if (FoundCallers == CancelCallers_.end())
-    return;
-  for (const auto &Caller : FoundCallers->second)
+  for (const auto &Caller : CancelCallers_.take(Record.Job_))
     Out.push_back(AnswerCaller{
         Caller.Token_, jobAnswer(state(), *Cancelled, Caller.StateOnly_)});
-  CancelCallers_.erase(FoundCallers);
 }
 
 auto ShardOwner::committed(Moment /*Now*/, const JobRemoved &Record,
                            EntryOutbox & /*Out*/) -> void {
   FailedIndexed_.erase(Record.Job_);
+  CancelledIds_.remove(Record.Job_);
 }
 
 // The index of pending and bound tasks and of the resources they use.
@@ -684,7 +747,10 @@
   UnplacedSince_.clear();
   TriedSteps_.clear();
   Closing_.clear();
+  Proof_.clear();
+  Submitting_.clear();
   Cancelling_.clear();
+  CancelledIds_.reset(Now, state().cancelledIds());
   Failing_.clear();
   FailedIndexed_.clear();
   FinishedSteps_.clear();
@@ -779,24 +845,16 @@
 
 // Records that the store refuses.
 
-auto ShardOwner::refuseCallers(
-    std::map<JobId, std::vector<WaitingCaller>> &Callers, const JobId &Job,
-    ErrorKind Kind, EntryOutbox &Out) -> void {
-  const auto Found = Callers.find(Job);
-  if (Found == Callers.end())
-    return;
-  for (const auto &Caller : Found->second)
-    refuse(Caller.Token_, Kind, "the store refuses to record it", Out);
-  Callers.erase(Found);
-}
-
 auto ShardOwner::refused(const JobAdded &Record, EntryOutbox &Out) -> void {
-  refuseCallers(SubmitCallers_, Record.Job_.Id_, ErrorKind::BodyTooLarge, Out);
+  Submitting_.erase(Record.Job_.Id_);
+  SubmitCallers_.refuse(Record.Job_.Id_, ErrorKind::BodyTooLarge, Out);
 }
 
 auto ShardOwner::refused(const JobCancelled &Record, EntryOutbox &Out) -> void {
   Cancelling_.erase(Record.Job_);
-  refuseCallers(CancelCallers_, Record.Job_, ErrorKind::StoreUnavailable, Out);
+  if (state().cancelledIds().count(Record.Job_) == 0)
+    CancelledIds_.remove(Record.Job_);
+  CancelCallers_.refuse(Record.Job_, ErrorKind::StoreUnavailable, Out);
 }
 
 auto ShardOwner::refused(const TaskChanged &Record, EntryOutbox & /*Out*/)
@@ -1730,6 +1788,9 @@
   for (const auto &[Id, Job] : state().jobs())
     if (Job.SubmittedAt_ + Day < Now.Wall_ && state().progressOf(Id).isOver())
       Ledger_.append(JobRemoved{Id});
+  for (const auto &Id : CancelledIds_.expired(Now.Steady_))
+    if (Submitting_.count(Id) == 0 && Cancelling_.count(Id) == 0)
+      Ledger_.append(JobRemoved{Id});
 }
 
 auto ShardOwner::handleOwnershipLoss(EntryOutbox &Out) -> void {
@@ -1738,17 +1799,9 @@
   for (const auto &[Key, Claim] : PendingClaims_)
     refuse(Claim.Token_, ErrorKind::KeyNotChecked, Key.Value_, Out);
   PendingClaims_.clear();
-  for (auto *CallersByJob : {&SubmitCallers_, &CancelCallers_}) {
-    for (const auto &[WaitingJob, Callers] : *CallersByJob)
-      for (const auto &Caller : Callers)
-        // If the caller chose the job's id, the request can safely be repeated
-        // at the shard's next owner.
-        refuse(Caller.Token_,
-               Caller.StateOnly_ ? ErrorKind::ShardMoving
-                                 : ErrorKind::OutcomeUnknown,
-               WaitingJob.Value_, Out);
-    CallersByJob->clear();
-  }
+  SubmitCallers_.refuseAll(Out);
+  CancelCallers_.refuseAll(Out);
+  Queries_.refuseAll(Shard_, Out);
   for (auto *Each : Context_.Targets_.all()) {
     Each->ClaimedShards_.erase(Shard_);
     Each->ConfirmedShards_.erase(Shard_);
@@ -1768,6 +1821,7 @@
       handleOwnershipLoss(Out);
     return;
   }
+  Proof_.update(Ledger_);
   if (!Indexed_) {
     reindex(Now.Steady_);
     log("shard-taken", std::to_string(Shard_), ErrorKind::None,
@@ -1784,6 +1838,13 @@
   for (const auto &Record : Committed)
     std::visit([&](const auto &Each) { committed(Now, Each, Out); }, Record);
   indexReadySteps(Now.Steady_);
+  Queries_.requestProof(Now.Steady_, Proof_, Ledger_);
+  Queries_.answerProved(
+      Now.Steady_, Ledger_,
+      [&](CallerToken Token, const ShardQuery &Query) {
+        return answerFromState(Token, Query, Out);
+      },
+      Out);
   // Every record except one that binds a task may make tasks ready or free
   // resources, so that more tasks can be bound at once.
   const auto MayBindMore =
@@ -1814,7 +1875,7 @@
     return;
   if (Now.Steady_ >= NextVerify_) {
     NextVerify_ = Now.Steady_ + VerifyInterval;
-    Ledger_.verifyOwnership();
+    Proof_.request(Now.Steady_, Ledger_);
   }
   if (Draining_ && drained())
     Ledger_.release(Now);
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -3,15 +3,19 @@
 /// jobs, the binding of tasks to workers and the reports of agents.
 #pragma once
 
+#include "core/CancelledIds.h"
 #include "core/CrashBlame.h"
 #include "core/DeadlineFeasibility.h"
 #include "core/LedgerWriter.h"
 #include "core/OutlierDetector.h"
+#include "core/OwnershipProof.h"
 #include "core/Placement.h"
 #include "core/RefusalPause.h"
 #include "core/RequestDispatcher.h"
 #include "core/ShardUsage.h"
 #include "core/ShortTaskDemand.h"
+#include "core/WaitingCallers.h"
+#include "core/WaitingQueries.h"
 
 #include <set>
 
@@ -69,7 +73,9 @@
   /// Adds a job; the caller is answered once the job is committed.
   auto submit(Moment Now, CallerToken Token, const SubmitJob &Submission,
               Random &Generator, EntryOutbox &Out) -> void;
-  /// Cancels a job; the caller is answered once that is committed.
+  /// Cancels a job; the caller is answered once that is committed. That there
+  /// is no such job is proved by the commit alone: the submission may be queued
+  /// before it, and one that follows it never runs.
   auto cancel(Moment Now, CallerToken Token, const CancelJob &Request,
               EntryOutbox &Out) -> void;
 
@@ -109,11 +115,14 @@
   auto afterStoreCall(Moment Now, EntryOutbox &Out) -> void;
 
   // Queries.
-  /// Answers a caller who queries a job.
-  auto answerJobQuery(CallerToken Token, const GetJob &Request,
-                      EntryOutbox &Out) const -> void;
-  /// Returns the number of the queue's jobs of which no task has started.
-  auto countUnstarted(const QueueName &Queue) const -> std::uint64_t;
+  /// Answers a caller who queries a job. That there is no such job is said only
+  /// after a proof that this entry still owns the shard.
+  auto answerQuery(Moment Now, CallerToken Token, const GetJob &Request,
+                   EntryOutbox &Out) -> void;
+  /// Answers how many of the queue's jobs have not started. The number was true
+  /// at most MaxCountAge ago.
+  auto answerQuery(Moment Now, CallerToken Token,
+                   const CountUnstartedJobs &Request, EntryOutbox &Out) -> void;
   auto owning() const -> bool { return Ledger_.owning(); }
   auto releasing() const -> bool { return Ledger_.releasing(); }
   /// True if new work may be submitted.
@@ -216,15 +225,6 @@
     /// Number of suspects that may still be bound.
     int TrialsLeft_ = 0;
   };
-  /// A caller who is answered once a job's record is committed.
-  struct WaitingCaller {
-    CallerToken Token_ = 0;
-    TimePoint ExpiresAt_{};
-    /// The error for the caller if the record was certainly never written.
-    ErrorKind Refusal_ = ErrorKind::StoreUnavailable;
-    /// Whether the caller wants the job's state only.
-    bool StateOnly_ = false;
-  };
 
   auto checkKey(Moment Now, const IdempotencyKey &Key) const -> ErrorKind;
   auto answerClaim(CallerToken Token, const Claim &ExistingClaim,
@@ -384,6 +384,20 @@
   auto recordOutcome(Moment Now, const Target &From, const TaskId &Task,
                      bool Failed, EntryOutbox &Out) -> void;
   auto expireWaitingCallers(Moment Now, EntryOutbox &Out) -> void;
+  /// Prepares to cancel a job that the ledger doesn't have, or refuses that.
+  /// \returns whether to go on.
+  auto mayCancelUnknown(Moment Now, CallerToken Token, const JobId &Id,
+                        EntryOutbox &Out) -> bool;
+  /// Answers a query once it is proved that this entry owns the shard.
+  auto awaitProof(Moment Now, CallerToken Token, ShardQuery Query) -> void;
+  /// Answers a query by the ledger's state. \returns false if a submission
+  /// that is being committed will decide it.
+  auto answerFromState(CallerToken Token, const ShardQuery &Query,
+                       EntryOutbox &Out) const -> bool;
+  /// Answers "no such job" to a cancellation, and logs what is known about the
+  /// job.
+  auto refuseUnknown(Moment Now, CallerToken Token, const JobId &Id,
+                     EntryOutbox &Out) -> void;
   /// Queues the removal of old jobs and claims.
   auto removeExpired(Moment Now) -> void;
   /// Refuses all waiting callers and removes the shard from the records of all
@@ -421,12 +435,10 @@
   auto refused(const ClaimClosed &Record, EntryOutbox &Out) -> void;
   template <typename Other>
   auto refused(const Other & /*Record*/, EntryOutbox & /*Out*/) -> void {}
-  auto refuseCallers(std::map<JobId, std::vector<WaitingCaller>> &Callers,
-                     const JobId &Job, ErrorKind Kind, EntryOutbox &Out)
-      -> void;
 
   ShardNumber Shard_;
   LedgerWriter Ledger_;
+  OwnershipProof Proof_;
   ShardContext Context_;
   /// Whether the members below reflect the ledger's state.
   bool Indexed_ = false;
@@ -469,6 +481,8 @@
   /// Tasks of which an earlier attempt was reported as finished while a change
   /// of the task was being committed.
   std::set<TaskId> FinishReported_;
+  /// Jobs whose submission is not committed yet.
+  std::set<JobId> Submitting_;
   /// Jobs whose cancellation is not committed yet.
   std::set<JobId> Cancelling_;
   /// Jobs that will fail once a proposed change of one of their tasks is
@@ -482,8 +496,10 @@
   std::set<RequestId> Dispatched_;
   /// Outcomes that are known and not committed yet.
   std::map<IdempotencyKey, Claim> Closing_;
-  std::map<JobId, std::vector<WaitingCaller>> SubmitCallers_;
-  std::map<JobId, std::vector<WaitingCaller>> CancelCallers_;
+  WaitingCallers SubmitCallers_;
+  WaitingCallers CancelCallers_;
+  CancelledIds CancelledIds_;
+  WaitingQueries Queries_;
   std::vector<ClaimedRequest> Claimed_;
   TimePoint NextRemoval_{};
   TimePoint NextVerify_{};
