--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -183,9 +183,9 @@
   startQueued(Now, Out);
 }
 
-auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
+auto AgentCore::handle(Moment Now, SessionNumber /*Number*/,
                        const StopTask &Stop, AgentOutbox &Out) -> void {
-  Tasks_.stop(Stop, Out);
+  Tasks_.stop(Now.Steady_, Stop, Out);
 }
 
 auto AgentCore::handle(Moment Now, SessionNumber /*Number*/,
@@ -383,6 +383,7 @@
     NextReportResend_ = Now.Steady_ + ReportResendInterval;
     Tasks_.resendReports(Out);
   }
+  Tasks_.repeatStops(Now.Steady_, Out);
   if (refusalReason() == ErrorKind::None)
     Tasks_.repeatStarts(Now.Steady_, Permits_, Out);
   startQueued(Now, Out);
--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -28,6 +28,8 @@
   UnlimitedCommits,
   TrustRefusals,
   TrustConflicts,
+  Reserved18,
+  StopOnce,
   Count
 };
 
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Assert.h"
 #include "core/Mutation.h"
+#include "core/StopSchedule.h"
 
 #include <algorithm>
 #include <array>
@@ -613,14 +614,51 @@
     Ledger_.adopt(Bind.Task_, Bind.Resources_);
 }
 
-auto TaskManager::stop(const StopTask &Stop, AgentOutbox &Out) -> void {
+auto TaskManager::stop(TimePoint Now, const StopTask &Stop, AgentOutbox &Out)
+    -> void {
   const auto FoundOwner = Owners_.find(Stop.Shard_);
-  if (FoundOwner == Owners_.end() || FoundOwner->second.Epoch_ > Stop.Epoch_)
+  const auto FromOwner =
+      FoundOwner != Owners_.end() && FoundOwner->second.Epoch_ <= Stop.Epoch_;
+  if (!FromOwner && Stop.Reason_ != ErrorKind::Cancelled)
+    return;
+  const auto Found = Tasks_.find(Stop.Task_);
+  if (Found == Tasks_.end() || Found->second.Bind_.Attempt_ < Stop.Attempt_) {
+    if (FromOwner && Stop.Reason_ == ErrorKind::Cancelled)
+      refuseBinding(Stop, Out);
     return;
+  }
+  auto &Held = Found->second;
+  // The command is repeated already.
+  if (Held.Bind_.Attempt_ != Stop.Attempt_ || Held.StopRequested_)
+    return;
+  Held.NextStopRepeat_ = Now + StopRepeatInterval;
+  stopHeld(Held, Stop.Reason_, Out);
+}
+
+auto TaskManager::refuseBinding(const StopTask &Stop, AgentOutbox &Out)
+    -> void {
+  const AttemptKey Key{Stop.Task_, Stop.Attempt_};
   const auto Found = Tasks_.find(Stop.Task_);
-  if (Found == Tasks_.end() || Found->second.Bind_.Attempt_ != Stop.Attempt_)
+  const auto EarlierIsHeld =
+      Found != Tasks_.end() && (!isEnded(Found->second.Phase_) ||
+                                Found->second.Phase_ == TaskPhase::Finished ||
+                                Found->second.RunsAfterEnd_);
+  const auto Unheld = UnheldAttempts_.lower_bound({Stop.Task_, 0});
+  const auto AnyUnheld =
+      Unheld != UnheldAttempts_.end() && Unheld->first.first == Stop.Task_;
+  if (EarlierIsHeld || AnyUnheld || AcknowledgedEnds_.count(Key) != 0)
     return;
-  stopHeld(Found->second, Stop.Reason_, Out);
+  // The worker may run the attempt although its list doesn't show it, and
+  // refuses a start that arrives after the stop.
+  Out.push_back(StopOnWorker{Stop.Task_, Stop.Attempt_});
+  if (MoreEnds_ || !ListWasWhole_)
+    return;
+  auto &Held = Tasks_[Stop.Task_];
+  Held = HeldTask{};
+  Held.Bind_.Shard_ = Stop.Shard_;
+  Held.Bind_.Task_ = Stop.Task_;
+  Held.Bind_.Attempt_ = Stop.Attempt_;
+  end(Held, TaskPhase::NotStarted, Stop.Reason_, Out);
 }
 
 auto TaskManager::stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out)
@@ -817,15 +855,24 @@
   for (const auto &[Task, Held] : Tasks_) {
     if (isEnded(Held.Phase_))
       report(Held, Out);
-    // The stop command may have been lost on its way to the worker.
-    else if (Held.StopRequested_)
-      Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
   }
   for (const auto &[Key, Report] : UnheldAttempts_)
     if (isEnded(Report.Phase_))
       sendReport(Report, Out);
 }
 
+auto TaskManager::repeatStops(TimePoint Now, AgentOutbox &Out) -> void {
+  for (auto &[Task, Held] : Tasks_) {
+    if (!Held.StopRequested_ || isEnded(Held.Phase_) ||
+        Now < Held.NextStopRepeat_ || isMutationActive(Mutation::StopOnce))
+      continue;
+    const auto SentBefore = Held.NextStopRepeat_ != TimePoint{};
+    Held.NextStopRepeat_ = Now + StopRepeatInterval;
+    if (SentBefore)
+      Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
+  }
+}
+
 auto TaskManager::recordLease(TimePoint Now, TimePoint Until) -> void {
   if (Until > Now)
     LatestLeaseEnd_ =
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -64,7 +64,9 @@
   /// ignored.
   auto bind(TimePoint Now, SessionNumber Session, const BindTask &Bind,
             const StartPermits &Permits, AgentOutbox &Out) -> void;
-  auto stop(const StopTask &Stop, AgentOutbox &Out) -> void;
+  /// Stops an attempt, or refuses its binding if that arrives later. A
+  /// cancellation is final, so it is obeyed under any owner's epoch.
+  auto stop(TimePoint Now, const StopTask &Stop, AgentOutbox &Out) -> void;
   /// Removes an ended task once its owner has recorded the end.
   auto acknowledge(const TaskReportAck &Ack, AgentOutbox &Out) -> void;
 
@@ -90,6 +92,9 @@
   auto returnQueued(ErrorKind Reason, AgentOutbox &Out) -> void;
   /// Resends the reports that the owner has not acknowledged.
   auto resendReports(AgentOutbox &Out) -> void;
+  /// Repeats the stop commands whose turn has come, since each may be lost on
+  /// its way to the worker.
+  auto repeatStops(TimePoint Now, AgentOutbox &Out) -> void;
   /// Requests the worker's inventory.
   /// \param Renew whether to renew task leases in the same call.
   auto poll(TimePoint Now, bool Renew, AgentOutbox &Out) -> void;
@@ -151,6 +156,8 @@
     /// Whether the worker was told to stop the task. While the start is
     /// unanswered, the phase stays Starting.
     bool StopRequested_ = false;
+    /// The stop command isn't repeated before this time.
+    TimePoint NextStopRepeat_{};
     /// Whether the worker lists the attempt as running although it was reported
     /// as ended.
     bool RunsAfterEnd_ = false;
@@ -227,6 +234,9 @@
                                const WorkerInventory &Inventory) -> bool;
   /// Handles that the worker has the task, whose start was commanded.
   auto startObserved(HeldTask &Held, AgentOutbox &Out) -> void;
+  /// Refuses an attempt that is to be stopped and isn't known here, unless an
+  /// earlier one hasn't ended yet.
+  auto refuseBinding(const StopTask &Stop, AgentOutbox &Out) -> void;
   /// Ends a queued task, and commands the worker to stop any other.
   auto stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out) -> void;
   static auto hasExpired(const HeldTask &Held, TimePoint Now) -> bool;
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -439,6 +439,83 @@
   BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(AStopThatTheWorkerMissesIsRepeatedWithinTheTarget) {
+  AgentFixture Fixture;
+  const std::vector<std::string> RunningJobs{"a"};
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf(RunningJobs));
+  Fixture.clear();
+  Fixture.receive(StopTask{0, 1, {{"a"}, 0}, 1, ErrorKind::Cancelled});
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+  Fixture.advance(Millis{2000}, &RunningJobs);
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() >= 4U);
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ARepeatedStopMakesNoMoreCallsToTheWorker) {
+  AgentFixture Fixture;
+  const std::vector<std::string> RunningJobs{"a"};
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf(RunningJobs));
+  Fixture.clear();
+  for (int Repeat = 0; Repeat < 20; ++Repeat) {
+    Fixture.receive(StopTask{0, 1, {{"a"}, 0}, 1, ErrorKind::Cancelled});
+    Fixture.advance(Millis{50}, &RunningJobs);
+  }
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() <= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(ACancelledTaskIsStoppedUnderAnyEpoch) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf({"a"}));
+  Fixture.receive(ClaimOwnership{0, 5});
+  Fixture.clear();
+  Fixture.receive(StopTask{0, 2, {{"a"}, 0}, 1, ErrorKind::StaleEpoch});
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 0U);
+  Fixture.receive(StopTask{0, 2, {{"a"}, 0}, 1, ErrorKind::Cancelled});
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAdoptedTaskIsStoppedBeforeItsOwnerIsKnown) {
+  AgentFixture Fixture;
+  AgentIdentity Identity;
+  Identity.Agent_ = {"agent"};
+  Identity.Capacity_ = {4000, 8000, 0};
+  AgentCore Restarted(Identity);
+  AgentOutbox Out;
+  Restarted.openSession(Fixture.Now_, OwnerSession, Out);
+  Restarted.inventoryReceived(Fixture.Now_, Fixture.inventoryOf({"a"}), Out);
+  Restarted.receive(Fixture.Now_, OwnerSession,
+                    StopTask{0, 1, {{"a"}, 0}, 1, ErrorKind::Cancelled}, Out);
+  BOOST_TEST(std::count_if(Out.begin(), Out.end(), [](const auto &Each) {
+               return std::holds_alternative<StopOnWorker>(Each);
+             }) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AStopThatArrivesBeforeItsBindingRefusesIt) {
+  AgentFixture Fixture;
+  Fixture.receive(StopTask{0, 1, {{"a"}, 0}, 1, ErrorKind::Cancelled});
+  BOOST_REQUIRE(Fixture.lastReport("a"));
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::NotStarted));
+  Fixture.clear();
+  Fixture.bind("a", 1000);
+  Fixture.advance(Millis{500});
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::NotStarted));
+}
+
+BOOST_AUTO_TEST_CASE(AStopOfATaskThatFinishedDoesNotHideItsFinish) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryWithFinished("a"));
+  BOOST_REQUIRE((Fixture.lastPhase("a") == TaskPhase::Finished));
+  Fixture.clear();
+  Fixture.receive(StopTask{0, 1, {{"a"}, 0}, 2, ErrorKind::Cancelled});
+  Fixture.advance(Millis{1100});
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::Finished));
+}
+
 BOOST_AUTO_TEST_CASE(AnExpiredLeaseIsNotExtendedForAnUnansweredStart) {
   AgentFixture Fixture;
   Fixture.bind("a", 1000);
