The stop of a cancelled task is sent with the commit, by each owner

Cause: nothing was sent when a cancellation was committed. The stop left with the next check of bound tasks, only while the entry might grant, not while the shard was released, only to an agent that had confirmed this owner, and was repeated after 2 s. An owner that took over waited for the confirmation. A binding committed beside the cancellation, and the binding that an adopted task needs, were still sent.

Change: the bound tasks of closed jobs (cancelled or failed) have a schedule. Their stops leave with the commit, or with the takeover, whoever may grant and whatever the agent has confirmed, again each 500 ms, and at once to an agent that connects. At most 2000 leave at a time. Nothing is bound for a job that is closed or whose end is being committed. Log lines stop-sent (attempt, agent, time, try) and, once the bound is exceeded, stop-overdue with the reason; counters skylark_stops_sent_total and skylark_stops_overdue_total. The log lines belong to the new path, so they come with it and not before.

--- a/core/Counters.h
+++ b/core/Counters.h
@@ -50,6 +50,10 @@
   std::uint64_t TasksGivenUp_ = 0;
   /// Workers that were kept from work since tasks failed on them.
   std::uint64_t WorkersEjected_ = 0;
+  /// Stops sent for tasks of cancelled or failed jobs.
+  std::uint64_t StopsSent_ = 0;
+  /// Tasks of cancelled jobs that were bound for longer than they may run.
+  std::uint64_t StopsOverdue_ = 0;
   std::uint64_t StoreCalls_ = 0;
   std::uint64_t StoreFailures_ = 0;
   /// Writes that the store refused for good.
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -34,6 +34,9 @@
 /// One of this many workers may be used for the trial of a suspect at once.
 constexpr int WorkersPerTrial = 2;
 constexpr Millis ResendInterval{2000};
+/// Maximum number of stops sent at a time, so that a large job can't delay
+/// other work.
+constexpr std::size_t MaxStopsPerPass = 2000;
 /// How long a best-effort task waits for a worker where it causes no harmful
 /// interference. Must be below three seconds, after which a task that isn't
 /// running although a worker has free capacity counts as starved.
@@ -615,7 +618,10 @@
     Usage_.hold(Job, Id, Task.Agent_);
     if (Bound_.try_emplace(Id).second && Ends)
       Waits_.enter(Now, Id, TaskWait::Start);
+    if (Job.isClosed())
+      Stops_.add(Now, Id);
   } else {
+    Stops_.remove(Id);
     if (Task.State_ != TaskState::Pending || !Ready)
       Waits_.end(Now, Id);
     Crashes_.endTrial(Task.Agent_, Id);
@@ -675,6 +681,7 @@
   Indexed_ = true;
   Pending_.clear();
   Bound_.clear();
+  Stops_.clear();
   Usage_.clear();
   Crashes_.clear();
   Outliers_.clear();
@@ -745,7 +752,8 @@
         "attempt " + std::to_string(Record.Attempt_) + " bound to " +
             Record.Agent_.Value_,
         Out);
-    if (BoundTo != nullptr && BoundTo->GrantedShards_.count(Shard_) != 0)
+    if (BoundTo != nullptr && BoundTo->GrantedShards_.count(Shard_) != 0 &&
+        !isClosing(*Job))
       sendBind(Now, Record.Task_, *BoundTo, Out);
     return;
   }
@@ -1296,7 +1304,16 @@
 
 auto ShardOwner::agentJoined(Moment Now, Target &Joined, EntryOutbox &Out)
     -> void {
-  if (!owning() || releasing())
+  if (!owning())
+    return;
+  // What was sent on an earlier connection may be lost.
+  for (const auto &Id : Stops_.tasks()) {
+    const auto *Task = state().findTask(Id);
+    if (Task != nullptr && Task->Agent_ == Joined.agent())
+      Stops_.hasten(Now.Steady_, Id);
+  }
+  sendStops(Now, Out);
+  if (releasing())
     return;
   // The agent may hold ends of tasks that are bound elsewhere by now.
   sendOwnershipClaim(Now, Joined, Out);
@@ -1396,7 +1413,8 @@
       !state().findJob(Report.Task_.Job_)->stepOf(Report.Task_).LongRunning_)
     Waits_.enter(Now.Steady_, Report.Task_, TaskWait::Run);
   recordForBlame(Now, {From.agent(), Delivery.Worker_}, Report, *Task);
-  if (Report.NeedsBinding_ && !isEnded(Report.Phase_))
+  if (Report.NeedsBinding_ && !isEnded(Report.Phase_) &&
+      !state().findJob(Report.Task_.Job_)->isClosed())
     sendBind(Now, Report.Task_, From, Out);
   if (!isEnded(Report.Phase_) || Proposed_.count(Report.Task_) != 0)
     return;
@@ -1544,17 +1562,9 @@
   if (Present) {
     if (!BoundTo->Leaving_)
       Crashes_.responsive({Task.Agent_, Task.Worker_}, BoundTo->LastSeenAt_);
-    if (!Delivery.Reported_ && !Delivery.Unlisted_ &&
+    if (!Delivery.Reported_ && !Delivery.Unlisted_ && !isClosing(Job) &&
         Delivery.SentAt_ + ResendInterval < Now.Steady_)
       sendBind(Now, Id, *BoundTo, Out);
-    // A stop request may be lost, or reach the agent while the task is starting
-    // and can't be stopped yet, so it is repeated until the task ends.
-    if (Job.isClosed() && Delivery.StopSentAt_ + ResendInterval < Now.Steady_) {
-      Delivery.StopSentAt_ = Now.Steady_;
-      Out.push_back(SendToAgent{BoundTo->Session_,
-                                StopTask{Shard_, Ledger_.epoch(), Id,
-                                         Task.Attempt_, ErrorKind::Cancelled}});
-    }
     return;
   }
   const auto Worker = workerOf(Task, Delivery);
@@ -1703,11 +1713,68 @@
     Crashes_.ended(Worker, Report.Task_);
 }
 
+auto ShardOwner::isClosing(const Job &Each) const -> bool {
+  return Each.isClosed() || Cancelling_.count(Each.Id_) != 0 ||
+         Failing_.count(Each.Id_) != 0;
+}
+
 auto ShardOwner::checkBoundTasks(Moment Now, EntryOutbox &Out) -> void {
   for (auto &[Id, Delivery] : Bound_)
     checkBoundTask(Now, Id, Delivery, Out);
 }
 
+auto ShardOwner::sendStops(Moment Now, EntryOutbox &Out) -> void {
+  for (const auto &Turn : Stops_.takeDue(Now.Steady_, MaxStopsPerPass)) {
+    const auto *Task = state().findTask(Turn.Task_);
+    if (Task == nullptr || Task->State_ != TaskState::Bound) {
+      Stops_.remove(Turn.Task_);
+      continue;
+    }
+    const auto *BoundTo = Context_.Targets_.findAgent(Task->Agent_);
+    if (BoundTo != nullptr)
+      sendStop(Turn, *Task, *BoundTo, Out);
+    if (!Turn.NewlyOverdue_)
+      continue;
+    ++Context_.Counters_.StopsOverdue_;
+    logOverdueStop(Turn, *Task, BoundTo, Out);
+  }
+}
+
+auto ShardOwner::sendStop(const StopSchedule::Due &Turn, const TaskStatus &Task,
+                          const Target &To, EntryOutbox &Out) -> void {
+  ++Context_.Counters_.StopsSent_;
+  Stops_.recordSent(Turn.Task_);
+  Out.push_back(
+      SendToAgent{To.Session_, StopTask{Shard_, Ledger_.epoch(), Turn.Task_,
+                                        Task.Attempt_, ErrorKind::Cancelled}});
+  log("stop-sent", Turn.Task_.text(), ErrorKind::Cancelled,
+      "attempt " + std::to_string(Task.Attempt_) + " at " + Task.Agent_.Value_ +
+          ", " + std::to_string(Turn.Elapsed_.count()) + " ms, try " +
+          std::to_string(Turn.Sent_ + 1),
+      Out);
+}
+
+auto ShardOwner::logOverdueStop(const StopSchedule::Due &Turn,
+                                const TaskStatus &Task, const Target *BoundTo,
+                                EntryOutbox &Out) const -> void {
+  const auto Delivery = Bound_.find(Turn.Task_);
+  const auto *Why = "its agent reports no end";
+  if (BoundTo == nullptr)
+    Why = "its agent isn't connected";
+  else if (Proposed_.count(Turn.Task_) != 0)
+    Why = "its end is being committed";
+  else if (BoundTo->ConfirmedShards_.count(Shard_) == 0)
+    Why = "its agent hasn't confirmed this owner";
+  else if (Delivery != Bound_.end() && !Delivery->second.Reported_)
+    Why = "its agent hasn't reported it";
+  log("stop-overdue", Turn.Task_.text(), ErrorKind::Cancelled,
+      "attempt " + std::to_string(Task.Attempt_) + " at " + Task.Agent_.Value_ +
+          ", " + std::to_string(Turn.Elapsed_.count()) + " ms, stops sent " +
+          std::to_string(Turn.Sent_ + (BoundTo != nullptr ? 1 : 0)) + ": " +
+          Why,
+      Out);
+}
+
 auto ShardOwner::removeExpired(Moment Now) -> void {
   if (Now.Steady_ < NextRemoval_)
     return;
@@ -1767,7 +1834,8 @@
             std::to_string(Bound_.size()) + " tasks bound",
         Out);
     for (auto *Each : Context_.Targets_.all())
-      agentJoined(Now, *Each, Out);
+      if (!releasing())
+        sendOwnershipClaim(Now, *Each, Out);
   }
   for (const auto &Record : Ledger_.takeRefused())
     std::visit([&](const auto &Each) { refused(Each, Out); }, Record);
@@ -1784,6 +1852,7 @@
       });
   if (MayBindMore)
     BindDue_ = true;
+  sendStops(Now, Out);
   Ledger_.advance();
 }
 
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -11,6 +11,7 @@
 #include "core/RequestDispatcher.h"
 #include "core/ShardUsage.h"
 #include "core/ShortTaskDemand.h"
+#include "core/StopSchedule.h"
 
 #include <set>
 
@@ -163,8 +164,6 @@
     /// reached the next incarnation of the worker.
     Incarnation Worker_ = 0;
     TimePoint SentAt_{};
-    /// When the agent was last asked to stop the task.
-    TimePoint StopSentAt_{};
   };
   /// The worker that has or gets the task's current attempt.
   static auto workerOf(const TaskStatus &Task, const BindDelivery &Delivery)
@@ -364,6 +363,17 @@
   auto sendBind(Moment Now, const TaskId &Task, Target &To, EntryOutbox &Out)
       -> void;
   auto checkBoundTasks(Moment Now, EntryOutbox &Out) -> void;
+  /// Whether the job is closed, or its end is being committed, so that nothing
+  /// is to be started for it.
+  auto isClosing(const Job &Each) const -> bool;
+  /// Sends the stops of closed jobs whose turn has come. A stop is safe at any
+  /// time, so neither a grant nor a confirmation of the agent is awaited.
+  auto sendStops(Moment Now, EntryOutbox &Out) -> void;
+  auto sendStop(const StopSchedule::Due &Turn, const TaskStatus &Task,
+                const Target &To, EntryOutbox &Out) -> void;
+  /// Logs why a task of a cancelled job may still run.
+  auto logOverdueStop(const StopSchedule::Due &Turn, const TaskStatus &Task,
+                      const Target *BoundTo, EntryOutbox &Out) const -> void;
   /// Repeats messages that the agent has not acted on, and handles the task as
   /// lost once its worker is gone and can no longer be running it.
   auto checkBoundTask(Moment Now, const TaskId &Task, BindDelivery &Delivery,
@@ -438,6 +448,8 @@
   /// Pending tasks whose preceding steps have finished.
   std::set<PendingRank> Pending_;
   std::map<TaskId, BindDelivery> Bound_;
+  /// The bound tasks of closed jobs.
+  StopSchedule Stops_;
   /// Tasks with a change of state that is not committed yet.
   std::set<TaskId> Proposed_;
   /// The earliest time at which a task that failed may be bound again.
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -27,6 +27,8 @@
     {"skylark_evictions_total", &Counters::Evictions_},
     {"skylark_crashes_blamed_total", &Counters::CrashesBlamed_},
     {"skylark_tasks_given_up_total", &Counters::TasksGivenUp_},
+    {"skylark_stops_sent_total", &Counters::StopsSent_},
+    {"skylark_stops_overdue_total", &Counters::StopsOverdue_},
     {"skylark_store_calls_total", &Counters::StoreCalls_},
     {"skylark_workers_ejected_total", &Counters::WorkersEjected_},
     {"skylark_store_failures_total", &Counters::StoreFailures_},
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -127,6 +127,16 @@
     return Reply == nullptr ? ~std::uint64_t{0}
                             : std::get<UnstartedJobsReply>(*Reply).Count_;
   }
+  /// Connects an agent and lets it run the task of this job.
+  auto runJob(const std::string &Job) -> void {
+    connectAgent(1);
+    advance(Millis{1200});
+    submit(0, Job);
+    advance(Millis{1000});
+    report(Job, 1, TaskPhase::Running);
+    HeldTasks_ = {taskReport(Job, 1, TaskPhase::Running)};
+    Binds_.clear();
+  }
   /// Closes the agent's sessions.
   auto leave() -> void {
     Worker_ = 0;
@@ -200,6 +210,11 @@
   std::vector<BindTask> Binds_;
   std::vector<TaskReportAck> Acks_;
   std::vector<StopTask> Stops_;
+  std::vector<TimePoint> StopTimes_;
+  /// The entry whose messages to the agent are lost; EntryCount for none.
+  std::size_t SilentEntry_ = EntryCount;
+  /// Whether the agent confirms owners.
+  bool ConfirmsClaims_ = true;
   auto boundAttempts() const -> std::vector<AttemptNumber> {
     std::vector<AttemptNumber> Attempts;
     for (const auto &Each : Binds_)
@@ -289,7 +304,7 @@
         });
   }
   auto perform(std::size_t From, const SendToAgent &Send) -> void {
-    if (Send.Session_ != Session_ || Worker_ == 0)
+    if (Send.Session_ != Session_ || Worker_ == 0 || SilentEntry_ == From)
       return;
     if (const auto *Bind = std::get_if<BindTask>(&Send.Message_))
       Binds_.push_back(*Bind);
@@ -298,13 +313,16 @@
     if (const auto *Ack = std::get_if<HeartbeatAck>(&Send.Message_))
       if (!Ack->Shards_.empty() && Ack->RunGrantDuration_ > Millis{0})
         RunGrantTimes_.push_back(Now_.Steady_);
-    if (const auto *Stop = std::get_if<StopTask>(&Send.Message_))
+    if (const auto *Stop = std::get_if<StopTask>(&Send.Message_)) {
       Stops_.push_back(*Stop);
+      StopTimes_.push_back(Now_.Steady_);
+    }
     if (const auto *KnownList = std::get_if<KnownEntries>(&Send.Message_))
       KnownAddresses_ = KnownList->Addresses_;
     if (std::holds_alternative<ClaimOwnership>(Send.Message_))
       ++Claims_;
-    if (const auto *Claim = std::get_if<ClaimOwnership>(&Send.Message_))
+    const auto *Claim = std::get_if<ClaimOwnership>(&Send.Message_);
+    if (Claim != nullptr && ConfirmsClaims_)
       confirm(From, *Claim);
   }
   auto perform(std::size_t /*From*/, const AnswerCaller &Answer) -> void {
@@ -853,6 +871,124 @@
   BOOST_CHECK_NO_THROW(Fixture.advance(Millis{1000}));
 }
 
+BOOST_AUTO_TEST_CASE(AStopIsSentAtOnceAndRepeatedWithinTheTarget) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.cancel(Fixture.owner(), "a");
+  BOOST_TEST(Fixture.Stops_.size() == 1U);
+  const auto CancelledAt = Fixture.Now_.Steady_;
+  Fixture.advance(Millis{4000});
+  const auto InTime = std::count_if(
+      Fixture.StopTimes_.begin(), Fixture.StopTimes_.end(),
+      [&](TimePoint Each) { return Each <= CancelledAt + Millis{2000}; });
+  BOOST_TEST(InTime >= 4);
+  BOOST_TEST(Fixture.Stops_.size() <= 10U);
+  Fixture.report("a", TaskPhase::Stopped, ErrorKind::Cancelled);
+  Fixture.Stops_.clear();
+  Fixture.advance(Millis{2000});
+  BOOST_TEST(Fixture.Stops_.empty());
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(AStopIsSentWhileNothingMayBeGranted) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.cancel(Fixture.owner(), "a");
+  Fixture.StoreUnreachable_ = {true, true};
+  Fixture.advance(Millis{12000});
+  Fixture.RunGrantTimes_.clear();
+  Fixture.Stops_.clear();
+  Fixture.advance(Millis{3000});
+  BOOST_TEST(Fixture.RunGrantTimes_.empty());
+  BOOST_TEST(Fixture.Stops_.size() >= 4U);
+}
+
+BOOST_AUTO_TEST_CASE(AStopIsSentToAnAgentThatHasNotConfirmedItsOwner) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.leave();
+  Fixture.ConfirmsClaims_ = false;
+  Fixture.connectAgent(1);
+  Fixture.cancel(Fixture.owner(), "a");
+  Fixture.advance(Millis{500});
+  BOOST_TEST(!Fixture.Stops_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnAgentThatJoinsAfterACancellationIsToldToStopAtOnce) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.leave();
+  Fixture.cancel(Fixture.owner(), "a");
+  Fixture.advance(Millis{300});
+  Fixture.Stops_.clear();
+  Fixture.connectAgent(1);
+  BOOST_TEST(!Fixture.Stops_.empty());
+  BOOST_TEST(Fixture.Binds_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TheNextOwnerStopsWhatADeadOneHadCancelled) {
+  for (const auto Confirms : {true, false}) {
+    EntryFixture Fixture;
+    Fixture.runJob("a");
+    const auto Owner = Fixture.owner();
+    Fixture.SilentEntry_ = Owner;
+    Fixture.cancel(Owner, "a");
+    BOOST_TEST(Fixture.Stops_.empty());
+    Fixture.ConfirmsClaims_ = Confirms;
+    Fixture.killEntry(Owner);
+    while (Fixture.owner() == EntryCount)
+      Fixture.advance(Millis{50});
+    BOOST_TEST(!Fixture.Stops_.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerThatHandsOverStopsWhatWasCancelled) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  const auto Owner = Fixture.owner();
+  Fixture.cancel(Owner, "a");
+  Fixture.Stops_.clear();
+  Fixture.runOn(Owner, [&](EntryCore &Core, EntryOutbox &Out) {
+    Core.leave(Fixture.Now_, Out);
+  });
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.owner() != Owner);
+  BOOST_TEST(Fixture.Stops_.size() >= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAdoptedTaskOfACancelledJobIsStoppedAndNotBound) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.leave();
+  Fixture.cancel(Fixture.owner(), "a");
+  Fixture.advance(Millis{300});
+  Fixture.Stops_.clear();
+  Fixture.HeldTasks_.front().NeedsBinding_ = true;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{3000});
+  BOOST_TEST(Fixture.Binds_.empty());
+  BOOST_TEST(!Fixture.Stops_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ABindingCommittedTogetherWithTheCancellationIsNotSent) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  const auto Owner = Fixture.owner();
+  const auto Submit = Fixture.submit(Owner, "a");
+  BOOST_REQUIRE(isJobState(Fixture.replyOf(Submit)));
+  BOOST_REQUIRE(Fixture.Binds_.size() <= 1U);
+  // The task's next binding waits for the store, and so does the cancellation.
+  Fixture.report("a", TaskPhase::Failed, ErrorKind::TaskFailed);
+  Fixture.Binds_.clear();
+  Fixture.StoreUnreachable_[Owner] = true;
+  Fixture.advance(Millis{400});
+  Fixture.cancel(Owner, "a");
+  Fixture.StoreUnreachable_[Owner] = false;
+  Fixture.advance(Millis{2000});
+  BOOST_TEST(Fixture.Binds_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(NoTaskIsBoundToAWorkerWhoseCapacityHasShrunk) {
   EntryFixture Fixture;
   Fixture.connectAgent(7);
