A run that the ledger doesn't have is stopped once the owner is verified

Cause: an owner that hears of a running attempt which its ledger lacks first verifies in the store that it is still the owner. The agent sends the report of a run once, with its confirmation, so after the verification nothing was there to act on, and no stop was ever sent.

Change: the owner keeps such reports and handles them when the verification has succeeded.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1441,7 +1441,7 @@
       Out);
   const auto Verified =
       (Task != nullptr && Report.Attempt_ <= Task->Attempt_) ||
-      isVerifiedSince(Report);
+      isVerifiedSince(From, Report);
   // The end of the job, which is being committed, cancels a pending task.
   const auto Closing =
       Cancelling_.count(Id.Job_) != 0 || Failing_.count(Id.Job_) != 0;
@@ -1466,12 +1466,31 @@
   }
 }
 
-auto ShardOwner::isVerifiedSince(const TaskReport &Report) -> bool {
-  const auto Found = Unverified_
-                         .try_emplace({Report.Task_, Report.Attempt_},
-                                      Ledger_.nextVerification())
-                         .first;
-  if (Ledger_.lastVerification() < Found->second) {
+auto ShardOwner::handleVerifiedReports(Moment Now, EntryOutbox &Out) -> void {
+  std::vector<UnverifiedReport> Verified;
+  for (const auto &Each : Unverified_)
+    if (Each.second.Verification_ <= Ledger_.lastVerification() &&
+        !isEnded(Each.second.Report_.Phase_))
+      Verified.push_back(Each.second);
+  for (const auto &[Agent, Report, Verification] : Verified) {
+    auto *From = Context_.Targets_.findAgent(Agent);
+    if (From != nullptr)
+      taskReported(Now, *From, Report, Out);
+    Unverified_.erase({Report.Task_, Report.Attempt_});
+  }
+}
+
+auto ShardOwner::isVerifiedSince(const Target &From, const TaskReport &Report)
+    -> bool {
+  const auto Found =
+      Unverified_
+          .try_emplace({Report.Task_, Report.Attempt_},
+                       UnverifiedReport{From.agent(), Report,
+                                        Ledger_.nextVerification()})
+          .first;
+  Found->second.Agent_ = From.agent();
+  Found->second.Report_ = Report;
+  if (Ledger_.lastVerification() < Found->second.Verification_) {
     Ledger_.verifyOwnership();
     Ledger_.advance();
     return false;
@@ -1853,6 +1872,7 @@
   if (MayBindMore)
     BindDue_ = true;
   sendStops(Now, Out);
+  handleVerifiedReports(Now, Out);
   Ledger_.advance();
 }
 
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -170,6 +170,13 @@
       -> Incarnation {
     return Delivery.Worker_ != 0 ? Delivery.Worker_ : Task.Worker_;
   }
+  /// A report of an attempt that the ledger doesn't have.
+  struct UnverifiedReport {
+    AgentId Agent_;
+    TaskReport Report_;
+    /// The verification of ownership that has to succeed before it counts.
+    std::uint64_t Verification_ = 0;
+  };
   /// A claim that is not committed yet; its caller waits until ExpiresAt_.
   struct PendingClaim {
     CallerToken Token_ = 0;
@@ -378,6 +385,9 @@
   /// lost once its worker is gone and can no longer be running it.
   auto checkBoundTask(Moment Now, const TaskId &Task, BindDelivery &Delivery,
                       EntryOutbox &Out) -> void;
+  /// Handles the reports that waited for a verification of the ownership. An
+  /// agent doesn't repeat the report of an attempt that runs.
+  auto handleVerifiedReports(Moment Now, EntryOutbox &Out) -> void;
   /// Handles a report of an attempt that is not the current one of its task.
   auto handleStaleReport(Moment Now, const Target &From,
                          const TaskReport &Report, EntryOutbox &Out) -> void;
@@ -386,7 +396,7 @@
   auto withdrawBinding(const TaskReport &Report) -> bool;
   /// Whether the ownership was verified since this attempt, which the ledger
   /// doesn't have, was first reported. Requests the verification if not.
-  auto isVerifiedSince(const TaskReport &Report) -> bool;
+  auto isVerifiedSince(const Target &From, const TaskReport &Report) -> bool;
   auto handleTaskEnd(Moment Now, Target &From, const TaskReport &Report,
                      EntryOutbox &Out) -> void;
   /// Counts an attempt's outcome for or against its worker.
@@ -473,9 +483,8 @@
   /// Keys whose callers were answered "not run" while the claim was being
   /// written.
   std::set<IdempotencyKey> AbandonedKeys_;
-  /// The verification of ownership that has to succeed before a report of an
-  /// attempt which the ledger doesn't have counts.
-  std::map<std::pair<TaskId, AttemptNumber>, std::uint64_t> Unverified_;
+  /// Reports of attempts that the ledger doesn't have.
+  std::map<std::pair<TaskId, AttemptNumber>, UnverifiedReport> Unverified_;
   /// Tasks of which an earlier attempt was reported as finished while a change
   /// of the task was being committed.
   std::set<TaskId> FinishReported_;
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -989,6 +989,15 @@
   BOOST_TEST(Fixture.Binds_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(ARunThatTheLedgerDoesNotHaveIsStoppedOnceVerified) {
+  EntryFixture Fixture;
+  Fixture.HeldTasks_ = {taskReport("unknown", 3, TaskPhase::Running)};
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1500});
+  BOOST_REQUIRE(!Fixture.Stops_.empty());
+  BOOST_TEST(Fixture.Stops_.front().Attempt_ == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(NoTaskIsBoundToAWorkerWhoseCapacityHasShrunk) {
   EntryFixture Fixture;
   Fixture.connectAgent(7);
