A list with unreadable rows proves no absence, and its tasks are stopped

Cause: an agent confirmed its list as whole although a row couldn't be read (only a list cut at 500 ends was not whole), so the owner put the task of that row back while it ran. And the whole list that came later named no run that the agent was still stopping, so the owner put that task back at once too.

Change: a list is whole only if it isn't cut and all its rows could be read. Until then the owner keeps the tasks that are missing, and new tasks start as before. If the row stays unreadable, nothing waits for good: after 1.5 s the owner has each missing attempt stopped. The worker's answer to the stop is the proof that was missing: once it has answered twice, 1 s apart, the attempt is over or can't start any more, and the agent reports it as stopped; not while the list is cut, as the attempt may have finished unlisted. A confirmation names the runs that are being stopped, too.

Limits: a run whose row was unreadable in the first list and can be read later is stopped, not adopted.

--- a/agent/AgentProcess.cpp
+++ b/agent/AgentProcess.cpp
@@ -92,6 +92,11 @@
         Core_->startAnswered(Now, Task, Attempt, Outcome, Out);
       });
     };
+    Handlers.StopAnswered_ = [this](const TaskId &Task, AttemptNumber Attempt) {
+      postEvent([this, Task, Attempt](Moment Now, AgentOutbox &Out) {
+        Core_->stopAnswered(Now, Task, Attempt, Out);
+      });
+    };
     return Handlers;
   }
 
--- a/agent/NativeWorkerLink.cpp
+++ b/agent/NativeWorkerLink.cpp
@@ -31,8 +31,13 @@
 }
 
 auto NativeWorkerLink::execute(const StopOnWorker &Stop) -> void {
+  constexpr std::uint16_t HttpOk = 200;
   post("stop", renderAttempt(Stop.Task_, Stop.Attempt_, AgentIncarnation_),
-       [](const HttpResult &) {});
+       [this, Stop](const HttpResult &Answer) {
+         if (Answer.Complete_ && Answer.Status_ == HttpOk &&
+             Handlers_.StopAnswered_)
+           Handlers_.StopAnswered_(Stop.Task_, Stop.Attempt_);
+       });
 }
 
 auto NativeWorkerLink::execute(const ForgetOnWorker &Forget) -> void {
--- a/agent/WorkerLink.h
+++ b/agent/WorkerLink.h
@@ -16,6 +16,8 @@
   std::function<void(WorkerAnnouncement)> AnnouncementReceived_;
   /// The outcome of StartOnWorker.
   std::function<void(TaskId, AttemptNumber, StartOutcome)> StartAnswered_;
+  /// The worker has carried StopOnWorker out; may be empty.
+  std::function<void(TaskId, AttemptNumber)> StopAnswered_;
 };
 
 /// Sends an agent's commands to its worker. All methods run on the traffic
--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -316,6 +316,11 @@
   Tasks_.fenceRefusedStarts(Now.Steady_, !WorkerUnresponsive_, Out);
 }
 
+auto AgentCore::stopAnswered(Moment Now, const TaskId &Task,
+                             AttemptNumber Attempt, AgentOutbox &Out) -> void {
+  Tasks_.stopAnswered(Now.Steady_, Task, Attempt, Out);
+}
+
 auto AgentCore::scheduleNextPoll(Moment Now, AgentOutbox &Out) -> void {
   // A worker that holds a poll open until a task ends (long polling) always has
   // one open, so that ends are reported without delay. It answers at once while
--- a/core/AgentCore.h
+++ b/core/AgentCore.h
@@ -42,6 +42,10 @@
                             AgentOutbox &Out) -> void;
   auto startAnswered(Moment Now, const TaskId &Task, AttemptNumber Attempt,
                      StartOutcome Outcome, AgentOutbox &Out) -> void;
+  /// The worker has carried a stop command out, which ends the attempt within
+  /// the time that a stop takes, or keeps it from starting.
+  auto stopAnswered(Moment Now, const TaskId &Task, AttemptNumber Attempt,
+                    AgentOutbox &Out) -> void;
   auto targetAnswered(Moment Now, const TargetResult &Result, AgentOutbox &Out)
       -> void;
   /// Does all periodic work: heartbeats, polls with lease renewals, starting
--- a/core/Messages.h
+++ b/core/Messages.h
@@ -149,8 +149,9 @@
   Epoch Epoch_ = 0;
   Incarnation Worker_ = 0;
   std::vector<TaskReport> HeldTasks_;
-  /// The worker has ended attempts that it doesn't list yet. The agent confirms
-  /// again once it knows them all.
+  /// The list isn't whole, so an attempt that is missing may be running or have
+  /// ended: the worker has ended attempts that it doesn't list yet, or lists
+  /// some that can't be read. The agent confirms again once it knows them all.
   bool MoreEnds_ = false;
 
   static constexpr std::size_t RequiredFields = 4;
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -45,6 +45,9 @@
 /// kept free for short tasks.
 constexpr Millis LongRunningPlacementTimeout{4000};
 constexpr Millis CallerTimeout{5000};
+/// How long an agent's list of tasks may not be whole before the tasks that it
+/// lacks are stopped.
+constexpr Millis UnlistedTimeout{1500};
 /// Delay after a task's first failure; doubles with each further failure.
 constexpr Millis FailureBackoff{50};
 constexpr Millis MaxFailureBackoff{5000};
@@ -1346,6 +1349,8 @@
                          Proposed_.count(Id) == 0;
     if (!Missing)
       continue;
+    if (!Delivery.Unlisted_)
+      Delivery.NextUnlistedStop_ = Now.Steady_ + UnlistedTimeout;
     Delivery.Unlisted_ = Confirm.MoreEnds_;
     if (Confirm.MoreEnds_)
       continue;
@@ -1584,6 +1589,8 @@
     if (!Delivery.Reported_ && !Delivery.Unlisted_ && !isClosing(Job) &&
         Delivery.SentAt_ + ResendInterval < Now.Steady_)
       sendBind(Now, Id, *BoundTo, Out);
+    if (Delivery.Unlisted_ && !Job.isClosed())
+      stopUnlisted(Now, Id, Delivery, *BoundTo, Out);
     return;
   }
   const auto Worker = workerOf(Task, Delivery);
@@ -1773,6 +1780,21 @@
       Out);
 }
 
+auto ShardOwner::stopUnlisted(Moment Now, const TaskId &Id,
+                              BindDelivery &Delivery, const Target &To,
+                              EntryOutbox &Out) -> void {
+  if (Now.Steady_ < Delivery.NextUnlistedStop_)
+    return;
+  Delivery.NextUnlistedStop_ = Now.Steady_ + StopRepeatInterval;
+  const auto &Task = *state().findTask(Id);
+  Out.push_back(
+      SendToAgent{To.Session_, StopTask{Shard_, Ledger_.epoch(), Id,
+                                        Task.Attempt_, ErrorKind::WorkerGone}});
+  log("unlisted-stopped", Id.text(), ErrorKind::WorkerGone,
+      "attempt " + std::to_string(Task.Attempt_) + " at " + Task.Agent_.Value_,
+      Out);
+}
+
 auto ShardOwner::logOverdueStop(const StopSchedule::Due &Turn,
                                 const TaskStatus &Task, const Target *BoundTo,
                                 EntryOutbox &Out) const -> void {
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -156,6 +156,8 @@
     bool Reported_ = false;
     /// The agent's list of tasks wasn't whole and lacked this one.
     bool Unlisted_ = false;
+    /// When the agent is next told to stop the unlisted task.
+    TimePoint NextUnlistedStop_{};
     /// The end that the agent has reported of the current attempt; a phase
     /// that is no end if there is none.
     TaskPhase ReportedEnd_ = TaskPhase::Queued;
@@ -376,6 +378,11 @@
   /// Sends the stops of closed jobs whose turn has come. A stop is safe at any
   /// time, so neither a grant nor a confirmation of the agent is awaited.
   auto sendStops(Moment Now, EntryOutbox &Out) -> void;
+  /// Makes an agent stop a task that it doesn't list, and may be running, once
+  /// the worker's list has not been whole for long: it can be bound again after
+  /// the worker has answered the stop.
+  auto stopUnlisted(Moment Now, const TaskId &Id, BindDelivery &Delivery,
+                    const Target &To, EntryOutbox &Out) -> void;
   auto sendStop(const StopSchedule::Due &Turn, const TaskStatus &Task,
                 const Target &To, EntryOutbox &Out) -> void;
   /// Logs why a task of a cancelled job may still run.
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -18,6 +18,8 @@
 /// How long after a shrink of the worker's capacity bindings may arrive that
 /// its owner made for the larger one.
 constexpr Millis StaleBindingPeriod{1000};
+/// How long after a worker has answered a stop the run may go on at most.
+constexpr Millis StopSettledPeriod{1000};
 /// A worker that can't be connected to fails each start command at once.
 constexpr Millis StartRepeatInterval{50};
 
@@ -76,6 +78,7 @@
                         TimePoint LeasesUntil) -> void {
   Worker_ = Inventory.Worker_;
   MoreEnds_ = Inventory.MoreEnds_;
+  ListIsWhole_ = Inventory.Complete_ && !Inventory.MoreEnds_;
   // An answer to a poll of an earlier state machine of this process, which may
   // still arrive, has a lower fence.
   Fence_ = fenceAt(Now);
@@ -116,7 +119,10 @@
   WorkerClockAt_ = Now;
   ConfirmedFence_ = std::max(ConfirmedFence_, Inventory.Fence_);
   MoreEnds_ = Inventory.MoreEnds_;
+  ListIsWhole_ = Inventory.Complete_ && !Inventory.MoreEnds_;
   ListWasWhole_ |= !MoreEnds_;
+  if (ListIsWhole_)
+    UnknownStops_.clear();
   std::map<AttemptKey, const WorkerTask *> Observed;
   for (const auto &Task : Inventory.Tasks_)
     Observed[keyOf(Task.Bind_)] = &Task;
@@ -136,7 +142,7 @@
         return !isEnded(Task.Phase_) && !isReserved(Task.Bind_);
       });
   for (auto &[Shard, Owner] : Owners_)
-    if (Owner.AwaitsList_ && !MoreEnds_ && Owner.Session_ != 0)
+    if (Owner.AwaitsList_ && ListIsWhole_ && Owner.Session_ != 0)
       sendConfirmation(Shard, Owner, Out);
   return NewlyEnded;
 }
@@ -524,7 +530,7 @@
       std::to_string(Claim.Shard_), 0, ErrorKind::None,
       "epoch " + std::to_string(Claim.Epoch_) + " after " +
           std::to_string(KnownEpoch) + ", holds " + std::to_string(HeldTasks) +
-          " tasks" + (MoreEnds_ ? ", more on the worker" : "")});
+          " tasks" + (ListIsWhole_ ? "" : ", maybe more on the worker")});
   // A new owner has no interference data yet.
   if (OwnerAccepted && !InterferenceController_.table().Rows_.empty())
     Out.push_back(SendToEntry{Session, InterferenceController_.table()});
@@ -536,14 +542,15 @@
   Confirm.Shard_ = Shard;
   Confirm.Epoch_ = To.Epoch_;
   Confirm.Worker_ = Worker_;
-  Confirm.MoreEnds_ = MoreEnds_;
+  Confirm.MoreEnds_ = !ListIsWhole_;
   for (const auto &[Task, Held] : Tasks_)
     if (Held.Bind_.Shard_ == Shard)
       Confirm.HeldTasks_.push_back(reportOf(Held));
+  // One that runs is being stopped; until then its task must not run elsewhere.
   for (const auto &[Key, Report] : UnheldAttempts_)
-    if (Report.Shard_ == Shard && isEnded(Report.Phase_))
+    if (Report.Shard_ == Shard)
       Confirm.HeldTasks_.push_back(Report);
-  To.AwaitsList_ = MoreEnds_;
+  To.AwaitsList_ = !ListIsWhole_;
   const auto HeldTasks = Confirm.HeldTasks_.size();
   Out.push_back(SendToEntry{To.Session_, std::move(Confirm)});
   return HeldTasks;
@@ -623,8 +630,9 @@
     return;
   const auto Found = Tasks_.find(Stop.Task_);
   if (Found == Tasks_.end() || Found->second.Bind_.Attempt_ < Stop.Attempt_) {
-    if (FromOwner && Stop.Reason_ == ErrorKind::Cancelled)
-      refuseBinding(Stop, Out);
+    if (FromOwner && (Stop.Reason_ == ErrorKind::Cancelled ||
+                      Stop.Reason_ == ErrorKind::WorkerGone))
+      stopUnknown(Stop, Out);
     return;
   }
   auto &Held = Found->second;
@@ -635,30 +643,58 @@
   stopHeld(Held, Stop.Reason_, Out);
 }
 
-auto TaskManager::refuseBinding(const StopTask &Stop, AgentOutbox &Out)
-    -> void {
-  const AttemptKey Key{Stop.Task_, Stop.Attempt_};
-  const auto Found = Tasks_.find(Stop.Task_);
-  const auto EarlierIsHeld =
-      Found != Tasks_.end() && (!isEnded(Found->second.Phase_) ||
-                                Found->second.Phase_ == TaskPhase::Finished ||
-                                Found->second.RunsAfterEnd_);
-  const auto Unheld = UnheldAttempts_.lower_bound({Stop.Task_, 0});
-  const auto AnyUnheld =
-      Unheld != UnheldAttempts_.end() && Unheld->first.first == Stop.Task_;
-  if (EarlierIsHeld || AnyUnheld || AcknowledgedEnds_.count(Key) != 0)
+auto TaskManager::hasOtherAttempt(const TaskId &Task,
+                                  AttemptNumber Attempt) const -> bool {
+  const auto Found = Tasks_.find(Task);
+  if (Found != Tasks_.end()) {
+    const auto &Held = Found->second;
+    if (!isEnded(Held.Phase_) || Held.Phase_ == TaskPhase::Finished ||
+        Held.RunsAfterEnd_ || Held.Bind_.Attempt_ >= Attempt)
+      return true;
+  }
+  const auto Unheld = UnheldAttempts_.lower_bound({Task, 0});
+  return (Unheld != UnheldAttempts_.end() && Unheld->first.first == Task) ||
+         AcknowledgedEnds_.count({Task, Attempt}) != 0;
+}
+
+auto TaskManager::stopUnknown(const StopTask &Stop, AgentOutbox &Out) -> void {
+  if (hasOtherAttempt(Stop.Task_, Stop.Attempt_))
     return;
-  // The worker may run the attempt although its list doesn't show it, and
-  // refuses a start that arrives after the stop.
+  // The worker refuses a start that arrives after the stop.
   Out.push_back(StopOnWorker{Stop.Task_, Stop.Attempt_});
-  if (MoreEnds_ || !ListWasWhole_)
+  if (!ListIsWhole_)
+    UnknownStops_.try_emplace({Stop.Task_, Stop.Attempt_},
+                              UnknownStop{Stop, std::nullopt});
+  else if (Stop.Reason_ == ErrorKind::Cancelled)
+    endUnknown(Stop, TaskPhase::NotStarted, Out);
+}
+
+auto TaskManager::stopAnswered(TimePoint Now, const TaskId &Task,
+                               AttemptNumber Attempt, AgentOutbox &Out)
+    -> void {
+  const auto Found = UnknownStops_.find({Task, Attempt});
+  if (Found == UnknownStops_.end())
+    return;
+  auto &AnsweredAt = Found->second.AnsweredAt_;
+  if (!AnsweredAt)
+    AnsweredAt = Now;
+  // An end that isn't listed yet may be a finish.
+  if (*AnsweredAt + StopSettledPeriod > Now || MoreEnds_)
     return;
+  const auto Stop = Found->second.Stop_;
+  UnknownStops_.erase(Found);
+  if (!hasOtherAttempt(Task, Attempt))
+    endUnknown(Stop, TaskPhase::Stopped, Out);
+}
+
+auto TaskManager::endUnknown(const StopTask &Stop, TaskPhase Phase,
+                             AgentOutbox &Out) -> void {
   auto &Held = Tasks_[Stop.Task_];
   Held = HeldTask{};
   Held.Bind_.Shard_ = Stop.Shard_;
   Held.Bind_.Task_ = Stop.Task_;
   Held.Bind_.Attempt_ = Stop.Attempt_;
-  end(Held, TaskPhase::NotStarted, Stop.Reason_, Out);
+  end(Held, Phase, Stop.Reason_, Out);
 }
 
 auto TaskManager::stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out)
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -41,6 +41,9 @@
   auto startAnswered(TimePoint Now, const TaskId &Task, AttemptNumber Attempt,
                      StartOutcome Outcome, const StartPermits &Permits,
                      AgentOutbox &Out) -> void;
+  /// Handles that the worker has carried a stop command out.
+  auto stopAnswered(TimePoint Now, const TaskId &Task, AttemptNumber Attempt,
+                    AgentOutbox &Out) -> void;
   /// Ends all tasks, because the worker is gone.
   auto endAllTasks(AgentOutbox &Out) -> void;
 
@@ -168,6 +171,13 @@
     /// until it can start without a serving task missing its target.
     TimePoint AwaitingHeadroomSince_{};
   };
+  /// A stop of an attempt that the agent doesn't know and that the worker may
+  /// run, since the worker's list isn't whole.
+  struct UnknownStop {
+    StopTask Stop_;
+    /// When the worker first answered it.
+    std::optional<TimePoint> AnsweredAt_;
+  };
   struct Owner {
     Epoch Epoch_ = 0;
     SessionNumber Session_ = 0;
@@ -234,9 +244,16 @@
                                const WorkerInventory &Inventory) -> bool;
   /// Handles that the worker has the task, whose start was commanded.
   auto startObserved(HeldTask &Held, AgentOutbox &Out) -> void;
-  /// Refuses an attempt that is to be stopped and isn't known here, unless an
-  /// earlier one hasn't ended yet.
-  auto refuseBinding(const StopTask &Stop, AgentOutbox &Out) -> void;
+  /// Makes the worker stop an attempt that isn't known here, and refuses its
+  /// binding. While the worker's list isn't whole the attempt may be running,
+  /// and counts as ended only after the worker has answered the stop.
+  auto stopUnknown(const StopTask &Stop, AgentOutbox &Out) -> void;
+  /// Whether an earlier attempt is still to end or to be reported, so that a
+  /// later one can't be recorded yet; or the owner knows this one's end.
+  auto hasOtherAttempt(const TaskId &Task, AttemptNumber Attempt) const -> bool;
+  /// Records the end of an attempt that isn't known here.
+  auto endUnknown(const StopTask &Stop, TaskPhase Phase, AgentOutbox &Out)
+      -> void;
   /// Ends a queued task, and commands the worker to stop any other.
   auto stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out) -> void;
   static auto hasExpired(const HeldTask &Held, TimePoint Now) -> bool;
@@ -288,8 +305,12 @@
   std::map<AttemptKey, TaskPhase> AcknowledgedEnds_;
   /// Whether the worker has more ended attempts than its last inventory lists.
   bool MoreEnds_ = false;
-  /// Whether the agent has seen a whole list, and so knows all attempts that
-  /// were on the worker before its own.
+  /// Whether the worker's last inventory lists all attempts and all of them
+  /// could be read. Otherwise one that is missing may be running.
+  bool ListIsWhole_ = true;
+  std::map<AttemptKey, UnknownStop> UnknownStops_;
+  /// Whether the agent has seen a whole list of ends, and so knows all attempts
+  /// that were on the worker before its own.
   bool ListWasWhole_ = false;
   std::map<ShardNumber, Owner> Owners_;
 };
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -934,6 +934,58 @@
         BOOST_TEST(Confirm->MoreEnds_);
 }
 
+BOOST_AUTO_TEST_CASE(AnUnlistedRunEndsOnlyOnceTheWorkerHasAnsweredItsStop) {
+  AgentFixture Fixture;
+  auto Inventory = Fixture.inventoryOf({});
+  Inventory.Complete_ = false;
+  Fixture.answerPollAfter(Millis{100}, Inventory);
+  Fixture.clear();
+  const TaskId Task{{"a"}, 0};
+  Fixture.receive(StopTask{0, 1, Task, 1, ErrorKind::WorkerGone});
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+  Fixture.advance(Millis{1500});
+  BOOST_TEST(!Fixture.lastReport("a"));
+  Fixture.Core_.stopAnswered(Fixture.Now_, Task, 1, Fixture.Out_);
+  BOOST_TEST(!Fixture.lastReport("a"));
+  Fixture.advance(Millis{1000});
+  Fixture.Core_.stopAnswered(Fixture.Now_, Task, 1, Fixture.Out_);
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::Stopped));
+}
+
+BOOST_AUTO_TEST_CASE(AnUnreadableRowBlocksNoOtherTask) {
+  AgentFixture Fixture;
+  auto Inventory = Fixture.inventoryOf({});
+  Inventory.Complete_ = false;
+  Fixture.answerPollAfter(Millis{100}, Inventory);
+  Fixture.clear();
+  Fixture.bind("b", 1000);
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AListThatCanBeReadAgainIsConfirmed) {
+  AgentFixture Fixture;
+  const auto LastConfirmation = [&] {
+    std::optional<ConfirmOwnership> Last;
+    for (const auto &Each : Fixture.Out_)
+      if (const auto *Send = std::get_if<SendToEntry>(&Each))
+        if (const auto *Confirm =
+                std::get_if<ConfirmOwnership>(&Send->Message_))
+          Last = *Confirm;
+    return Last;
+  };
+  auto Inventory = Fixture.inventoryOf({});
+  Inventory.Complete_ = false;
+  Fixture.answerPollAfter(Millis{100}, Inventory);
+  Fixture.receive(ClaimOwnership{0, 2});
+  BOOST_REQUIRE(LastConfirmation());
+  BOOST_TEST(LastConfirmation()->MoreEnds_);
+  Fixture.clear();
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf({"a"}));
+  BOOST_REQUIRE(LastConfirmation());
+  BOOST_TEST(!LastConfirmation()->MoreEnds_);
+  BOOST_TEST(LastConfirmation()->HeldTasks_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnEntryThatLagsBehindASeriesGetsEachConfiguration) {
   AgentFixture Fixture;
   for (const Revision Known : {3, 4, 5}) {
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -871,6 +871,23 @@
   BOOST_CHECK_NO_THROW(Fixture.advance(Millis{1000}));
 }
 
+BOOST_AUTO_TEST_CASE(ATaskThatAListNeverShowsIsStoppedBeforeItIsBoundAgain) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.leave();
+  Fixture.HeldTasks_.clear();
+  Fixture.MoreEnds_ = true;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.Stops_.empty());
+  Fixture.advance(Millis{2000});
+  BOOST_REQUIRE(!Fixture.Stops_.empty());
+  BOOST_TEST(Fixture.Binds_.empty());
+  Fixture.report("a", TaskPhase::Stopped, ErrorKind::WorkerGone);
+  Fixture.advance(Millis{1500});
+  BOOST_TEST(Fixture.taskStatus("a")->Attempt_ == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(AStopIsSentAtOnceAndRepeatedWithinTheTarget) {
   EntryFixture Fixture;
   Fixture.runJob("a");
--- a/test/correctness/WorkerClientTest.cpp
+++ b/test/correctness/WorkerClientTest.cpp
@@ -84,6 +84,7 @@
     Start.LeaseUntil_ = Seconds{10};
     Client_.execute(Start);
   }
+  auto stop() -> void { Client_.execute(StopOnWorker{{{"j"}, 0}, 1}); }
   auto poll(std::uint64_t Fence) -> void {
     PollWorker Poll;
     Poll.Fence_ = Fence;
@@ -93,6 +94,7 @@
   asio::io_context Traffic_;
   HeldCalls Calls_;
   std::vector<StartOutcome> Outcomes_;
+  int StopsAnswered_ = 0;
   std::vector<WorkerInventory> Inventories_;
   WorkerLinkHandlers Handlers_ = [this] {
     WorkerLinkHandlers Handlers;
@@ -100,6 +102,9 @@
                                      StartOutcome Outcome) {
       Outcomes_.push_back(Outcome);
     };
+    Handlers.StopAnswered_ = [this](const TaskId &, AttemptNumber) {
+      ++StopsAnswered_;
+    };
     Handlers.InventoryReceived_ = [this](WorkerInventory Received) {
       Inventories_.push_back(std::move(Received));
     };
@@ -167,6 +172,18 @@
   BOOST_TEST(Calls_.token(4) == Calls_.token(3));
 }
 
+BOOST_FIXTURE_TEST_CASE(OnlyAStopThatWasCarriedOutCountsAsAnswered,
+                        OrderFixture) {
+  for (int Index = 0; Index < 4; ++Index)
+    stop();
+  Calls_.lose(0);
+  Calls_.answer(1, 503, {});
+  Calls_.answer(2, 409, {{"reason", "fence"}});
+  BOOST_TEST(StopsAnswered_ == 0);
+  Calls_.answer(3, 200, {});
+  BOOST_TEST(StopsAnswered_ == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(AListNamesTheFenceOfItsPoll, OrderFixture) {
   poll(5);
   poll(6);
