Randomised runs: no task of a cancelled job runs on or starts

The checker knows when a caller was told that a job is cancelled. While it is calm (no process, store or link has been disturbed for the recovery time), a task of the job may start for 3 s after that, or after the calm began, and run for 0.4 s more, with 0.2 s for the simulation itself; lasting tasks included.

--- a/test/fuzz/Checker.cpp
+++ b/test/fuzz/Checker.cpp
@@ -11,6 +11,10 @@
 /// What the simulation adds: two ticks and an observation of 50 ms each, and
 /// six messages or store calls of 8 ms.
 constexpr Millis SimulationDelays{200};
+/// Time after the acknowledgement of a job's cancellation in which its tasks
+/// may still start, and what a stop may take from then on.
+constexpr Millis CancelAllowance{3000};
+constexpr Millis StopAllowance{400};
 
 template <typename... Parts>
 auto concatenate(const Parts &...Each) -> std::string {
@@ -63,6 +67,10 @@
     addViolation(concatenate("task started again after its end was "
                              "acknowledged: ",
                              Task, " attempt ", Bind.Attempt_, " on ", Worker));
+  const auto LatestStart = latestTime(Task.Job_, CancelAllowance);
+  if (Calm_ && LatestStart && Now > *LatestStart)
+    addViolation(concatenate("task of a cancelled job started: ", Task,
+                             " attempt ", Bind.Attempt_, " on ", Worker));
   Started_.insert(Task.Job_);
   StartableSince_.erase(Task.Job_);
   LastAttempt_[Task] = Bind.Attempt_;
@@ -87,8 +95,36 @@
     StartableSince_.emplace(Job, Now);
 }
 
+auto Checker::jobCancelled(TrueTime Now, const JobId &Job) -> void {
+  CancelledAt_.emplace(Job, Now);
+}
+
+auto Checker::latestTime(const JobId &Job, Millis Allowed) const
+    -> std::optional<TrueTime> {
+  const auto Found = CancelledAt_.find(Job);
+  if (Found == CancelledAt_.end())
+    return std::nullopt;
+  return std::max(Found->second, CalmSince_) +
+         Micros(Allowed + SimulationDelays);
+}
+
+auto Checker::checkCancelled(TrueTime Now) -> void {
+  for (const auto &[Task, Each] : Running_) {
+    const auto LatestRun =
+        latestTime(Task.Job_, CancelAllowance + StopAllowance);
+    if (LatestRun && Now > *LatestRun)
+      addViolation(concatenate("task of a cancelled job runs on: ", Task,
+                               " attempt ", Each.Attempt_, " on ",
+                               Each.Worker_));
+  }
+}
+
 auto Checker::observe(TrueTime Now, bool Calm, bool Startable) -> void {
+  if (!Calm || !Calm_)
+    CalmSince_ = Now;
   Calm_ = Calm;
+  if (Calm)
+    checkCancelled(Now);
   for (auto &[Job, Since] : StartableSince_) {
     if (!Calm || !Startable)
       Since = Now;
--- a/test/fuzz/Checker.h
+++ b/test/fuzz/Checker.h
@@ -8,6 +8,7 @@
 #include "core/EntryOutput.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -76,6 +77,8 @@
 
   /// A caller was told that an urgent job of one task was accepted.
   auto urgentJobAccepted(TrueTime Now, const JobId &Job) -> void;
+  /// A caller was told that a job is cancelled.
+  auto jobCancelled(TrueTime Now, const JobId &Job) -> void;
   /// Called again and again as time advances.
   /// \param Calm whether entries reach the store, no process is disturbed, and
   ///   only the configuration changes: no lease may expire then.
@@ -121,7 +124,19 @@
   Revision InForce_ = 0;
   /// How often each task that crashes its workers was started.
   std::map<TaskId, int> CrashingStarts_;
+  /// When a task of this job may last run, or start, if it is calm all the
+  /// time; nothing if the job isn't cancelled.
+  /// \param Allowed the time that is allowed after the cancellation.
+  auto latestTime(const JobId &Job, Millis Allowed) const
+      -> std::optional<TrueTime>;
+  /// Checks that no task of a cancelled job runs on.
+  auto checkCancelled(TrueTime Now) -> void;
+
+  /// When each cancelled job's cancellation was first acknowledged.
+  std::map<JobId, TrueTime> CancelledAt_;
   bool Calm_ = false;
+  /// Since when it has been calm.
+  TrueTime CalmSince_{0};
   /// Since when each urgent job that has not started could have started.
   std::map<JobId, TrueTime> StartableSince_;
   /// Jobs of which a task has started.
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -990,6 +990,8 @@
 auto Simulation::cancelJob(const JobId &Id, int RetriesLeft) -> void {
   sendRequest(CancelJob{Id, false, {}}, "", true,
               [this, Id, RetriesLeft](const CallerReply &Reply) {
+                if (!std::holds_alternative<ErrorReply>(Reply))
+                  Checker_.jobCancelled(Now_, Id);
                 if (std::holds_alternative<ErrorReply>(Reply) &&
                     RetriesLeft > 0)
                   scheduleAfter(Millis{2000}, [this, Id, RetriesLeft] {
@@ -1246,8 +1248,7 @@
     break;
   case FaultKind::CancelJobs:
     for (std::size_t Index = 0; Index < Jobs_.size(); Index += 2)
-      sendRequest(CancelJob{Jobs_[Index], false, {}}, "", true,
-                  [](const CallerReply &) {});
+      cancelJob(Jobs_[Index], 0);
     break;
   case FaultKind::ChangeSeries:
     continueChangeSeries(Until, Each.Selector_, 0);
