--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -519,6 +519,10 @@
 }
 
 auto Simulation::execute(std::size_t Entry, const SendToAgent &Send) -> void {
+  const auto *Stop = std::get_if<StopTask>(&Send.Message_);
+  if (Stop != nullptr &&
+      StopsLostToAgent_[{Stop->Task_, Stop->Attempt_}]++ < Config_.LostStops_)
+    return;
   for (const auto &Each : Connections_) {
     if (Each->Session_ != Send.Session_ || !Each->OpenAtEntry_)
       continue;
@@ -803,6 +807,8 @@
 
 auto Simulation::executeForAgent(std::size_t Agent, const StopOnWorker &Stop)
     -> void {
+  if (StopsLostToWorker_[{Stop.Task_, Stop.Attempt_}]++ < Config_.LostStops_)
+    return;
   const auto Order = [Stop, Token = tokenOf(Agent)](FakeWorker &Worker) {
     Worker.stop(Stop, Token);
     return StartOutcome::Accepted;
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -112,6 +112,9 @@
   bool ChangingCapacity_ = false;
   /// Whether some tasks crash each worker that starts them.
   bool CrashingTasks_ = false;
+  /// How many stops of each attempt are lost, on the way to its agent and again
+  /// on the way to its worker.
+  int LostStops_ = 0;
   /// Whether to print the decisions that the processes log.
   bool Trace_ = false;
 };
@@ -346,6 +349,9 @@
   TrueTime DisturbedUntil_{0};
   /// When each data centre was last seen out of service.
   std::map<DataCentreName, TrueTime> LastOutAt_;
+  /// Number of stops of each attempt that were lost.
+  std::map<std::pair<TaskId, AttemptNumber>, int> StopsLostToAgent_;
+  std::map<std::pair<TaskId, AttemptNumber>, int> StopsLostToWorker_;
   /// Whether callers send new work.
   bool Busy_ = true;
 };
--- a/test/fuzz/Soak.cpp
+++ b/test/fuzz/Soak.cpp
@@ -111,6 +111,9 @@
       "minimal-workers", "workers list only task ids and attempts; one shard")(
       "changing-capacity", "workers' capacities shrink and grow")(
       "crashing-tasks", "some tasks crash each worker that starts them")(
+      "lost-stops",
+      "stops of each attempt that are lost, to its agent and to its worker",
+      cxxopts::value<int>()->default_value("0"))(
       "trace", "print what the processes log in a failed run, reduced to the "
                "necessary faults")("h,help", "print this text");
   const auto Parsed = Options.parse(Count, Arguments);
@@ -145,6 +148,7 @@
       Config.MinimalWorkers_ = Parsed.count("minimal-workers") != 0;
       Config.ChangingCapacity_ = Parsed.count("changing-capacity") != 0;
       Config.CrashingTasks_ = Parsed.count("crashing-tasks") != 0;
+      Config.LostStops_ = Parsed["lost-stops"].as<int>();
       Config.Quiet_ = Seconds{Parsed["quiet"].as<int>()};
       Simulation Run(Config);
       const auto Violations = Run.run();
