--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -183,9 +183,9 @@
   startQueued(Now, Out);
 }
 
-auto AgentCore::handle(Moment /*Now*/, SessionNumber /*Number*/,
+auto AgentCore::handle(Moment Now, SessionNumber /*Number*/,
                        const StopTask &Stop, AgentOutbox &Out) -> void {
-  Tasks_.stop(Stop, Out);
+  Tasks_.stop(Now.Steady_, Stop, Out);
 }
 
 auto AgentCore::handle(Moment Now, SessionNumber /*Number*/,
@@ -316,6 +316,11 @@
   Tasks_.fenceRefusedStarts(Now.Steady_, !WorkerUnresponsive_, Out);
 }
 
+auto AgentCore::stopAnswered(Moment Now, const TaskId &Task,
+                             AttemptNumber Attempt, AgentOutbox &Out) -> void {
+  Tasks_.stopAnswered(Now.Steady_, Task, Attempt, Out);
+}
+
 auto AgentCore::scheduleNextPoll(Moment Now, AgentOutbox &Out) -> void {
   // A worker that holds a poll open until a task ends (long polling) always has
   // one open, so that ends are reported without delay. It answers at once while
@@ -383,6 +388,7 @@
     NextReportResend_ = Now.Steady_ + ReportResendInterval;
     Tasks_.resendReports(Out);
   }
+  Tasks_.repeatStops(Now.Steady_, Out);
   if (refusalReason() == ErrorKind::None)
     Tasks_.repeatStarts(Now.Steady_, Permits_, Out);
   startQueued(Now, Out);
--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -29,7 +29,7 @@
   TrustRefusals,
   TrustConflicts,
   DenyUnknownJobs,
-  Reserved19,
+  StopOnce,
   Reserved20,
   Reserved21,
   Reserved22,
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -34,6 +34,9 @@
 /// One of this many workers may be used for the trial of a suspect at once.
 constexpr int WorkersPerTrial = 2;
 constexpr Millis ResendInterval{2000};
+/// Maximum number of stops sent at a time, so that a large job can't delay
+/// other work.
+constexpr std::size_t MaxStopsPerPass = 2000;
 /// How long a best-effort task waits for a worker where it causes no harmful
 /// interference. Must be below three seconds, after which a task that isn't
 /// running although a worker has free capacity counts as starved.
@@ -42,6 +45,9 @@
 /// kept free for short tasks.
 constexpr Millis LongRunningPlacementTimeout{4000};
 constexpr Millis CallerTimeout{5000};
+/// How long an agent's list of tasks may not be whole before the tasks that it
+/// lacks are stopped.
+constexpr Millis UnlistedTimeout{1500};
 /// Delay after a task's first failure; doubles with each further failure.
 constexpr Millis FailureBackoff{50};
 constexpr Millis MaxFailureBackoff{5000};
@@ -678,7 +684,10 @@
     Usage_.hold(Job, Id, Task.Agent_);
     if (Bound_.try_emplace(Id).second && Ends)
       Waits_.enter(Now, Id, TaskWait::Start);
+    if (Job.isClosed())
+      Stops_.add(Now, Id);
   } else {
+    Stops_.remove(Id);
     if (Task.State_ != TaskState::Pending || !Ready)
       Waits_.end(Now, Id);
     Crashes_.endTrial(Task.Agent_, Id);
@@ -738,6 +747,7 @@
   Indexed_ = true;
   Pending_.clear();
   Bound_.clear();
+  Stops_.clear();
   Usage_.clear();
   Crashes_.clear();
   Outliers_.clear();
@@ -812,7 +822,8 @@
         "attempt " + std::to_string(Record.Attempt_) + " bound to " +
             Record.Agent_.Value_,
         Out);
-    if (BoundTo != nullptr && BoundTo->GrantedShards_.count(Shard_) != 0)
+    if (BoundTo != nullptr && BoundTo->GrantedShards_.count(Shard_) != 0 &&
+        !isClosing(*Job))
       sendBind(Now, Record.Task_, *BoundTo, Out);
     return;
   }
@@ -1356,7 +1367,16 @@
 
 auto ShardOwner::agentJoined(Moment Now, Target &Joined, EntryOutbox &Out)
     -> void {
-  if (!owning() || releasing())
+  if (!owning())
+    return;
+  // What was sent on an earlier connection may be lost.
+  for (const auto &Id : Stops_.tasks()) {
+    const auto *Task = state().findTask(Id);
+    if (Task != nullptr && Task->Agent_ == Joined.agent())
+      Stops_.hasten(Now.Steady_, Id);
+  }
+  sendStops(Now, Out);
+  if (releasing())
     return;
   // The agent may hold ends of tasks that are bound elsewhere by now.
   sendOwnershipClaim(Now, Joined, Out);
@@ -1389,6 +1409,8 @@
                          Proposed_.count(Id) == 0;
     if (!Missing)
       continue;
+    if (!Delivery.Unlisted_)
+      Delivery.NextUnlistedStop_ = Now.Steady_ + UnlistedTimeout;
     Delivery.Unlisted_ = Confirm.MoreEnds_;
     if (Confirm.MoreEnds_)
       continue;
@@ -1462,7 +1484,8 @@
   else if (Report.Phase_ == TaskPhase::NotStarted &&
            Report.Reason_ == ErrorKind::WorkerGone)
     Refusals_.refused(Now.Steady_, Worker);
-  if (Report.NeedsBinding_ && !isEnded(Report.Phase_))
+  if (Report.NeedsBinding_ && !isEnded(Report.Phase_) &&
+      !state().findJob(Report.Task_.Job_)->isClosed())
     sendBind(Now, Report.Task_, From, Out);
   if (!isEnded(Report.Phase_) || Proposed_.count(Report.Task_) != 0)
     return;
@@ -1489,7 +1512,7 @@
       Out);
   const auto Verified =
       (Task != nullptr && Report.Attempt_ <= Task->Attempt_) ||
-      isVerifiedSince(Report);
+      isVerifiedSince(From, Report);
   // The end of the job, which is being committed, cancels a pending task.
   const auto Closing =
       Cancelling_.count(Id.Job_) != 0 || Failing_.count(Id.Job_) != 0;
@@ -1514,12 +1537,31 @@
   }
 }
 
-auto ShardOwner::isVerifiedSince(const TaskReport &Report) -> bool {
-  const auto Found = Unverified_
-                         .try_emplace({Report.Task_, Report.Attempt_},
-                                      Ledger_.nextVerification())
-                         .first;
-  if (Ledger_.lastVerification() < Found->second) {
+auto ShardOwner::handleVerifiedReports(Moment Now, EntryOutbox &Out) -> void {
+  std::vector<UnverifiedReport> Verified;
+  for (const auto &Each : Unverified_)
+    if (Each.second.Verification_ <= Ledger_.lastVerification() &&
+        !isEnded(Each.second.Report_.Phase_))
+      Verified.push_back(Each.second);
+  for (const auto &[Agent, Report, Verification] : Verified) {
+    auto *From = Context_.Targets_.findAgent(Agent);
+    if (From != nullptr)
+      taskReported(Now, *From, Report, Out);
+    Unverified_.erase({Report.Task_, Report.Attempt_});
+  }
+}
+
+auto ShardOwner::isVerifiedSince(const Target &From, const TaskReport &Report)
+    -> bool {
+  const auto Found =
+      Unverified_
+          .try_emplace({Report.Task_, Report.Attempt_},
+                       UnverifiedReport{From.agent(), Report,
+                                        Ledger_.nextVerification()})
+          .first;
+  Found->second.Agent_ = From.agent();
+  Found->second.Report_ = Report;
+  if (Ledger_.lastVerification() < Found->second.Verification_) {
     Ledger_.verifyOwnership();
     Ledger_.advance();
     return false;
@@ -1610,17 +1652,11 @@
   if (Present) {
     if (!BoundTo->Leaving_)
       Crashes_.responsive({Task.Agent_, Task.Worker_}, BoundTo->LastSeenAt_);
-    if (!Delivery.Reported_ && !Delivery.Unlisted_ &&
+    if (!Delivery.Reported_ && !Delivery.Unlisted_ && !isClosing(Job) &&
         Delivery.SentAt_ + ResendInterval < Now.Steady_)
       sendBind(Now, Id, *BoundTo, Out);
-    // A stop request may be lost, or reach the agent while the task is starting
-    // and can't be stopped yet, so it is repeated until the task ends.
-    if (Job.isClosed() && Delivery.StopSentAt_ + ResendInterval < Now.Steady_) {
-      Delivery.StopSentAt_ = Now.Steady_;
-      Out.push_back(SendToAgent{BoundTo->Session_,
-                                StopTask{Shard_, Ledger_.epoch(), Id,
-                                         Task.Attempt_, ErrorKind::Cancelled}});
-    }
+    if (Delivery.Unlisted_ && !Job.isClosed())
+      stopUnlisted(Now, Id, Delivery, *BoundTo, Out);
     return;
   }
   const auto Worker = workerOf(Task, Delivery);
@@ -1769,11 +1805,83 @@
     Crashes_.ended(Worker, Report.Task_);
 }
 
+auto ShardOwner::isClosing(const Job &Each) const -> bool {
+  return Each.isClosed() || Cancelling_.count(Each.Id_) != 0 ||
+         Failing_.count(Each.Id_) != 0;
+}
+
 auto ShardOwner::checkBoundTasks(Moment Now, EntryOutbox &Out) -> void {
   for (auto &[Id, Delivery] : Bound_)
     checkBoundTask(Now, Id, Delivery, Out);
 }
 
+auto ShardOwner::sendStops(Moment Now, EntryOutbox &Out) -> void {
+  for (const auto &Turn : Stops_.takeDue(Now.Steady_, MaxStopsPerPass)) {
+    const auto *Task = state().findTask(Turn.Task_);
+    if (Task == nullptr || Task->State_ != TaskState::Bound) {
+      Stops_.remove(Turn.Task_);
+      continue;
+    }
+    const auto *BoundTo = Context_.Targets_.findAgent(Task->Agent_);
+    if (BoundTo != nullptr)
+      sendStop(Turn, *Task, *BoundTo, Out);
+    if (!Turn.NewlyOverdue_)
+      continue;
+    ++Context_.Counters_.StopsOverdue_;
+    logOverdueStop(Turn, *Task, BoundTo, Out);
+  }
+}
+
+auto ShardOwner::sendStop(const StopSchedule::Due &Turn, const TaskStatus &Task,
+                          const Target &To, EntryOutbox &Out) -> void {
+  ++Context_.Counters_.StopsSent_;
+  Stops_.recordSent(Turn.Task_);
+  Out.push_back(
+      SendToAgent{To.Session_, StopTask{Shard_, Ledger_.epoch(), Turn.Task_,
+                                        Task.Attempt_, ErrorKind::Cancelled}});
+  log("stop-sent", Turn.Task_.text(), ErrorKind::Cancelled,
+      "attempt " + std::to_string(Task.Attempt_) + " at " + Task.Agent_.Value_ +
+          ", " + std::to_string(Turn.Elapsed_.count()) + " ms, try " +
+          std::to_string(Turn.Sent_ + 1),
+      Out);
+}
+
+auto ShardOwner::stopUnlisted(Moment Now, const TaskId &Id,
+                              BindDelivery &Delivery, const Target &To,
+                              EntryOutbox &Out) -> void {
+  if (Now.Steady_ < Delivery.NextUnlistedStop_)
+    return;
+  Delivery.NextUnlistedStop_ = Now.Steady_ + StopRepeatInterval;
+  const auto &Task = *state().findTask(Id);
+  Out.push_back(
+      SendToAgent{To.Session_, StopTask{Shard_, Ledger_.epoch(), Id,
+                                        Task.Attempt_, ErrorKind::WorkerGone}});
+  log("unlisted-stopped", Id.text(), ErrorKind::WorkerGone,
+      "attempt " + std::to_string(Task.Attempt_) + " at " + Task.Agent_.Value_,
+      Out);
+}
+
+auto ShardOwner::logOverdueStop(const StopSchedule::Due &Turn,
+                                const TaskStatus &Task, const Target *BoundTo,
+                                EntryOutbox &Out) const -> void {
+  const auto Delivery = Bound_.find(Turn.Task_);
+  const auto *Why = "its agent reports no end";
+  if (BoundTo == nullptr)
+    Why = "its agent isn't connected";
+  else if (Proposed_.count(Turn.Task_) != 0)
+    Why = "its end is being committed";
+  else if (BoundTo->ConfirmedShards_.count(Shard_) == 0)
+    Why = "its agent hasn't confirmed this owner";
+  else if (Delivery != Bound_.end() && !Delivery->second.Reported_)
+    Why = "its agent hasn't reported it";
+  log("stop-overdue", Turn.Task_.text(), ErrorKind::Cancelled,
+      "attempt " + std::to_string(Task.Attempt_) + " at " + Task.Agent_.Value_ +
+          ", " + std::to_string(Turn.Elapsed_.count()) + " ms, stops sent " +
+          std::to_string(Turn.Sent_ + (BoundTo != nullptr ? 1 : 0)) + ": " +
+          Why,
+      Out);
+}
+
 auto ShardOwner::removeExpired(Moment Now) -> void {
   if (Now.Steady_ < NextRemoval_)
     return;
@@ -1830,7 +1938,8 @@
             std::to_string(Bound_.size()) + " tasks bound",
         Out);
     for (auto *Each : Context_.Targets_.all())
-      agentJoined(Now, *Each, Out);
+      if (!releasing())
+        sendOwnershipClaim(Now, *Each, Out);
   }
   for (const auto &Record : Ledger_.takeRefused())
     std::visit([&](const auto &Each) { refused(Each, Out); }, Record);
@@ -1854,6 +1963,8 @@
       });
   if (MayBindMore)
     BindDue_ = true;
+  sendStops(Now, Out);
+  handleVerifiedReports(Now, Out);
   Ledger_.advance();
 }
 
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -14,6 +14,7 @@
 #include "core/RequestDispatcher.h"
 #include "core/ShardUsage.h"
 #include "core/ShortTaskDemand.h"
+#include "core/StopSchedule.h"
 #include "core/WaitingCallers.h"
 #include "core/WaitingQueries.h"
 
@@ -165,6 +166,8 @@
     bool Reported_ = false;
     /// The agent's list of tasks wasn't whole and lacked this one.
     bool Unlisted_ = false;
+    /// When the agent is next told to stop the unlisted task.
+    TimePoint NextUnlistedStop_{};
     /// The end that the agent has reported of the current attempt; a phase
     /// that is no end if there is none.
     TaskPhase ReportedEnd_ = TaskPhase::Queued;
@@ -173,14 +176,19 @@
     /// reached the next incarnation of the worker.
     Incarnation Worker_ = 0;
     TimePoint SentAt_{};
-    /// When the agent was last asked to stop the task.
-    TimePoint StopSentAt_{};
   };
   /// The worker that has or gets the task's current attempt.
   static auto workerOf(const TaskStatus &Task, const BindDelivery &Delivery)
       -> Incarnation {
     return Delivery.Worker_ != 0 ? Delivery.Worker_ : Task.Worker_;
   }
+  /// A report of an attempt that the ledger doesn't have.
+  struct UnverifiedReport {
+    AgentId Agent_;
+    TaskReport Report_;
+    /// The verification of ownership that has to succeed before it counts.
+    std::uint64_t Verification_ = 0;
+  };
   /// A claim that is not committed yet; its caller waits until ExpiresAt_.
   struct PendingClaim {
     CallerToken Token_ = 0;
@@ -365,10 +373,29 @@
   auto sendBind(Moment Now, const TaskId &Task, Target &To, EntryOutbox &Out)
       -> void;
   auto checkBoundTasks(Moment Now, EntryOutbox &Out) -> void;
+  /// Whether the job is closed, or its end is being committed, so that nothing
+  /// is to be started for it.
+  auto isClosing(const Job &Each) const -> bool;
+  /// Sends the stops of closed jobs whose turn has come. A stop is safe at any
+  /// time, so neither a grant nor a confirmation of the agent is awaited.
+  auto sendStops(Moment Now, EntryOutbox &Out) -> void;
+  /// Makes an agent stop a task that it doesn't list, and may be running, once
+  /// the worker's list has not been whole for long: it can be bound again after
+  /// the worker has answered the stop.
+  auto stopUnlisted(Moment Now, const TaskId &Id, BindDelivery &Delivery,
+                    const Target &To, EntryOutbox &Out) -> void;
+  auto sendStop(const StopSchedule::Due &Turn, const TaskStatus &Task,
+                const Target &To, EntryOutbox &Out) -> void;
+  /// Logs why a task of a cancelled job may still run.
+  auto logOverdueStop(const StopSchedule::Due &Turn, const TaskStatus &Task,
+                      const Target *BoundTo, EntryOutbox &Out) const -> void;
   /// Repeats messages that the agent has not acted on, and handles the task as
   /// lost once its worker is gone and can no longer be running it.
   auto checkBoundTask(Moment Now, const TaskId &Task, BindDelivery &Delivery,
                       EntryOutbox &Out) -> void;
+  /// Handles the reports that waited for a verification of the ownership. An
+  /// agent doesn't repeat the report of an attempt that runs.
+  auto handleVerifiedReports(Moment Now, EntryOutbox &Out) -> void;
   /// Handles a report of an attempt that is not the current one of its task.
   auto handleStaleReport(Moment Now, const Target &From,
                          const TaskReport &Report, EntryOutbox &Out) -> void;
@@ -377,7 +404,7 @@
   auto withdrawBinding(const TaskReport &Report) -> bool;
   /// Whether the ownership was verified since this attempt, which the ledger
   /// doesn't have, was first reported. Requests the verification if not.
-  auto isVerifiedSince(const TaskReport &Report) -> bool;
+  auto isVerifiedSince(const Target &From, const TaskReport &Report) -> bool;
   auto handleTaskEnd(Moment Now, Target &From, const TaskReport &Report,
                      EntryOutbox &Out) -> void;
   /// Counts an attempt's outcome for or against its worker.
@@ -451,6 +478,8 @@
   /// Pending tasks whose preceding steps have finished.
   std::set<PendingRank> Pending_;
   std::map<TaskId, BindDelivery> Bound_;
+  /// The bound tasks of closed jobs.
+  StopSchedule Stops_;
   /// Tasks with a change of state that is not committed yet.
   std::set<TaskId> Proposed_;
   /// The earliest time at which a task that failed may be bound again.
@@ -475,9 +504,8 @@
   /// Keys whose callers were answered "not run" while the claim was being
   /// written.
   std::set<IdempotencyKey> AbandonedKeys_;
-  /// The verification of ownership that has to succeed before a report of an
-  /// attempt which the ledger doesn't have counts.
-  std::map<std::pair<TaskId, AttemptNumber>, std::uint64_t> Unverified_;
+  /// Reports of attempts that the ledger doesn't have.
+  std::map<std::pair<TaskId, AttemptNumber>, UnverifiedReport> Unverified_;
   /// Tasks of which an earlier attempt was reported as finished while a change
   /// of the task was being committed.
   std::set<TaskId> FinishReported_;
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Assert.h"
 #include "core/Mutation.h"
+#include "core/StopSchedule.h"
 
 #include <algorithm>
 #include <array>
@@ -17,6 +18,8 @@
 /// How long after a shrink of the worker's capacity bindings may arrive that
 /// its owner made for the larger one.
 constexpr Millis StaleBindingPeriod{1000};
+/// How long after a worker has answered a stop the run may go on at most.
+constexpr Millis StopSettledPeriod{1000};
 /// A worker that can't be connected to fails each start command at once.
 constexpr Millis StartRepeatInterval{50};
 
@@ -75,6 +78,7 @@
                         TimePoint LeasesUntil) -> void {
   Worker_ = Inventory.Worker_;
   MoreEnds_ = Inventory.MoreEnds_;
+  ListIsWhole_ = Inventory.Complete_ && !Inventory.MoreEnds_;
   // An answer to a poll of an earlier state machine of this process, which may
   // still arrive, has a lower fence.
   Fence_ = fenceAt(Now);
@@ -115,7 +119,10 @@
   WorkerClockAt_ = Now;
   ConfirmedFence_ = std::max(ConfirmedFence_, Inventory.Fence_);
   MoreEnds_ = Inventory.MoreEnds_;
+  ListIsWhole_ = Inventory.Complete_ && !Inventory.MoreEnds_;
   ListWasWhole_ |= !MoreEnds_;
+  if (ListIsWhole_)
+    UnknownStops_.clear();
   std::map<AttemptKey, const WorkerTask *> Observed;
   for (const auto &Task : Inventory.Tasks_)
     Observed[keyOf(Task.Bind_)] = &Task;
@@ -135,7 +142,7 @@
         return !isEnded(Task.Phase_) && !isReserved(Task.Bind_);
       });
   for (auto &[Shard, Owner] : Owners_)
-    if (Owner.AwaitsList_ && !MoreEnds_ && Owner.Session_ != 0)
+    if (Owner.AwaitsList_ && ListIsWhole_ && Owner.Session_ != 0)
       sendConfirmation(Shard, Owner, Out);
   return NewlyEnded;
 }
@@ -523,7 +530,7 @@
       std::to_string(Claim.Shard_), 0, ErrorKind::None,
       "epoch " + std::to_string(Claim.Epoch_) + " after " +
           std::to_string(KnownEpoch) + ", holds " + std::to_string(HeldTasks) +
-          " tasks" + (MoreEnds_ ? ", more on the worker" : "")});
+          " tasks" + (ListIsWhole_ ? "" : ", maybe more on the worker")});
   // A new owner has no interference data yet.
   if (OwnerAccepted && !InterferenceController_.table().Rows_.empty())
     Out.push_back(SendToEntry{Session, InterferenceController_.table()});
@@ -535,14 +542,15 @@
   Confirm.Shard_ = Shard;
   Confirm.Epoch_ = To.Epoch_;
   Confirm.Worker_ = Worker_;
-  Confirm.MoreEnds_ = MoreEnds_;
+  Confirm.MoreEnds_ = !ListIsWhole_;
   for (const auto &[Task, Held] : Tasks_)
     if (Held.Bind_.Shard_ == Shard)
       Confirm.HeldTasks_.push_back(reportOf(Held));
+  // One that runs is being stopped; until then its task must not run elsewhere.
   for (const auto &[Key, Report] : UnheldAttempts_)
-    if (Report.Shard_ == Shard && isEnded(Report.Phase_))
+    if (Report.Shard_ == Shard)
       Confirm.HeldTasks_.push_back(Report);
-  To.AwaitsList_ = MoreEnds_;
+  To.AwaitsList_ = !ListIsWhole_;
   const auto HeldTasks = Confirm.HeldTasks_.size();
   Out.push_back(SendToEntry{To.Session_, std::move(Confirm)});
   return HeldTasks;
@@ -613,14 +621,80 @@
     Ledger_.adopt(Bind.Task_, Bind.Resources_);
 }
 
-auto TaskManager::stop(const StopTask &Stop, AgentOutbox &Out) -> void {
+auto TaskManager::stop(TimePoint Now, const StopTask &Stop, AgentOutbox &Out)
+    -> void {
   const auto FoundOwner = Owners_.find(Stop.Shard_);
-  if (FoundOwner == Owners_.end() || FoundOwner->second.Epoch_ > Stop.Epoch_)
+  const auto FromOwner =
+      FoundOwner != Owners_.end() && FoundOwner->second.Epoch_ <= Stop.Epoch_;
+  if (!FromOwner && Stop.Reason_ != ErrorKind::Cancelled)
     return;
   const auto Found = Tasks_.find(Stop.Task_);
-  if (Found == Tasks_.end() || Found->second.Bind_.Attempt_ != Stop.Attempt_)
+  if (Found == Tasks_.end() || Found->second.Bind_.Attempt_ < Stop.Attempt_) {
+    if (FromOwner && (Stop.Reason_ == ErrorKind::Cancelled ||
+                      Stop.Reason_ == ErrorKind::WorkerGone))
+      stopUnknown(Stop, Out);
+    return;
+  }
+  auto &Held = Found->second;
+  // The command is repeated already.
+  if (Held.Bind_.Attempt_ != Stop.Attempt_ || Held.StopRequested_)
+    return;
+  Held.NextStopRepeat_ = Now + StopRepeatInterval;
+  stopHeld(Held, Stop.Reason_, Out);
+}
+
+auto TaskManager::hasOtherAttempt(const TaskId &Task,
+                                  AttemptNumber Attempt) const -> bool {
+  const auto Found = Tasks_.find(Task);
+  if (Found != Tasks_.end()) {
+    const auto &Held = Found->second;
+    if (!isEnded(Held.Phase_) || Held.Phase_ == TaskPhase::Finished ||
+        Held.RunsAfterEnd_ || Held.Bind_.Attempt_ >= Attempt)
+      return true;
+  }
+  const auto Unheld = UnheldAttempts_.lower_bound({Task, 0});
+  return (Unheld != UnheldAttempts_.end() && Unheld->first.first == Task) ||
+         AcknowledgedEnds_.count({Task, Attempt}) != 0;
+}
+
+auto TaskManager::stopUnknown(const StopTask &Stop, AgentOutbox &Out) -> void {
+  if (hasOtherAttempt(Stop.Task_, Stop.Attempt_))
+    return;
+  // The worker refuses a start that arrives after the stop.
+  Out.push_back(StopOnWorker{Stop.Task_, Stop.Attempt_});
+  if (!ListIsWhole_)
+    UnknownStops_.try_emplace({Stop.Task_, Stop.Attempt_},
+                              UnknownStop{Stop, std::nullopt});
+  else if (Stop.Reason_ == ErrorKind::Cancelled)
+    endUnknown(Stop, TaskPhase::NotStarted, Out);
+}
+
+auto TaskManager::stopAnswered(TimePoint Now, const TaskId &Task,
+                               AttemptNumber Attempt, AgentOutbox &Out)
+    -> void {
+  const auto Found = UnknownStops_.find({Task, Attempt});
+  if (Found == UnknownStops_.end())
     return;
-  stopHeld(Found->second, Stop.Reason_, Out);
+  auto &AnsweredAt = Found->second.AnsweredAt_;
+  if (!AnsweredAt)
+    AnsweredAt = Now;
+  // An end that isn't listed yet may be a finish.
+  if (*AnsweredAt + StopSettledPeriod > Now || MoreEnds_)
+    return;
+  const auto Stop = Found->second.Stop_;
+  UnknownStops_.erase(Found);
+  if (!hasOtherAttempt(Task, Attempt))
+    endUnknown(Stop, TaskPhase::Stopped, Out);
+}
+
+auto TaskManager::endUnknown(const StopTask &Stop, TaskPhase Phase,
+                             AgentOutbox &Out) -> void {
+  auto &Held = Tasks_[Stop.Task_];
+  Held = HeldTask{};
+  Held.Bind_.Shard_ = Stop.Shard_;
+  Held.Bind_.Task_ = Stop.Task_;
+  Held.Bind_.Attempt_ = Stop.Attempt_;
+  end(Held, Phase, Stop.Reason_, Out);
 }
 
 auto TaskManager::stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out)
@@ -817,15 +891,24 @@
   for (const auto &[Task, Held] : Tasks_) {
     if (isEnded(Held.Phase_))
       report(Held, Out);
-    // The stop command may have been lost on its way to the worker.
-    else if (Held.StopRequested_)
-      Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
   }
   for (const auto &[Key, Report] : UnheldAttempts_)
     if (isEnded(Report.Phase_))
       sendReport(Report, Out);
 }
 
+auto TaskManager::repeatStops(TimePoint Now, AgentOutbox &Out) -> void {
+  for (auto &[Task, Held] : Tasks_) {
+    if (!Held.StopRequested_ || isEnded(Held.Phase_) ||
+        Now < Held.NextStopRepeat_ || isMutationActive(Mutation::StopOnce))
+      continue;
+    const auto SentBefore = Held.NextStopRepeat_ != TimePoint{};
+    Held.NextStopRepeat_ = Now + StopRepeatInterval;
+    if (SentBefore)
+      Out.push_back(StopOnWorker{Held.Bind_.Task_, Held.Bind_.Attempt_});
+  }
+}
+
 auto TaskManager::recordLease(TimePoint Now, TimePoint Until) -> void {
   if (Until > Now)
     LatestLeaseEnd_ =
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -34,6 +34,8 @@
     {"skylark_unknown_jobs_cancelled_total", &Counters::UnknownJobsCancelled_},
     {"skylark_cancelled_before_submission_total",
      &Counters::SubmittedCancelled_},
+    {"skylark_stops_sent_total", &Counters::StopsSent_},
+    {"skylark_stops_overdue_total", &Counters::StopsOverdue_},
     {"skylark_store_calls_total", &Counters::StoreCalls_},
     {"skylark_workers_ejected_total", &Counters::WorkersEjected_},
     {"skylark_store_failures_total", &Counters::StoreFailures_},
--- a/test/correctness/AgentTest.cpp
+++ b/test/correctness/AgentTest.cpp
@@ -439,6 +439,83 @@
   BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(AStopThatTheWorkerMissesIsRepeatedWithinTheTarget) {
+  AgentFixture Fixture;
+  const std::vector<std::string> RunningJobs{"a"};
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf(RunningJobs));
+  Fixture.clear();
+  Fixture.receive(StopTask{0, 1, {{"a"}, 0}, 1, ErrorKind::Cancelled});
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+  Fixture.advance(Millis{2000}, &RunningJobs);
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() >= 4U);
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ARepeatedStopMakesNoMoreCallsToTheWorker) {
+  AgentFixture Fixture;
+  const std::vector<std::string> RunningJobs{"a"};
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf(RunningJobs));
+  Fixture.clear();
+  for (int Repeat = 0; Repeat < 20; ++Repeat) {
+    Fixture.receive(StopTask{0, 1, {{"a"}, 0}, 1, ErrorKind::Cancelled});
+    Fixture.advance(Millis{50}, &RunningJobs);
+  }
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() <= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(ACancelledTaskIsStoppedUnderAnyEpoch) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf({"a"}));
+  Fixture.receive(ClaimOwnership{0, 5});
+  Fixture.clear();
+  Fixture.receive(StopTask{0, 2, {{"a"}, 0}, 1, ErrorKind::StaleEpoch});
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 0U);
+  Fixture.receive(StopTask{0, 2, {{"a"}, 0}, 1, ErrorKind::Cancelled});
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAdoptedTaskIsStoppedBeforeItsOwnerIsKnown) {
+  AgentFixture Fixture;
+  AgentIdentity Identity;
+  Identity.Agent_ = {"agent"};
+  Identity.Capacity_ = {4000, 8000, 0};
+  AgentCore Restarted(Identity);
+  AgentOutbox Out;
+  Restarted.openSession(Fixture.Now_, OwnerSession, Out);
+  Restarted.inventoryReceived(Fixture.Now_, Fixture.inventoryOf({"a"}), Out);
+  Restarted.receive(Fixture.Now_, OwnerSession,
+                    StopTask{0, 1, {{"a"}, 0}, 1, ErrorKind::Cancelled}, Out);
+  BOOST_TEST(std::count_if(Out.begin(), Out.end(), [](const auto &Each) {
+               return std::holds_alternative<StopOnWorker>(Each);
+             }) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AStopThatArrivesBeforeItsBindingRefusesIt) {
+  AgentFixture Fixture;
+  Fixture.receive(StopTask{0, 1, {{"a"}, 0}, 1, ErrorKind::Cancelled});
+  BOOST_REQUIRE(Fixture.lastReport("a"));
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::NotStarted));
+  Fixture.clear();
+  Fixture.bind("a", 1000);
+  Fixture.advance(Millis{500});
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 0U);
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::NotStarted));
+}
+
+BOOST_AUTO_TEST_CASE(AStopOfATaskThatFinishedDoesNotHideItsFinish) {
+  AgentFixture Fixture;
+  Fixture.bind("a", 1000);
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryWithFinished("a"));
+  BOOST_REQUIRE((Fixture.lastPhase("a") == TaskPhase::Finished));
+  Fixture.clear();
+  Fixture.receive(StopTask{0, 1, {{"a"}, 0}, 2, ErrorKind::Cancelled});
+  Fixture.advance(Millis{1100});
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::Finished));
+}
+
 BOOST_AUTO_TEST_CASE(AnExpiredLeaseIsNotExtendedForAnUnansweredStart) {
   AgentFixture Fixture;
   Fixture.bind("a", 1000);
@@ -857,6 +934,58 @@
         BOOST_TEST(Confirm->MoreEnds_);
 }
 
+BOOST_AUTO_TEST_CASE(AnUnlistedRunEndsOnlyOnceTheWorkerHasAnsweredItsStop) {
+  AgentFixture Fixture;
+  auto Inventory = Fixture.inventoryOf({});
+  Inventory.Complete_ = false;
+  Fixture.answerPollAfter(Millis{100}, Inventory);
+  Fixture.clear();
+  const TaskId Task{{"a"}, 0};
+  Fixture.receive(StopTask{0, 1, Task, 1, ErrorKind::WorkerGone});
+  BOOST_TEST(Fixture.countOutputs<StopOnWorker>() == 1U);
+  Fixture.advance(Millis{1500});
+  BOOST_TEST(!Fixture.lastReport("a"));
+  Fixture.Core_.stopAnswered(Fixture.Now_, Task, 1, Fixture.Out_);
+  BOOST_TEST(!Fixture.lastReport("a"));
+  Fixture.advance(Millis{1000});
+  Fixture.Core_.stopAnswered(Fixture.Now_, Task, 1, Fixture.Out_);
+  BOOST_TEST((Fixture.lastPhase("a") == TaskPhase::Stopped));
+}
+
+BOOST_AUTO_TEST_CASE(AnUnreadableRowBlocksNoOtherTask) {
+  AgentFixture Fixture;
+  auto Inventory = Fixture.inventoryOf({});
+  Inventory.Complete_ = false;
+  Fixture.answerPollAfter(Millis{100}, Inventory);
+  Fixture.clear();
+  Fixture.bind("b", 1000);
+  BOOST_TEST(Fixture.countOutputs<StartOnWorker>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AListThatCanBeReadAgainIsConfirmed) {
+  AgentFixture Fixture;
+  const auto LastConfirmation = [&] {
+    std::optional<ConfirmOwnership> Last;
+    for (const auto &Each : Fixture.Out_)
+      if (const auto *Send = std::get_if<SendToEntry>(&Each))
+        if (const auto *Confirm =
+                std::get_if<ConfirmOwnership>(&Send->Message_))
+          Last = *Confirm;
+    return Last;
+  };
+  auto Inventory = Fixture.inventoryOf({});
+  Inventory.Complete_ = false;
+  Fixture.answerPollAfter(Millis{100}, Inventory);
+  Fixture.receive(ClaimOwnership{0, 2});
+  BOOST_REQUIRE(LastConfirmation());
+  BOOST_TEST(LastConfirmation()->MoreEnds_);
+  Fixture.clear();
+  Fixture.answerPollAfter(Millis{100}, Fixture.inventoryOf({"a"}));
+  BOOST_REQUIRE(LastConfirmation());
+  BOOST_TEST(!LastConfirmation()->MoreEnds_);
+  BOOST_TEST(LastConfirmation()->HeldTasks_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnEntryThatLagsBehindASeriesGetsEachConfiguration) {
   AgentFixture Fixture;
   for (const Revision Known : {3, 4, 5}) {
--- a/test/correctness/EntryFixture.h
+++ b/test/correctness/EntryFixture.h
@@ -129,6 +129,16 @@
     return Reply == nullptr ? ~std::uint64_t{0}
                             : std::get<UnstartedJobsReply>(*Reply).Count_;
   }
+  /// Connects an agent and lets it run the task of this job.
+  auto runJob(const std::string &Job) -> void {
+    connectAgent(1);
+    advance(Millis{1200});
+    submit(0, Job);
+    advance(Millis{1000});
+    report(Job, 1, TaskPhase::Running);
+    HeldTasks_ = {taskReport(Job, 1, TaskPhase::Running)};
+    Binds_.clear();
+  }
   /// Closes the agent's sessions.
   auto leave() -> void {
     Worker_ = 0;
@@ -222,6 +232,11 @@
   std::vector<BindTask> Binds_;
   std::vector<TaskReportAck> Acks_;
   std::vector<StopTask> Stops_;
+  std::vector<TimePoint> StopTimes_;
+  /// The entry whose messages to the agent are lost; EntryCount for none.
+  std::size_t SilentEntry_ = EntryCount;
+  /// Whether the agent confirms owners.
+  bool ConfirmsClaims_ = true;
   std::vector<LogDecision> Log_;
   auto boundAttempts() const -> std::vector<AttemptNumber> {
     std::vector<AttemptNumber> Attempts;
@@ -312,7 +327,7 @@
         });
   }
   auto perform(std::size_t From, const SendToAgent &Send) -> void {
-    if (Send.Session_ != Session_ || Worker_ == 0)
+    if (Send.Session_ != Session_ || Worker_ == 0 || SilentEntry_ == From)
       return;
     if (const auto *Bind = std::get_if<BindTask>(&Send.Message_))
       Binds_.push_back(*Bind);
@@ -321,13 +336,16 @@
     if (const auto *Ack = std::get_if<HeartbeatAck>(&Send.Message_))
       if (!Ack->Shards_.empty() && Ack->RunGrantDuration_ > Millis{0})
         RunGrantTimes_.push_back(Now_.Steady_);
-    if (const auto *Stop = std::get_if<StopTask>(&Send.Message_))
+    if (const auto *Stop = std::get_if<StopTask>(&Send.Message_)) {
       Stops_.push_back(*Stop);
+      StopTimes_.push_back(Now_.Steady_);
+    }
     if (const auto *KnownList = std::get_if<KnownEntries>(&Send.Message_))
       KnownAddresses_ = KnownList->Addresses_;
     if (std::holds_alternative<ClaimOwnership>(Send.Message_))
       ++Claims_;
-    if (const auto *Claim = std::get_if<ClaimOwnership>(&Send.Message_))
+    const auto *Claim = std::get_if<ClaimOwnership>(&Send.Message_);
+    if (Claim != nullptr && ConfirmsClaims_)
       confirm(From, *Claim);
   }
   auto perform(std::size_t /*From*/, const AnswerCaller &Answer) -> void {
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -520,6 +520,150 @@
   BOOST_CHECK_NO_THROW(Fixture.advance(Millis{1000}));
 }
 
+BOOST_AUTO_TEST_CASE(ATaskThatAListNeverShowsIsStoppedBeforeItIsBoundAgain) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.leave();
+  Fixture.HeldTasks_.clear();
+  Fixture.MoreEnds_ = true;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.Stops_.empty());
+  Fixture.advance(Millis{2000});
+  BOOST_REQUIRE(!Fixture.Stops_.empty());
+  BOOST_TEST(Fixture.Binds_.empty());
+  Fixture.report("a", TaskPhase::Stopped, ErrorKind::WorkerGone);
+  Fixture.advance(Millis{1500});
+  BOOST_TEST(Fixture.taskStatus("a")->Attempt_ == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AStopIsSentAtOnceAndRepeatedWithinTheTarget) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.cancel(Fixture.owner(), "a");
+  BOOST_TEST(Fixture.Stops_.size() == 1U);
+  const auto CancelledAt = Fixture.Now_.Steady_;
+  Fixture.advance(Millis{4000});
+  const auto InTime = std::count_if(
+      Fixture.StopTimes_.begin(), Fixture.StopTimes_.end(),
+      [&](TimePoint Each) { return Each <= CancelledAt + Millis{2000}; });
+  BOOST_TEST(InTime >= 4);
+  BOOST_TEST(Fixture.Stops_.size() <= 10U);
+  Fixture.report("a", TaskPhase::Stopped, ErrorKind::Cancelled);
+  Fixture.Stops_.clear();
+  Fixture.advance(Millis{2000});
+  BOOST_TEST(Fixture.Stops_.empty());
+  BOOST_TEST((Fixture.taskStatus("a")->State_ == TaskState::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(AStopIsSentWhileNothingMayBeGranted) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.cancel(Fixture.owner(), "a");
+  Fixture.StoreUnreachable_ = {true, true};
+  Fixture.advance(Millis{12000});
+  Fixture.RunGrantTimes_.clear();
+  Fixture.Stops_.clear();
+  Fixture.advance(Millis{3000});
+  BOOST_TEST(Fixture.RunGrantTimes_.empty());
+  BOOST_TEST(Fixture.Stops_.size() >= 4U);
+}
+
+BOOST_AUTO_TEST_CASE(AStopIsSentToAnAgentThatHasNotConfirmedItsOwner) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.leave();
+  Fixture.ConfirmsClaims_ = false;
+  Fixture.connectAgent(1);
+  Fixture.cancel(Fixture.owner(), "a");
+  Fixture.advance(Millis{500});
+  BOOST_TEST(!Fixture.Stops_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnAgentThatJoinsAfterACancellationIsToldToStopAtOnce) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.leave();
+  Fixture.cancel(Fixture.owner(), "a");
+  Fixture.advance(Millis{300});
+  Fixture.Stops_.clear();
+  Fixture.connectAgent(1);
+  BOOST_TEST(!Fixture.Stops_.empty());
+  BOOST_TEST(Fixture.Binds_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TheNextOwnerStopsWhatADeadOneHadCancelled) {
+  for (const auto Confirms : {true, false}) {
+    EntryFixture Fixture;
+    Fixture.runJob("a");
+    const auto Owner = Fixture.owner();
+    Fixture.SilentEntry_ = Owner;
+    Fixture.cancel(Owner, "a");
+    BOOST_TEST(Fixture.Stops_.empty());
+    Fixture.ConfirmsClaims_ = Confirms;
+    Fixture.killEntry(Owner);
+    while (Fixture.owner() == EntryCount)
+      Fixture.advance(Millis{50});
+    BOOST_TEST(!Fixture.Stops_.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerThatHandsOverStopsWhatWasCancelled) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  const auto Owner = Fixture.owner();
+  Fixture.cancel(Owner, "a");
+  Fixture.Stops_.clear();
+  Fixture.runOn(Owner, [&](EntryCore &Core, EntryOutbox &Out) {
+    Core.leave(Fixture.Now_, Out);
+  });
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.owner() != Owner);
+  BOOST_TEST(Fixture.Stops_.size() >= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAdoptedTaskOfACancelledJobIsStoppedAndNotBound) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.leave();
+  Fixture.cancel(Fixture.owner(), "a");
+  Fixture.advance(Millis{300});
+  Fixture.Stops_.clear();
+  Fixture.HeldTasks_.front().NeedsBinding_ = true;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{3000});
+  BOOST_TEST(Fixture.Binds_.empty());
+  BOOST_TEST(!Fixture.Stops_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ABindingCommittedTogetherWithTheCancellationIsNotSent) {
+  EntryFixture Fixture;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1200});
+  const auto Owner = Fixture.owner();
+  const auto Submit = Fixture.submit(Owner, "a");
+  BOOST_REQUIRE(isJobState(Fixture.replyOf(Submit)));
+  BOOST_REQUIRE(Fixture.Binds_.size() <= 1U);
+  // The task's next binding waits for the store, and so does the cancellation.
+  Fixture.report("a", TaskPhase::Failed, ErrorKind::TaskFailed);
+  Fixture.Binds_.clear();
+  Fixture.StoreUnreachable_[Owner] = true;
+  Fixture.advance(Millis{400});
+  Fixture.cancel(Owner, "a");
+  Fixture.StoreUnreachable_[Owner] = false;
+  Fixture.advance(Millis{2000});
+  BOOST_TEST(Fixture.Binds_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ARunThatTheLedgerDoesNotHaveIsStoppedOnceVerified) {
+  EntryFixture Fixture;
+  Fixture.HeldTasks_ = {taskReport("unknown", 3, TaskPhase::Running)};
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{1500});
+  BOOST_REQUIRE(!Fixture.Stops_.empty());
+  BOOST_TEST(Fixture.Stops_.front().Attempt_ == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(NoTaskIsBoundToAWorkerWhoseCapacityHasShrunk) {
   EntryFixture Fixture;
   Fixture.connectAgent(7);
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -523,6 +523,10 @@
 }
 
 auto Simulation::execute(std::size_t Entry, const SendToAgent &Send) -> void {
+  const auto *Stop = std::get_if<StopTask>(&Send.Message_);
+  if (Stop != nullptr &&
+      StopsLostToAgent_[{Stop->Task_, Stop->Attempt_}]++ < Config_.LostStops_)
+    return;
   for (const auto &Each : Connections_) {
     if (Each->Session_ != Send.Session_ || !Each->OpenAtEntry_)
       continue;
@@ -811,6 +815,8 @@
 
 auto Simulation::executeForAgent(std::size_t Agent, const StopOnWorker &Stop)
     -> void {
+  if (StopsLostToWorker_[{Stop.Task_, Stop.Attempt_}]++ < Config_.LostStops_)
+    return;
   const auto Order = [Stop, Token = tokenOf(Agent)](FakeWorker &Worker) {
     Worker.stop(Stop, Token);
     return StartOutcome::Accepted;
@@ -998,6 +1004,8 @@
 auto Simulation::cancelJob(const JobId &Id, int RetriesLeft) -> void {
   sendRequest(CancelJob{Id, false, {}}, "", true,
               [this, Id, RetriesLeft](const CallerReply &Reply) {
+                if (!std::holds_alternative<ErrorReply>(Reply))
+                  Checker_.jobCancelled(Now_, Id);
                 if (std::holds_alternative<ErrorReply>(Reply) &&
                     RetriesLeft > 0)
                   scheduleAfter(Millis{2000}, [this, Id, RetriesLeft] {
@@ -1307,8 +1315,7 @@
     break;
   case FaultKind::CancelJobs:
     for (std::size_t Index = 0; Index < Jobs_.size(); Index += 2)
-      sendRequest(CancelJob{Jobs_[Index], false, {}}, "", true,
-                  [](const CallerReply &) {});
+      cancelJob(Jobs_[Index], 0);
     break;
   case FaultKind::ChangeSeries:
     continueChangeSeries(Until, Each.Selector_, 0);
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -117,6 +117,9 @@
   /// Whether callers submit jobs under ids of their own and cancel them before,
   /// beside or after the submission, which may be repeated seconds later.
   bool PromptCancellations_ = false;
+  /// How many stops of each attempt are lost, on the way to its agent and again
+  /// on the way to its worker.
+  int LostStops_ = 0;
   /// Whether to print the decisions that the processes log.
   bool Trace_ = false;
 };
@@ -370,6 +373,9 @@
   ConfigurationLag ConfigurationLag_;
   /// When each data centre was last seen out of service.
   std::map<DataCentreName, TrueTime> LastOutAt_;
+  /// Number of stops of each attempt that were lost.
+  std::map<std::pair<TaskId, AttemptNumber>, int> StopsLostToAgent_;
+  std::map<std::pair<TaskId, AttemptNumber>, int> StopsLostToWorker_;
   /// Whether callers send new work.
   bool Busy_ = true;
 };
--- a/test/fuzz/Soak.cpp
+++ b/test/fuzz/Soak.cpp
@@ -113,6 +113,9 @@
       "crashing-tasks", "some tasks crash each worker that starts them")(
       "prompt-cancellations",
       "callers cancel jobs before, beside and after their submission")(
+      "lost-stops",
+      "stops of each attempt that are lost, to its agent and to its worker",
+      cxxopts::value<int>()->default_value("0"))(
       "trace", "print what the processes log in a failed run, reduced to the "
                "necessary faults")("h,help", "print this text");
   const auto Parsed = Options.parse(Count, Arguments);
@@ -148,6 +151,7 @@
       Config.ChangingCapacity_ = Parsed.count("changing-capacity") != 0;
       Config.CrashingTasks_ = Parsed.count("crashing-tasks") != 0;
       Config.PromptCancellations_ = Parsed.count("prompt-cancellations") != 0;
+      Config.LostStops_ = Parsed["lost-stops"].as<int>();
       Config.Quiet_ = Seconds{Parsed["quiet"].as<int>()};
       Simulation Run(Config);
       const auto Violations = Run.run();
