Tests: a run of a removed agent, and the tasks of a failed job, are stopped

A run whose agent was replaced by another one on the worker's machine is reported to the owner by the successor, and stopped as an attempt that isn't the current one. The other tasks of a failed job have the same schedule of stops as those of a cancelled one.

--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -97,7 +97,7 @@
   auto connectAgent(Incarnation Worker) -> void {
     Worker_ = Worker;
     Hello Message;
-    Message.Agent_ = {"agent"};
+    Message.Agent_ = {AgentName_};
     Message.Incarnation_ = Worker;
     Message.Worker_ = Worker;
     Message.DataCentre_ = {"hobart"};
@@ -213,6 +213,9 @@
   std::vector<TimePoint> StopTimes_;
   /// The entry whose messages to the agent are lost; EntryCount for none.
   std::size_t SilentEntry_ = EntryCount;
+  std::string AgentName_ = "agent";
+  /// How often a task of the queue may fail, in the next configuration.
+  std::uint32_t FailureLimit_ = QueueDeclaration{}.FailureLimit_;
   /// Whether the agent confirms owners.
   bool ConfirmsClaims_ = true;
   auto boundAttempts() const -> std::vector<AttemptNumber> {
@@ -256,6 +259,7 @@
     Queue.Host_ = "portal.example";
     Queue.PathPrefix_ = "/jobs/";
     Queue.Service_ = {"portal"};
+    Queue.FailureLimit_ = FailureLimit_;
     Configured.Queues_ = {Queue};
     EnvironmentHead Head;
     Head.Revision_ = StoredRevision_;
@@ -1006,6 +1010,40 @@
   BOOST_TEST(Fixture.Binds_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(ARunOfARemovedAgentIsStoppedThroughItsSuccessor) {
+  EntryFixture Fixture;
+  Fixture.runJob("a");
+  Fixture.leave();
+  Fixture.cancel(Fixture.owner(), "a");
+  Fixture.advance(Millis{300});
+  Fixture.Stops_.clear();
+  Fixture.AgentName_ = "successor";
+  Fixture.HeldTasks_.front().NeedsBinding_ = true;
+  Fixture.connectAgent(1);
+  BOOST_TEST(!Fixture.Stops_.empty());
+  BOOST_TEST(Fixture.Binds_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TheOtherTasksOfAFailedJobAreStoppedWithTheCommit) {
+  EntryFixture Fixture;
+  Fixture.FailureLimit_ = 1;
+  Fixture.ChangesConfiguration_ = true;
+  Fixture.advance(Millis{100});
+  Fixture.ChangesConfiguration_ = false;
+  Fixture.connectAgent(1);
+  Fixture.advance(Millis{2200});
+  SubmitToQueue Request;
+  Request.Address_ = {"portal.example", "/jobs/a"};
+  Request.Declaration_.Steps_.front().TaskCount_ = 2;
+  Request.Declaration_.Steps_.front().Resources_ = {1000, 1000, 0};
+  Fixture.sendRequest(Fixture.owner(), Request);
+  Fixture.advance(Millis{1000});
+  BOOST_REQUIRE(Fixture.Binds_.size() == 2U);
+  Fixture.report("a", 1, TaskPhase::Failed);
+  BOOST_REQUIRE(Fixture.Stops_.size() == 1U);
+  BOOST_TEST(Fixture.Stops_.front().Task_.Index_ == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ARunThatTheLedgerDoesNotHaveIsStoppedOnceVerified) {
   EntryFixture Fixture;
   Fixture.HeldTasks_ = {taskReport("unknown", 3, TaskPhase::Running)};
