--- a/test/correctness/EntryFixture.h
+++ b/test/correctness/EntryFixture.h
@@ -99,7 +99,7 @@
   auto connectAgent(Incarnation Worker) -> void {
     Worker_ = Worker;
     Hello Message;
-    Message.Agent_ = {"agent"};
+    Message.Agent_ = {AgentName_};
     Message.Incarnation_ = Worker;
     Message.Worker_ = Worker;
     Message.DataCentre_ = {"hobart"};
@@ -235,6 +235,9 @@
   std::vector<TimePoint> StopTimes_;
   /// The entry whose messages to the agent are lost; EntryCount for none.
   std::size_t SilentEntry_ = EntryCount;
+  std::string AgentName_ = "agent";
+  /// How often a task of the queue may fail, in the next configuration.
+  std::uint32_t FailureLimit_ = QueueDeclaration{}.FailureLimit_;
   /// Whether the agent confirms owners.
   bool ConfirmsClaims_ = true;
   std::vector<LogDecision> Log_;
@@ -279,6 +282,7 @@
     Queue.Host_ = "portal.example";
     Queue.PathPrefix_ = "/jobs/";
     Queue.Service_ = {"portal"};
+    Queue.FailureLimit_ = FailureLimit_;
     Configured.Queues_ = {Queue};
     EnvironmentHead Head;
     Head.Revision_ = StoredRevision_;
