A submission isn't denied while an earlier copy is written

A submission that was repeated after "outcome unknown", and waited for the store behind the first copy, was withdrawn after 5 s and answered 503, which says that the job never runs; the first copy was stored and the job ran. It is answered "outcome unknown" while another submission of the job isn't settled.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -377,11 +377,11 @@
           const auto *AddedRecord = std::get_if<JobAdded>(&Record);
           return AddedRecord != nullptr && AddedRecord->Job_.Id_ == Id;
         });
-    if (Withdrawn)
-      Submitting_.erase(WaitingJob);
+    // An earlier copy that is being written may still take effect.
+    const auto WillNotRun = Withdrawn && submissionSettled(WaitingJob);
     for (const auto &Caller : Callers)
       refuse(Caller.Token_,
-             Withdrawn ? Caller.Refusal_ : ErrorKind::OutcomeUnknown,
+             WillNotRun ? Caller.Refusal_ : ErrorKind::OutcomeUnknown,
              WaitingJob.Value_, Out);
   }
   // A cancellation is carried out though its callers don't wait any longer: it
@@ -485,7 +485,7 @@
   if (!SubmitCallers_.add(
           Id, {Token, Now.Steady_ + CallerTimeout, Refusal, StateOnly}))
     return;
-  Submitting_.insert(Id);
+  ++Submitting_[Id];
   if (CancelledIds_.contains(Id)) {
     log("submitted-after-cancellation", Id.Value_, ErrorKind::Cancelled, "",
         Out);
@@ -495,6 +495,14 @@
   Ledger_.advance();
 }
 
+auto ShardOwner::submissionSettled(const JobId &Id) -> bool {
+  const auto Found = Submitting_.find(Id);
+  if (Found == Submitting_.end() || --Found->second > 0)
+    return false;
+  Submitting_.erase(Found);
+  return true;
+}
+
 auto ShardOwner::makeJobId(const SubmitJob &Submission, Random &Generator) const
     -> JobId {
   // If the submission has a key, the id is derived from that key, so that a
@@ -508,7 +516,7 @@
 
 auto ShardOwner::committed(Moment Now, const JobAdded &Record, EntryOutbox &Out)
     -> void {
-  Submitting_.erase(Record.Job_.Id_);
+  submissionSettled(Record.Job_.Id_);
   CancelledIds_.remove(Record.Job_.Id_);
   const auto *AddedJob = state().findJob(Record.Job_.Id_);
   MeanWork_.record(*AddedJob);
@@ -845,7 +853,7 @@
 // Records that the store refuses.
 
 auto ShardOwner::refused(const JobAdded &Record, EntryOutbox &Out) -> void {
-  Submitting_.erase(Record.Job_.Id_);
+  submissionSettled(Record.Job_.Id_);
   SubmitCallers_.refuse(Record.Job_.Id_, ErrorKind::BodyTooLarge, Out);
 }
 
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -383,6 +383,9 @@
   auto recordOutcome(Moment Now, const Target &From, const TaskId &Task,
                      bool Failed, EntryOutbox &Out) -> void;
   auto expireWaitingCallers(Moment Now, EntryOutbox &Out) -> void;
+  /// Takes note that a queued submission was committed or won't be. \returns
+  /// whether it was the last one of the job.
+  auto submissionSettled(const JobId &Id) -> bool;
   /// Prepares to cancel a job that the ledger doesn't have, or refuses that.
   /// \returns whether to go on.
   auto mayCancelUnknown(Moment Now, CallerToken Token, const JobId &Id,
@@ -479,8 +482,8 @@
   /// Tasks of which an earlier attempt was reported as finished while a change
   /// of the task was being committed.
   std::set<TaskId> FinishReported_;
-  /// Jobs whose submission is not committed yet.
-  std::set<JobId> Submitting_;
+  /// Number of the submissions of each job that are not committed yet.
+  std::map<JobId, int> Submitting_;
   /// Jobs whose cancellation is not committed yet.
   std::set<JobId> Cancelling_;
   /// Jobs that will fail once a proposed change of one of their tasks is
--- a/test/correctness/CancellationTest.cpp
+++ b/test/correctness/CancellationTest.cpp
@@ -333,4 +333,20 @@
   BOOST_TEST(std::get<UnstartedJobsReply>(*Reply).Count_ == 1U);
 }
 
+// A repeated submission was answered 503, "never runs", and its job ran.
+BOOST_AUTO_TEST_CASE(ASubmissionIsNotDeniedWhileAnEarlierCopyIsWritten) {
+  EntryFixture Fixture;
+  const auto Owner = Fixture.owner();
+  Fixture.StoreUnreachable_.fill(true);
+  const auto First = Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{5500});
+  const auto Second = Fixture.submit(Owner, "a");
+  Fixture.advance(Millis{5500});
+  Fixture.StoreUnreachable_.fill(false);
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.taskStatus("a") != nullptr);
+  for (const auto Submission : {First, Second})
+    BOOST_TEST((Fixture.errorOf(Submission) == ErrorKind::OutcomeUnknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
