--- a/core/Counters.h
+++ b/core/Counters.h
@@ -6,6 +6,7 @@
 #include "core/ErrorKind.h"
 #include "core/GrantBarrier.h"
 #include "core/JobWaits.h"
+#include "core/StoreFailure.h"
 
 #include <array>
 
@@ -52,6 +53,12 @@
   std::uint64_t WorkersEjected_ = 0;
   std::uint64_t StoreCalls_ = 0;
   std::uint64_t StoreFailures_ = 0;
+  /// Failed calls to the store, by reason where it is known.
+  std::array<std::uint64_t, static_cast<std::size_t>(StoreFailure::Count)>
+      StoreFailuresByReason_{};
+  /// Changes of the operators that a complete read of their keys showed,
+  /// although the stream of changes had gone past them.
+  std::uint64_t StoreCorrections_ = 0;
   /// Writes that the store refused for good.
   std::uint64_t StoreRefusals_ = 0;
 
@@ -61,6 +68,10 @@
   auto countWithheldGrant(GrantBarrier Barrier) -> void {
     ++GrantsWithheld_[static_cast<std::size_t>(Barrier)];
   }
+  auto countStoreFailure(StoreFailure Reason) -> void {
+    ++StoreFailures_;
+    ++StoreFailuresByReason_[static_cast<std::size_t>(Reason)];
+  }
   auto countRetry(RetryReason Reason) -> void {
     ++Retries_[static_cast<std::size_t>(Reason)];
   }
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -828,6 +828,16 @@
     RegisteredAt_ = Now.Steady_;
   StoreReached_ = Reached;
   Registered_ = View_.registered();
+  const auto &Head = View_.configuration().Head_;
+  if (Head.Revision_ != LoggedRevision_)
+    Log("configuration-adopted",
+        "digest " + Head.DocumentDigest_ + ", document revision " +
+            std::to_string(Head.DocumentRevision_) + ", start revision " +
+            std::to_string(View_.configuration().startRevision()) + ", " +
+            std::to_string(Head.DataCentresOut_.size()) +
+            " data centres out, found by " +
+            std::string(configurationSourceText(View_.source())));
+  LoggedRevision_ = Head.Revision_;
 }
 
 auto EntryCore::leave(Moment Now, EntryOutbox &Out) -> void {
--- a/core/EnvironmentView.cpp
+++ b/core/EnvironmentView.cpp
@@ -78,34 +78,35 @@
   if (State.Head_.Revision_ <= revision()) {
     completeRead(Now, State.AsOf_, SentAt);
   } else if (State.Head_.DocumentDigest_ == Current_.Head_.DocumentDigest_) {
-    adoptConfiguration(Now, {State.Head_, Current_.Document_});
+    adoptConfiguration(Now, {State.Head_, Current_.Document_}, State.Source_);
     completeRead(Now, State.AsOf_, SentAt);
   } else {
-    readDocument(State.Head_, State.AsOf_, SentAt);
+    readDocument(State.Head_, State.Source_, State.AsOf_, SentAt);
   }
 }
 
-auto EnvironmentView::readDocument(const EnvironmentHead &Head, Revision AsOf,
+auto EnvironmentView::readDocument(const EnvironmentHead &Head,
+                                   ConfigurationSource Source, Revision AsOf,
                                    TimePoint SentAt) -> void {
   PendingRead_ = PendingRead{Head.Revision_, AsOf, SentAt};
-  Store_.call(ReadValue{documentKey(Head.DocumentDigest_)},
-              [this, Head, AsOf, SentAt](
-                  Moment AnsweredAt, const StoreResult &Result, EntryOutbox &) {
-                // An agent has offered this configuration or a newer one.
-                if (!PendingRead_ || PendingRead_->Revision_ != Head.Revision_)
-                  return;
-                PendingRead_.reset();
-                if (Result.Status_ != StoreStatus::Ok) {
-                  failRead(AnsweredAt, SentAt);
-                  return;
-                }
-                adoptConfiguration(AnsweredAt,
-                                   {Head, std::get<Document>(Result.Value_)});
-                const auto IgnoreRead =
-                    isMutationActive(Mutation::NewerDocumentIsNoContact);
-                completeRead(AnsweredAt, AsOf,
-                             IgnoreRead ? TimePoint{} : SentAt);
-              });
+  Store_.call(
+      ReadValue{documentKey(Head.DocumentDigest_)},
+      [this, Head, Source, AsOf,
+       SentAt](Moment AnsweredAt, const StoreResult &Result, EntryOutbox &) {
+        // An agent has offered this configuration or a newer one.
+        if (!PendingRead_ || PendingRead_->Revision_ != Head.Revision_)
+          return;
+        PendingRead_.reset();
+        if (Result.Status_ != StoreStatus::Ok) {
+          failRead(AnsweredAt, SentAt);
+          return;
+        }
+        adoptConfiguration(AnsweredAt,
+                           {Head, std::get<Document>(Result.Value_)}, Source);
+        const auto IgnoreRead =
+            isMutationActive(Mutation::NewerDocumentIsNoContact);
+        completeRead(AnsweredAt, AsOf, IgnoreRead ? TimePoint{} : SentAt);
+      });
 }
 
 auto EnvironmentView::completeRead(Moment Now, Revision AsOf, TimePoint SentAt)
@@ -126,8 +127,8 @@
   FailedReads_->LastAt_ = SentAt;
 }
 
-auto EnvironmentView::adoptConfiguration(Moment Now, Configuration Next)
-    -> void {
+auto EnvironmentView::adoptConfiguration(Moment Now, Configuration Next,
+                                         ConfigurationSource Source) -> void {
   if (Next.Head_.Revision_ <= revision())
     return;
   // Permits granted so far have the duration set by the previous document.
@@ -135,6 +136,7 @@
                                      Next.Document_.Policy_.PermitDuration_);
   const auto PreviousRevision = revision();
   Current_ = std::move(Next);
+  Source_ = Source;
   SKYLARK_ASSERT(revision() > PreviousRevision,
                  "configuration revision decreased from", PreviousRevision,
                  "to", revision());
@@ -148,7 +150,7 @@
       digestText(Offered.Document_.Text_) == Offered.Head_.DocumentDigest_;
   if (!DigestMatches)
     return;
-  adoptConfiguration(Now, Offered);
+  adoptConfiguration(Now, Offered, ConfigurationSource::Agent);
   if (PendingRead_ && revision() >= PendingRead_->Revision_) {
     const auto Read = *std::exchange(PendingRead_, std::nullopt);
     completeRead(Now, Read.AsOf_, Read.SentAt_);
--- a/core/EnvironmentView.h
+++ b/core/EnvironmentView.h
@@ -47,6 +47,8 @@
   auto requestRead() -> void { NextReadAt_ = {}; }
 
   auto configuration() const -> const Configuration & { return Current_; }
+  /// How the configuration was found.
+  auto source() const -> ConfigurationSource { return Source_; }
   auto revision() const -> Revision { return Current_.Head_.Revision_; }
   /// The revision up to which every change has been seen.
   auto asOf() const -> Revision { return std::max(AsOf_, revision()); }
@@ -115,15 +117,16 @@
                              TimePoint SentAt) -> void;
   /// Reads the document of a head that was read as of the revision `AsOf`, by a
   /// read sent at `SentAt`.
-  auto readDocument(const EnvironmentHead &Head, Revision AsOf,
-                    TimePoint SentAt) -> void;
+  auto readDocument(const EnvironmentHead &Head, ConfigurationSource Source,
+                    Revision AsOf, TimePoint SentAt) -> void;
   /// Records that the configuration held was the newest one at `SentAt`.
   auto completeRead(Moment Now, Revision AsOf, TimePoint SentAt) -> void;
   auto failRead(Moment Now, TimePoint SentAt) -> void;
   /// Whether a data centre is out in the newest head read, but not in the
   /// configuration held.
   auto newerForbidsStarts() const -> bool;
-  auto adoptConfiguration(Moment Now, Configuration Next) -> void;
+  auto adoptConfiguration(Moment Now, Configuration Next,
+                          ConfigurationSource Source) -> void;
   auto updateRegistrations(Moment Now, const EnvironmentState &State) -> void;
   auto updateGrantors(Moment Now, const EnvironmentState &State) -> void;
   auto registrationDuration() const -> Millis;
@@ -137,6 +140,7 @@
   EntryRegistration Self_;
   StoreClient &Store_;
   Configuration Current_;
+  ConfigurationSource Source_ = ConfigurationSource::Unknown;
   /// The highest revision that the store is known to hold.
   Revision KnownRevision_ = 0;
   /// The data centres that are out of service at that revision.
--- a/core/StoreCalls.h
+++ b/core/StoreCalls.h
@@ -3,8 +3,10 @@
 /// results.
 #pragma once
 
+#include "core/ConfigurationSource.h"
 #include "core/Document.h"
 #include "core/ShardState.h"
+#include "core/StoreFailure.h"
 
 #include <optional>
 #include <variant>
@@ -200,6 +202,8 @@
   Revision AsOf_ = 0;
   std::uint64_t HeadIndex_ = 0;
   EnvironmentHead Head_;
+  /// How the newest change of the head was found.
+  ConfigurationSource Source_ = ConfigurationSource::Unknown;
   std::vector<RegisteredEntry> Leases_;
   std::vector<RegisteredEntry> Grantors_;
 };
@@ -207,6 +211,11 @@
 struct StoreResult {
   std::uint64_t Call_ = 0;
   StoreStatus Status_ = StoreStatus::Unavailable;
+  /// Why the status is Unavailable, where it is known.
+  StoreFailure Failure_ = StoreFailure::None;
+  /// Changes that were found since the last result, although the stream of
+  /// changes had gone past them.
+  std::uint64_t Corrections_ = 0;
   std::uint64_t Index_ = 0;
   StoreValue Value_;
   LeaseId Lease_;
--- a/core/StoreClient.cpp
+++ b/core/StoreClient.cpp
@@ -51,11 +51,12 @@
   const auto Call = std::move(Found->second);
   PendingCalls_.erase(Found);
   if (Result.Status_ == StoreStatus::Unavailable) {
-    ++Counters_.StoreFailures_;
+    Counters_.countStoreFailure(Result.Failure_);
     BackoffUntil_ = Now.Steady_ + backoffAfter(++ConsecutiveFailures_);
   } else {
     ConsecutiveFailures_ = 0;
   }
+  Counters_.StoreCorrections_ += Result.Corrections_;
   if (Result.Status_ == StoreStatus::Refused) {
     ++Counters_.StoreRefusals_;
     Out.push_back(LogDecision{"store-refused-write", Call.Key_, 0,
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -31,6 +31,7 @@
     {"skylark_workers_ejected_total", &Counters::WorkersEjected_},
     {"skylark_store_failures_total", &Counters::StoreFailures_},
     {"skylark_store_refusals_total", &Counters::StoreRefusals_},
+    {"skylark_store_corrections_total", &Counters::StoreCorrections_},
 };
 
 struct GaugeMetric {
@@ -106,6 +107,12 @@
     Out << "skylark_grants_withheld_total{reason=\""
         << grantBarrierText(static_cast<GrantBarrier>(Index)) << "\"} "
         << CounterValues.GrantsWithheld_[Index] << '\n';
+  Out << "# TYPE skylark_store_failures_by_reason_total counter\n";
+  for (std::size_t Index = 1;
+       Index < CounterValues.StoreFailuresByReason_.size(); ++Index)
+    Out << "skylark_store_failures_by_reason_total{reason=\""
+        << storeFailureText(static_cast<StoreFailure>(Index)) << "\"} "
+        << CounterValues.StoreFailuresByReason_[Index] << '\n';
   Out << "# TYPE skylark_task_wait_microseconds_total counter\n";
   for (std::size_t Index = 0; Index < CounterValues.TaskWaitMicros_.size();
        ++Index)
