--- a/test/correctness/OperatorKeysTest.cpp
+++ b/test/correctness/OperatorKeysTest.cpp
@@ -68,4 +68,38 @@
   BOOST_TEST(Count(StoreFailure::Unreadable) == 0U);
 }
 
+BOOST_FIXTURE_TEST_CASE(EventsInAnyOrderLeaveTheNewestInForce, StoreFixture) {
+  Http_.put("op/evacuate/b", "{}");
+  BOOST_REQUIRE(read());
+  Http_.EventsAreNewestFirst_ = true;
+  putConfiguration("s1");
+  Http_.put("op/evacuate/a", "{}");
+  Http_.remove("op/evacuate/b");
+  Http_.remove("op/evacuate/a");
+  Http_.put("op/evacuate/b", "{}");
+  putConfiguration("s2");
+  BOOST_REQUIRE(read());
+  BOOST_TEST(Service_ == "s2");
+  BOOST_TEST(!isOut("a"));
+  BOOST_TEST(isOut("b"));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOlderListingTakesNothingBack, StoreFixture) {
+  Http_.put("op/evacuate/b", "{}");
+  BOOST_REQUIRE(read());
+  Http_.freezeRanges();
+  putConfiguration("s1");
+  Http_.put("op/evacuate/a", "{}");
+  Http_.remove("op/evacuate/b");
+  BOOST_REQUIRE(read());
+  Http_.put("other", "");
+  Http_.dropHistory();
+  const auto Before = State_.Head_;
+  read();
+  BOOST_TEST(Service_ == "s1");
+  BOOST_TEST(isOut("a"));
+  BOOST_TEST(!isOut("b"));
+  BOOST_TEST(State_.Head_.StartRevision_ == Before.StartRevision_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
