Configurations and evacuations that are found after a newer key come into force

What callers saw: a configuration that the entry had found late wasn't in force until anything else of the operator's changed; an evacuation found late didn't reach agents.

Cause: the head has the revision of the newest of the operator's keys. A listing that corrected an item with a lower revision changed the head under the same revision, and neither the entry's view nor agents adopt a head that isn't newer.

Heads are ordered by revision, then by the configuration's own revision (DocumentRevision_, which was the head's before), then by the start revision; a later read of the store under one revision with other data centres out replaces the one held. An offer of an agent must still have a higher revision. Revisions never decrease.

What remains: if nothing at all has been written since the newer key, an evacuation found late has its start revision. The entry adopts it and places nothing there; agents keep their list until the next write and change.

--- a/core/Document.cpp
+++ b/core/Document.cpp
@@ -67,6 +67,16 @@
   return contains(DataCentresOut_, Name);
 }
 
+auto EnvironmentHead::supersedes(const EnvironmentHead &Held) const -> bool {
+  const auto Order = [](const EnvironmentHead &Head) {
+    return std::make_tuple(Head.Revision_, Head.DocumentRevision_,
+                           Head.StartRevision_);
+  };
+  if (Order(*this) != Order(Held))
+    return Order(*this) > Order(Held);
+  return !(DataCentresOut_ == Held.DataCentresOut_);
+}
+
 auto EnvironmentHead::revisionOf(const WriteId &Write) const -> Revision {
   for (const auto &Each : RecentWrites_)
     if (Each.Write_ == Write)
--- a/core/Document.h
+++ b/core/Document.h
@@ -170,6 +170,10 @@
         &EnvironmentHead::DataCentresOut_, &EnvironmentHead::RecentWrites_);
   }
   auto isOut(const DataCentreName &Name) const -> bool;
+  /// Whether this head, found by a later read of the same store, replaces
+  /// `Held`. Heads of one revision differ if a change was found after a newer
+  /// one and nothing has been written since.
+  auto supersedes(const EnvironmentHead &Held) const -> bool;
   /// The revision that `Write` made, or 0 where it is not among recent writes.
   auto revisionOf(const WriteId &Write) const -> Revision;
 };
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -829,7 +829,7 @@
   StoreReached_ = Reached;
   Registered_ = View_.registered();
   const auto &Head = View_.configuration().Head_;
-  if (Head.Revision_ != LoggedRevision_)
+  if (View_.adoptionCount() != LoggedAdoptions_)
     Log("configuration-adopted",
         "digest " + Head.DocumentDigest_ + ", document revision " +
             std::to_string(Head.DocumentRevision_) + ", start revision " +
@@ -837,7 +837,7 @@
             std::to_string(Head.DataCentresOut_.size()) +
             " data centres out, found by " +
             std::string(configurationSourceText(View_.source())));
-  LoggedRevision_ = Head.Revision_;
+  LoggedAdoptions_ = View_.adoptionCount();
 }
 
 auto EntryCore::leave(Moment Now, EntryOutbox &Out) -> void {
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -240,8 +240,8 @@
   TimePoint NextRebalance_{};
   /// Time of the store reading on which the last rebalancing was based.
   TimePoint RebalancedReadAt_{};
-  /// The revision that was logged last.
-  Revision LoggedRevision_ = 0;
+  /// How many configurations have been logged as adopted.
+  std::uint64_t LoggedAdoptions_ = 0;
   bool StoreReached_ = false;
   GrantMonitor GrantMonitor_;
   bool Registered_ = false;
--- a/core/EnvironmentView.cpp
+++ b/core/EnvironmentView.cpp
@@ -70,12 +70,12 @@
     return;
   }
   const auto &State = Result.EnvironmentState_;
-  if (State.Head_.Revision_ > KnownRevision_) {
+  if (State.Head_.Revision_ >= KnownRevision_) {
     KnownRevision_ = State.Head_.Revision_;
     KnownDataCentresOut_ = State.Head_.DataCentresOut_;
   }
   updateRegistrations(Now, State);
-  if (State.Head_.Revision_ <= revision()) {
+  if (!State.Head_.supersedes(Current_.Head_)) {
     completeRead(Now, State.AsOf_, SentAt);
   } else if (State.Head_.DocumentDigest_ == Current_.Head_.DocumentDigest_) {
     adoptConfiguration(Now, {State.Head_, Current_.Document_}, State.Source_);
@@ -129,7 +129,7 @@
 
 auto EnvironmentView::adoptConfiguration(Moment Now, Configuration Next,
                                          ConfigurationSource Source) -> void {
-  if (Next.Head_.Revision_ <= revision())
+  if (!Next.Head_.supersedes(Current_.Head_))
     return;
   // Permits granted so far have the duration set by the previous document.
   const auto LongerPermit = std::max(Current_.Document_.Policy_.PermitDuration_,
@@ -137,7 +137,8 @@
   const auto PreviousRevision = revision();
   Current_ = std::move(Next);
   Source_ = Source;
-  SKYLARK_ASSERT(revision() > PreviousRevision,
+  ++AdoptionCount_;
+  SKYLARK_ASSERT(revision() >= PreviousRevision,
                  "configuration revision decreased from", PreviousRevision,
                  "to", revision());
   OldGrantsEnd_ =
@@ -150,7 +151,8 @@
       digestText(Offered.Document_.Text_) == Offered.Head_.DocumentDigest_;
   if (!DigestMatches)
     return;
-  adoptConfiguration(Now, Offered, ConfigurationSource::Agent);
+  if (Offered.Head_.Revision_ > revision())
+    adoptConfiguration(Now, Offered, ConfigurationSource::Agent);
   if (PendingRead_ && revision() >= PendingRead_->Revision_) {
     const auto Read = *std::exchange(PendingRead_, std::nullopt);
     completeRead(Now, Read.AsOf_, Read.SentAt_);
--- a/core/EnvironmentView.h
+++ b/core/EnvironmentView.h
@@ -49,6 +49,8 @@
   auto configuration() const -> const Configuration & { return Current_; }
   /// How the configuration was found.
   auto source() const -> ConfigurationSource { return Source_; }
+  /// How many configurations have come into force.
+  auto adoptionCount() const -> std::uint64_t { return AdoptionCount_; }
   auto revision() const -> Revision { return Current_.Head_.Revision_; }
   /// The revision up to which every change has been seen.
   auto asOf() const -> Revision { return std::max(AsOf_, revision()); }
@@ -141,6 +143,7 @@
   StoreClient &Store_;
   Configuration Current_;
   ConfigurationSource Source_ = ConfigurationSource::Unknown;
+  std::uint64_t AdoptionCount_ = 0;
   /// The highest revision that the store is known to hold.
   Revision KnownRevision_ = 0;
   /// The data centres that are out of service at that revision.
--- a/test/correctness/OperatorKeysTest.cpp
+++ b/test/correctness/OperatorKeysTest.cpp
@@ -102,4 +102,47 @@
   BOOST_TEST(State_.Head_.StartRevision_ == Before.StartRevision_);
 }
 
+BOOST_FIXTURE_TEST_CASE(AConfigurationFoundAfterANewerEvacuationIsAdopted,
+                        ViewOfStore) {
+  follow(Millis{1000});
+  Http_.WatchesHearNothing_ = true;
+  Http_.IsLost_ = [](const std::string &Path) {
+    return Path.rfind("/kv-range?prefix=op/", 0) == 0;
+  };
+  putConfiguration("s1");
+  follow(Millis{500});
+  Http_.WatchesHearNothing_ = false;
+  Http_.put("op/evacuate/a", "{}");
+  follow(Millis{500});
+  BOOST_REQUIRE(View_.configuration().Head_.isOut({"a"}));
+  BOOST_REQUIRE(serviceInForce() == "s0");
+  Http_.IsLost_ = {};
+  Http_.put("other", "");
+  Http_.dropHistory();
+  follow(Millis{2000});
+  BOOST_TEST(serviceInForce() == "s1");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEvacuationFoundAfterANewerOneReachesAgents,
+                        ViewOfStore) {
+  follow(Millis{1000});
+  Http_.WatchesHearNothing_ = true;
+  Http_.IsLost_ = [](const std::string &Path) {
+    return Path.rfind("/kv-range?prefix=op/", 0) == 0;
+  };
+  Http_.put("op/evacuate/a", "{}");
+  follow(Millis{500});
+  Http_.WatchesHearNothing_ = false;
+  Http_.put("op/evacuate/b", "{}");
+  follow(Millis{500});
+  BOOST_REQUIRE(!View_.configuration().Head_.isOut({"a"}));
+  const auto HeldByAgents = View_.configuration().forAgents().Head_.Revision_;
+  Http_.put("other", "");
+  Http_.IsLost_ = {};
+  Http_.dropHistory();
+  follow(Millis{2000});
+  BOOST_TEST(View_.configuration().Head_.isOut({"a"}));
+  BOOST_TEST(View_.configuration().forAgents().Head_.Revision_ > HeldByAgents);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
