The operator's keys are listed regularly, whatever the watch tells

What callers saw: a request was handled by an older configuration over two seconds after the newer one had been confirmed, until the next change.

Cause: an answer of a watch without events moved the position of the watch on to the store's revision. A change that a watch didn't tell was never looked for again.

Change: the watch only hints at changes. What proves that none was missed is a listing of all the operator's keys, which is started beside the watch at a regular interval (500 ms at least). At most one is under way; one that fails doesn't fail the read of the environment. The interval grows with the size of the last listing, to 250 bytes per ms at most, a fifth of a link of 10 Mbit/s; after a second listing in succession without a complete answer it grows to 2 s. A change that the watch had gone past is logged (store-correction: key, revisions) and counted (skylark_store_corrections_total).

A document is returned as it was when its head was, since a listing may change the keys between the two.

Evidence: before, OperatorsKeys/AChangeThatNoWatchToldIsFound (s0 instead of s1 after 1.5 s, evacuations a and b as before, 0 corrections instead of 3), ChangesFoundLateAreAdoptedUnderTheSameRevision, AListingThatFailsDoesNotFailTheRead, AListingWithoutAnswerIsTheOnlyOne and ListingsTakeASmallShareOfASlowLink (no listing in 30 s) failed.

--- a/test/correctness/HttpStoreFixture.h
+++ b/test/correctness/HttpStoreFixture.h
@@ -229,7 +229,7 @@
 
   FakeHttpStore Http_;
   TimePoint Now_{Seconds{1000}};
-  Platform::MetadataStore Store_{Http_, "store", {}};
+  Platform::MetadataStore Store_{Http_, "store", {}, [this] { return Now_; }};
   EnvironmentState State_;
   /// The service that the configuration read last declares.
   std::string Service_;
--- a/test/correctness/OperatorKeysTest.cpp
+++ b/test/correctness/OperatorKeysTest.cpp
@@ -145,4 +145,82 @@
   BOOST_TEST(View_.configuration().forAgents().Head_.Revision_ > HeldByAgents);
 }
 
+// Nothing was written after the newer evacuation, so no higher revision exists.
+BOOST_FIXTURE_TEST_CASE(ChangesFoundLateAreAdoptedUnderTheSameRevision,
+                        ViewOfStore) {
+  follow(Millis{1000});
+  Http_.WatchesHearNothing_ = true;
+  Http_.IsLost_ = [](const std::string &Path) {
+    return Path.rfind("/kv-range?prefix=op/", 0) == 0;
+  };
+  putConfiguration("s1");
+  Http_.put("op/evacuate/a", "{}");
+  follow(Millis{500});
+  Http_.WatchesHearNothing_ = false;
+  Http_.put("op/evacuate/b", "{}");
+  follow(Millis{500});
+  BOOST_REQUIRE(!View_.configuration().Head_.isOut({"a"}));
+  Http_.IsLost_ = {};
+  follow(Millis{2000});
+  BOOST_TEST(serviceInForce() == "s1");
+  BOOST_TEST(View_.configuration().Head_.isOut({"a"}));
+  BOOST_TEST(View_.configuration().Head_.isOut({"b"}));
+}
+
+BOOST_FIXTURE_TEST_CASE(AChangeThatNoWatchToldIsFound, ViewOfStore) {
+  Http_.put("op/evacuate/a", "{}");
+  follow(Millis{1000});
+  Http_.freezeRanges();
+  Http_.WatchesHearNothing_ = true;
+  putConfiguration("s1");
+  Http_.remove("op/evacuate/a");
+  Http_.put("op/evacuate/b", "{}");
+  follow(Millis{300});
+  Http_.thawRanges();
+  follow(Millis{1200});
+  BOOST_TEST(serviceInForce() == "s1");
+  BOOST_TEST(!View_.configuration().Head_.isOut({"a"}));
+  BOOST_TEST(View_.configuration().Head_.isOut({"b"}));
+  BOOST_TEST(Counters_.StoreCorrections_ == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AListingThatFailsDoesNotFailTheRead, ViewOfStore) {
+  follow(Millis{1000});
+  auto Lost = 0;
+  Http_.IsLost_ = [&](const std::string &Path) {
+    const auto IsListing = Path.rfind("/kv-range?prefix=op/", 0) == 0;
+    Lost += IsListing ? 1 : 0;
+    return IsListing;
+  };
+  putConfiguration("s1");
+  follow(Millis{3000});
+  BOOST_TEST(Lost > 0);
+  BOOST_TEST(!View_.failedReads().has_value());
+  BOOST_TEST(serviceInForce() == "s1");
+}
+
+BOOST_FIXTURE_TEST_CASE(AListingWithoutAnswerIsTheOnlyOne, StoreFixture) {
+  BOOST_REQUIRE(read());
+  Http_.HoldsCalls_ = true;
+  auto Done = 0;
+  for (auto Round = 0; Round < 10; ++Round) {
+    elapse(Millis{1000});
+    Store_.call(1, ReadEnvironment{{"test"}},
+                [&](const StoreResult &) { ++Done; });
+  }
+  // A watch and a read of the entries each, and one listing.
+  BOOST_TEST(Http_.Held_.size() == 21U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ListingsTakeASmallShareOfASlowLink, ViewOfStore) {
+  constexpr std::size_t Size = 700000;
+  constexpr std::size_t BytesPerSecond = 1250000;
+  putConfiguration("s1", Size);
+  follow(Seconds{5});
+  const auto Before = Http_.AnswerBytes_;
+  follow(Seconds{30});
+  BOOST_TEST(Http_.AnswerBytes_ - Before < 30 * BytesPerSecond / 4);
+  BOOST_TEST(Http_.AnswerBytes_ - Before > 3 * Size);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
