--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -28,6 +28,11 @@
   UnlimitedCommits,
   TrustRefusals,
   TrustConflicts,
+  Reserved18,
+  Reserved19,
+  TrustWatchAlone,
+  IgnoreKeyRevisions,
+  WatchLargeSeries,
   Count
 };
 
--- a/test/correctness/HttpStoreFixture.h
+++ b/test/correctness/HttpStoreFixture.h
@@ -19,7 +19,7 @@
 public:
   auto call(HttpCall Call, std::function<void(HttpResult)> Done)
       -> void override {
-    if (HoldsCalls_)
+    if (HoldsCalls_ || (IsHeld_ && IsHeld_(Call.Url_)))
       Held_.push_back([this, Call, Done] { answer(Call, Done); });
     else
       answer(Call, Done);
@@ -34,6 +34,7 @@
       -> void {
     const auto Path = Call.Url_.substr(Call.Url_.find("/kv"));
     Paths_.push_back(Path);
+    LongestTimeout_ = std::max(LongestTimeout_, Call.Timeout_);
     HttpResult Answer;
     Answer.Complete_ = true;
     Answer.Status_ = 200;
@@ -94,7 +95,10 @@
   /// Whether watches are answered without events, as if nothing had changed.
   bool WatchesHearNothing_ = false;
   bool EventsAreNewestFirst_ = false;
+  /// Decides which calls wait, beside HoldsCalls_.
+  std::function<bool(const std::string &Url)> IsHeld_;
   std::size_t AnswerBytes_ = 0;
+  Micros LongestTimeout_{0};
   /// The paths of all calls.
   std::vector<std::string> Paths_;
   std::uint64_t Revision_ = 100;
--- a/test/correctness/OperatorKeysTest.cpp
+++ b/test/correctness/OperatorKeysTest.cpp
@@ -223,4 +223,77 @@
   BOOST_TEST(Http_.AnswerBytes_ - Before > 3 * Size);
 }
 
+/// A client that has seen a series of large configurations begin.
+class LargeSeriesFixture : public StoreFixture {
+public:
+  static constexpr std::size_t Size = 300000;
+
+  LargeSeriesFixture() {
+    putConfiguration("s0", Size);
+    BOOST_REQUIRE(read());
+    putConfiguration("s1", Size);
+    BOOST_REQUIRE(read());
+  }
+  auto keyReads() const -> std::ptrdiff_t {
+    return std::count_if(Http_.Paths_.begin(), Http_.Paths_.end(),
+                         [](const std::string &Path) {
+                           return Path.rfind("/kv-key?key=op/config", 0) == 0;
+                         });
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(AWatchOfWhichNothingArrivesIsNotFollowedByALargeRead,
+                        StoreFixture) {
+  putConfiguration("s0", LargeSeriesFixture::Size);
+  BOOST_REQUIRE(read());
+  putConfiguration("s1", LargeSeriesFixture::Size);
+  Http_.IsLost_ = [](const std::string &Path) {
+    return Path.rfind("/kv-watch", 0) == 0;
+  };
+  Http_.Paths_.clear();
+  BOOST_TEST(!read());
+  BOOST_TEST(!read());
+  for (const auto &Each : Http_.Paths_)
+    BOOST_TEST(Each.rfind("/kv-key", 0) != 0U, Each);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALargeConfigurationThatDoesNotArriveDelaysNoEvacuation,
+                        LargeSeriesFixture) {
+  Http_.IsHeld_ = [](const std::string &Url) {
+    return Url.find("/kv-key?key=op/config") != std::string::npos;
+  };
+  putConfiguration("s2", Size);
+  Http_.put("op/evacuate/a", "{}");
+  BOOST_REQUIRE(read());
+  BOOST_TEST(isOut("a"));
+  BOOST_TEST(Service_ == "s1");
+  BOOST_REQUIRE(Http_.Held_.size() == 1U);
+  BOOST_REQUIRE(read());
+  BOOST_TEST(Http_.Held_.size() == 1U);
+  Http_.release(0);
+  BOOST_REQUIRE(read());
+  BOOST_TEST(Service_ == "s2");
+}
+
+BOOST_FIXTURE_TEST_CASE(TheTimeLimitOfALargeConfigurationFitsItsSize,
+                        LargeSeriesFixture) {
+  BOOST_REQUIRE(read());
+  BOOST_TEST(keyReads() > 0);
+  BOOST_TEST((Http_.LongestTimeout_ > Millis{2000}));
+  BOOST_TEST((Http_.LongestTimeout_ < Millis{4000}));
+}
+
+BOOST_FIXTURE_TEST_CASE(AfterASeriesOnlyChangesAreRead, LargeSeriesFixture) {
+  for (auto Round = 0; Round < 3; ++Round)
+    BOOST_REQUIRE(read());
+  const auto Reads = keyReads();
+  const auto Bytes = Http_.AnswerBytes_;
+  BOOST_REQUIRE(read());
+  BOOST_TEST(keyReads() == Reads);
+  BOOST_TEST(Http_.AnswerBytes_ - Bytes < Size / 10);
+  putConfiguration("s2");
+  BOOST_REQUIRE(read());
+  BOOST_TEST(Service_ == "s2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
