A test that the part of an answer that arrived in time is returned

The client of the platform's store decides by it whether a watch broke off or nothing arrived. HttpClients/ThePartOfAnAnswerThatArrivedInTimeIsReturned passes without a change of the client.

--- a/test/correctness/HttpClientTest.cpp
+++ b/test/correctness/HttpClientTest.cpp
@@ -78,6 +78,32 @@
   int Requests_ = 0;
 };
 
+/// Sends a part of its answer and no more.
+class StallingServer {
+public:
+  static constexpr std::size_t PartSize = 300;
+
+  explicit StallingServer(asio::io_context &Traffic)
+      : Acceptor_(Traffic, {asio::ip::address_v4::loopback(), 0}),
+        Socket_(Traffic) {
+    Acceptor_.async_accept(Socket_, [this](std::error_code Error) {
+      if (Error)
+        return;
+      const auto Answer = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" +
+                          std::string(PartSize, 'x');
+      asio::write(Socket_, asio::buffer(Answer));
+    });
+  }
+  auto url() const -> std::string {
+    return "http://127.0.0.1:" +
+           std::to_string(Acceptor_.local_endpoint().port()) + "/";
+  }
+
+private:
+  asio::ip::tcp::acceptor Acceptor_;
+  asio::ip::tcp::socket Socket_;
+};
+
 /// The last result of calls that are made one after the other.
 auto resultOfCalls(asio::io_context &Traffic, const HttpCall &Call, int Count)
     -> HttpResult {
@@ -129,4 +155,16 @@
   }
 }
 
+// Whether an answer was arriving decides how the operator's keys are read.
+BOOST_AUTO_TEST_CASE(ThePartOfAnAnswerThatArrivedInTimeIsReturned) {
+  asio::io_context Traffic;
+  StallingServer Server(Traffic);
+  HttpCall Call;
+  Call.Url_ = Server.url();
+  Call.Timeout_ = Millis{300};
+  const auto Result = resultOfCalls(Traffic, Call, 1);
+  BOOST_TEST(!Result.Complete_);
+  BOOST_TEST(Result.Body_.size() == StallingServer::PartSize);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
