--- a/test/fuzz/Soak.cpp
+++ b/test/fuzz/Soak.cpp
@@ -1,9 +1,11 @@
 /// \file
 /// Simulates the state machines of entries and agents under random faults, one
 /// run for each seed, and reports violations and coverage. With --mutation it
-/// breaks one mechanism on purpose and checks that the runs detect it.
+/// breaks one mechanism on purpose and checks that the runs detect it. The mode
+/// --operator-keys runs the client of the platform's store instead.
 
 #include "core/Mutation.h"
+#include "test/fuzz/OperatorKeys.h"
 #include "test/fuzz/Simulation.h"
 
 #include <cxxopts.hpp>
@@ -92,6 +94,46 @@
     std::cout << "  violation with these faults: " << Each << '\n';
 }
 
+/// The name that selects the runs of the store's client as a kind.
+constexpr auto OperatorKeysKind = "operator-keys";
+
+/// Runs the client of the platform's store. \returns the exit status.
+auto soakOperatorKeys(std::uint64_t FirstSeed, int RunCount, int MutationNumber)
+    -> int {
+  std::atomic<int> NextRun{0};
+  std::atomic<int> FailedRuns{0};
+  std::mutex Mutex;
+  const auto RunSeeds = [&] {
+    for (int Index = NextRun++; Index < RunCount; Index = NextRun++) {
+      if (MutationNumber != 0 && FailedRuns != 0)
+        return;
+      const auto Plan =
+          planOperatorKeys(FirstSeed + static_cast<std::uint64_t>(Index));
+      const auto Violations = runOperatorKeys(Plan);
+      if (Violations.empty())
+        continue;
+      const std::lock_guard<std::mutex> Guard(Mutex);
+      ++FailedRuns;
+      std::cout << (MutationNumber == 0 ? "" : "mutation found, ") << "seed "
+                << Plan.Seed_ << " failed: " << Violations.front() << "\n  "
+                << describe(Plan) << '\n';
+    }
+  };
+  std::vector<std::thread> Threads;
+  for (unsigned Index = 0; Index < std::thread::hardware_concurrency(); ++Index)
+    Threads.emplace_back(RunSeeds);
+  for (auto &Each : Threads)
+    Each.join();
+  if (MutationNumber != 0 && FailedRuns == 0)
+    std::cout << "mutation " << MutationNumber << " NOT found in " << RunCount
+              << " runs\n";
+  if (MutationNumber != 0)
+    return FailedRuns != 0 ? 0 : 1;
+  std::cout << "operator's keys: runs " << RunCount << " from seed "
+            << FirstSeed << ", broken " << FailedRuns << '\n';
+  return FailedRuns == 0 ? 0 : 1;
+}
+
 } // namespace
 
 auto main(int Count, char **Arguments) -> int {
@@ -111,6 +153,8 @@
       "minimal-workers", "workers list only task ids and attempts; one shard")(
       "changing-capacity", "workers' capacities shrink and grow")(
       "crashing-tasks", "some tasks crash each worker that starts them")(
+      "operator-keys", "run the client of the platform's store, under "
+                       "disruptions of its own; as does the kind of that name")(
       "trace", "print what the processes log in a failed run, reduced to the "
                "necessary faults")("h,help", "print this text");
   const auto Parsed = Options.parse(Count, Arguments);
@@ -118,18 +162,21 @@
     std::cout << Options.help();
     return 0;
   }
-  const auto Kinds =
-      selectKinds(Parsed.count("kinds") != 0
-                      ? Parsed["kinds"].as<std::vector<std::string>>()
-                      : std::vector<std::string>{});
-  if (Kinds.empty()) {
-    std::cerr << "--kinds names no known kind of fault\n";
-    return 2;
-  }
+  const auto KindNames = Parsed.count("kinds") != 0
+                             ? Parsed["kinds"].as<std::vector<std::string>>()
+                             : std::vector<std::string>{};
   const auto MutationNumber = Parsed["mutation"].as<int>();
   setMutation(static_cast<Mutation>(MutationNumber));
   const auto FirstSeed = Parsed["seed"].as<std::uint64_t>();
   const auto RunCount = Parsed["runs"].as<int>();
+  if (Parsed.count("operator-keys") != 0 ||
+      KindNames == std::vector<std::string>{OperatorKeysKind})
+    return soakOperatorKeys(FirstSeed, RunCount, MutationNumber);
+  const auto Kinds = selectKinds(KindNames);
+  if (Kinds.empty()) {
+    std::cerr << "--kinds names no known kind of fault\n";
+    return 2;
+  }
   Coverage Total;
   std::atomic<int> NextRun{0};
   std::atomic<int> FailedRuns{0};
