A route that can't be read keeps no other from being served

What callers saw: a route that had been added was answered 404, although the configuration with it was confirmed.

Cause: one route with a field of an unexpected type or range rejected the whole configuration, and the earlier one stayed in force, with all its routes.

Change: PROTOCOL.md says that the store accepts only valid configurations and that fields may come, so a route that can't be read is one that this version doesn't know.

Evidence: before, OperatorsKeys/AnOddRouteKeepsNoOtherFromBeingServed failed (s0 instead of s1 in force, no route /r/, 0 counted).

--- a/core/Counters.h
+++ b/core/Counters.h
@@ -59,6 +59,8 @@
   /// Changes of the operators that a complete read of their keys showed,
   /// although the stream of changes had gone past them.
   std::uint64_t StoreCorrections_ = 0;
+  /// Parts of configurations that could not be read and were left out.
+  std::uint64_t DeclarationsLeftOut_ = 0;
   /// Writes that the store refused for good.
   std::uint64_t StoreRefusals_ = 0;
 
--- a/core/StoreCalls.h
+++ b/core/StoreCalls.h
@@ -216,6 +216,8 @@
   /// Changes that were found since the last result, although the stream of
   /// changes had gone past them.
   std::uint64_t Corrections_ = 0;
+  /// Parts of configurations that were left out since the last result.
+  std::uint64_t DeclarationsLeftOut_ = 0;
   std::uint64_t Index_ = 0;
   StoreValue Value_;
   LeaseId Lease_;
--- a/core/StoreClient.cpp
+++ b/core/StoreClient.cpp
@@ -57,6 +57,7 @@
     ConsecutiveFailures_ = 0;
   }
   Counters_.StoreCorrections_ += Result.Corrections_;
+  Counters_.DeclarationsLeftOut_ += Result.DeclarationsLeftOut_;
   if (Result.Status_ == StoreStatus::Refused) {
     ++Counters_.StoreRefusals_;
     Out.push_back(LogDecision{"store-refused-write", Call.Key_, 0,
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -32,6 +32,7 @@
     {"skylark_store_failures_total", &Counters::StoreFailures_},
     {"skylark_store_refusals_total", &Counters::StoreRefusals_},
     {"skylark_store_corrections_total", &Counters::StoreCorrections_},
+    {"skylark_declarations_left_out_total", &Counters::DeclarationsLeftOut_},
 };
 
 struct GaugeMetric {
--- a/test/correctness/OperatorKeysTest.cpp
+++ b/test/correctness/OperatorKeysTest.cpp
@@ -296,4 +296,20 @@
   BOOST_TEST(Service_ == "s2");
 }
 
+// One route that this version can't read kept all others from being served.
+BOOST_FIXTURE_TEST_CASE(AnOddRouteKeepsNoOtherFromBeingServed, ViewOfStore) {
+  follow(Millis{1000});
+  Http_.put("op/config",
+            R"({"services":[{"name":"s1"}],"routes":[)"
+            R"({"name":"odd","host":"h","prefix":"/o/","service":"s1",)"
+            R"("priority":1e30},)"
+            R"({"name":"sound","host":"h","prefix":"/r/","service":"s1"}]})");
+  follow(Millis{1000});
+  BOOST_TEST(serviceInForce() == "s1");
+  const auto &Document = View_.configuration().Document_;
+  BOOST_TEST(Document.findQueue("h", "/r/1") != nullptr);
+  BOOST_TEST(Document.findQueue("h", "/o/1") == nullptr);
+  BOOST_TEST(Counters_.DeclarationsLeftOut_ == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
