--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -876,6 +876,16 @@
     RegisteredAt_ = Now.Steady_;
   StoreReached_ = Reached;
   Registered_ = View_.registered();
+  const auto &Head = View_.configuration().Head_;
+  if (View_.adoptionCount() != LoggedAdoptions_)
+    Log("configuration-adopted",
+        "digest " + Head.DocumentDigest_ + ", document revision " +
+            std::to_string(Head.DocumentRevision_) + ", start revision " +
+            std::to_string(View_.configuration().startRevision()) + ", " +
+            std::to_string(Head.DataCentresOut_.size()) +
+            " data centres out, found by " +
+            std::string(configurationSourceText(View_.source())));
+  LoggedAdoptions_ = View_.adoptionCount();
 }
 
 auto EntryCore::leave(Moment Now, EntryOutbox &Out) -> void {
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -251,6 +251,8 @@
   TimePoint NextRebalance_{};
   /// Time of the store reading on which the last rebalancing was based.
   TimePoint RebalancedReadAt_{};
+  /// How many configurations have been logged as adopted.
+  std::uint64_t LoggedAdoptions_ = 0;
   bool StoreReached_ = false;
   GrantMonitor GrantMonitor_;
   bool Registered_ = false;
--- a/core/EnvironmentView.cpp
+++ b/core/EnvironmentView.cpp
@@ -70,42 +70,43 @@
     return;
   }
   const auto &State = Result.EnvironmentState_;
-  if (State.Head_.Revision_ > KnownRevision_) {
+  if (State.Head_.Revision_ >= KnownRevision_) {
     KnownRevision_ = State.Head_.Revision_;
     KnownDataCentresOut_ = State.Head_.DataCentresOut_;
   }
   updateRegistrations(Now, State);
-  if (State.Head_.Revision_ <= revision()) {
+  if (!State.Head_.supersedes(Current_.Head_)) {
     completeRead(Now, State.AsOf_, SentAt);
   } else if (State.Head_.DocumentDigest_ == Current_.Head_.DocumentDigest_) {
-    adoptConfiguration(Now, {State.Head_, Current_.Document_});
+    adoptConfiguration(Now, {State.Head_, Current_.Document_}, State.Source_);
     completeRead(Now, State.AsOf_, SentAt);
   } else {
-    readDocument(State.Head_, State.AsOf_, SentAt);
+    readDocument(State.Head_, State.Source_, State.AsOf_, SentAt);
   }
 }
 
-auto EnvironmentView::readDocument(const EnvironmentHead &Head, Revision AsOf,
+auto EnvironmentView::readDocument(const EnvironmentHead &Head,
+                                   ConfigurationSource Source, Revision AsOf,
                                    TimePoint SentAt) -> void {
   PendingRead_ = PendingRead{Head.Revision_, AsOf, SentAt};
-  Store_.call(ReadValue{documentKey(Head.DocumentDigest_)},
-              [this, Head, AsOf, SentAt](
-                  Moment AnsweredAt, const StoreResult &Result, EntryOutbox &) {
-                // An agent has offered this configuration or a newer one.
-                if (!PendingRead_ || PendingRead_->Revision_ != Head.Revision_)
-                  return;
-                PendingRead_.reset();
-                if (Result.Status_ != StoreStatus::Ok) {
-                  failRead(AnsweredAt, SentAt);
-                  return;
-                }
-                adoptConfiguration(AnsweredAt,
-                                   {Head, std::get<Document>(Result.Value_)});
-                const auto IgnoreRead =
-                    isMutationActive(Mutation::NewerDocumentIsNoContact);
-                completeRead(AnsweredAt, AsOf,
-                             IgnoreRead ? TimePoint{} : SentAt);
-              });
+  Store_.call(
+      ReadValue{documentKey(Head.DocumentDigest_)},
+      [this, Head, Source, AsOf,
+       SentAt](Moment AnsweredAt, const StoreResult &Result, EntryOutbox &) {
+        // An agent has offered this configuration or a newer one.
+        if (!PendingRead_ || PendingRead_->Revision_ != Head.Revision_)
+          return;
+        PendingRead_.reset();
+        if (Result.Status_ != StoreStatus::Ok) {
+          failRead(AnsweredAt, SentAt);
+          return;
+        }
+        adoptConfiguration(AnsweredAt,
+                           {Head, std::get<Document>(Result.Value_)}, Source);
+        const auto IgnoreRead =
+            isMutationActive(Mutation::NewerDocumentIsNoContact);
+        completeRead(AnsweredAt, AsOf, IgnoreRead ? TimePoint{} : SentAt);
+      });
 }
 
 auto EnvironmentView::completeRead(Moment Now, Revision AsOf, TimePoint SentAt)
@@ -126,16 +127,18 @@
   FailedReads_->LastAt_ = SentAt;
 }
 
-auto EnvironmentView::adoptConfiguration(Moment Now, Configuration Next)
-    -> void {
-  if (Next.Head_.Revision_ <= revision())
+auto EnvironmentView::adoptConfiguration(Moment Now, Configuration Next,
+                                         ConfigurationSource Source) -> void {
+  if (!Next.Head_.supersedes(Current_.Head_))
     return;
   // Permits granted so far have the duration set by the previous document.
   const auto LongerPermit = std::max(Current_.Document_.Policy_.PermitDuration_,
                                      Next.Document_.Policy_.PermitDuration_);
   const auto PreviousRevision = revision();
   Current_ = std::move(Next);
-  SKYLARK_ASSERT(revision() > PreviousRevision,
+  Source_ = Source;
+  ++AdoptionCount_;
+  SKYLARK_ASSERT(revision() >= PreviousRevision,
                  "configuration revision decreased from", PreviousRevision,
                  "to", revision());
   OldGrantsEnd_ =
@@ -148,7 +151,8 @@
       digestText(Offered.Document_.Text_) == Offered.Head_.DocumentDigest_;
   if (!DigestMatches)
     return;
-  adoptConfiguration(Now, Offered);
+  if (Offered.Head_.Revision_ > revision())
+    adoptConfiguration(Now, Offered, ConfigurationSource::Agent);
   if (PendingRead_ && revision() >= PendingRead_->Revision_) {
     const auto Read = *std::exchange(PendingRead_, std::nullopt);
     completeRead(Now, Read.AsOf_, Read.SentAt_);
--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -30,9 +30,9 @@
   TrustConflicts,
   DenyUnknownJobs,
   StopOnce,
-  Reserved20,
-  Reserved21,
-  Reserved22,
+  TrustWatchAlone,
+  IgnoreKeyRevisions,
+  WatchLargeSeries,
   WithholdConfigurations,
   Count
 };
