Mutation 10 also keeps running tasks out of the confirmation

Mutation 10 makes an agent forget the tasks that run when it starts. It was found by a task that ran twice. Since a confirmation names the runs that the agent is stopping, too, the owner of a mutated agent heard of them all the same, put nothing back, and the mutation was no longer found. It breaks both ways now, so that what it checks is as before: the owner must hear of each run before it may bind a task elsewhere.

--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -548,7 +548,9 @@
       Confirm.HeldTasks_.push_back(reportOf(Held));
   // One that runs is being stopped; until then its task must not run elsewhere.
   for (const auto &[Key, Report] : UnheldAttempts_)
-    if (Report.Shard_ == Shard)
+    if (Report.Shard_ == Shard &&
+        (isEnded(Report.Phase_) ||
+         !isMutationActive(Mutation::ForgetRunningTasks)))
       Confirm.HeldTasks_.push_back(Report);
   To.AwaitsList_ = !ListIsWhole_;
   const auto HeldTasks = Confirm.HeldTasks_.size();
