A stopping entry answers the callers of its own shards once

An entry that stops answers its waiting callers before its process ends. A shard owner of the same entry could answer some of them again, with inputs that had queued up while the process was paused. These later answers are dropped. Read, not shown: with real processes the second answer finds no connection.

--- a/core/ForwardedCalls.cpp
+++ b/core/ForwardedCalls.cpp
@@ -139,7 +139,11 @@
     const auto Found =
         Answer == nullptr ? OwnCalls_.end() : OwnCalls_.find(Answer->Token_);
     if (Found == OwnCalls_.end()) {
-      KeptOutputs.push_back(std::move(Each));
+      const auto Early = Answer == nullptr
+                             ? AnsweredEarly_.end()
+                             : AnsweredEarly_.find(Answer->Token_);
+      if (Early == AnsweredEarly_.end() || !std::exchange(Early->second, true))
+        KeptOutputs.push_back(std::move(Each));
       continue;
     }
     const auto Call = std::move(Found->second);
@@ -191,8 +195,10 @@
   };
   for (const auto &Each : std::exchange(Forwarded_, {}))
     RefuseCall(Each.second.Call_);
-  for (const auto &Each : std::exchange(OwnCalls_, {}))
+  for (const auto &Each : std::exchange(OwnCalls_, {})) {
+    AnsweredEarly_[Each.first] = false;
     RefuseCall(Each.second);
+  }
 }
 
 } // namespace skylark
--- a/core/ForwardedCalls.h
+++ b/core/ForwardedCalls.h
@@ -104,6 +104,9 @@
   std::deque<ShardCall> Parked_;
   /// Requests to queues that a shard owner of this entry has not answered yet.
   std::unordered_map<CallerToken, ShardCall> OwnCalls_;
+  /// Callers that answerRemaining() has answered although a shard owner may
+  /// still do so, and whether that first answer has been sent.
+  std::unordered_map<CallerToken, bool> AnsweredEarly_;
   std::unordered_map<CallerToken, PeerCaller> PeerCallers_;
   std::uint64_t PeerCallCount_ = 0;
 };
--- a/test/correctness/ForwardedCallsTest.cpp
+++ b/test/correctness/ForwardedCallsTest.cpp
@@ -242,4 +242,18 @@
   BOOST_TEST(Fixture.Calls_.idle());
 }
 
+// An entry that had answered its callers before its exit answered them again.
+BOOST_AUTO_TEST_CASE(AStoppingEntryAnswersItsOwnersCallersOnce) {
+  CallsFixture Fixture;
+  Fixture.Calls_.recordOwnCall(
+      {Caller, 0, Fixture.Now_ + CallTimeout, queueQuery()});
+  Fixture.Calls_.answerRemaining(Fixture.Out_);
+  Fixture.Calls_.parkMoved(Fixture.Now_, Fixture.Out_);
+  BOOST_TEST((Fixture.takeError() == ErrorKind::EntryStopping));
+  Fixture.Out_.push_back(AnswerCaller{Caller, UnstartedJobsReply{3}});
+  Fixture.Out_.push_back(AnswerCaller{Caller + 1, UnstartedJobsReply{3}});
+  Fixture.Calls_.parkMoved(Fixture.Now_, Fixture.Out_);
+  BOOST_TEST(Fixture.Out_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
