Randomised runs: one record of cancelled jobs for both checks

Both now use the one that also covers runs; the time from which disturbances excuse a delay is the same.

--- a/test/fuzz/Checker.cpp
+++ b/test/fuzz/Checker.cpp
@@ -16,10 +16,6 @@
 constexpr Millis CancelAllowance{3000};
 constexpr Millis StopAllowance{400};
 
-/// The latest time, after a cancellation was accepted, at which a task of the
-/// job may be started.
-constexpr Millis CancellationTarget{3000};
-
 template <typename... Parts>
 auto concatenate(const Parts &...Each) -> std::string {
   std::ostringstream Out;
@@ -99,18 +95,13 @@
 }
 
 auto Checker::startOrdered(TrueTime Now, const TaskId &Task) -> void {
-  const auto Found = CancelledSince_.find(Task.Job_);
-  if (Found != CancelledSince_.end() &&
-      Found->second + CancellationTarget + SimulationDelays < Now)
+  const auto LatestStart = latestTime(Task.Job_, CancelAllowance);
+  if (LatestStart && Now > *LatestStart)
     addViolation(concatenate("start ordered later than ",
-                             (CancellationTarget + SimulationDelays).count(),
+                             (CancelAllowance + SimulationDelays).count(),
                              " ms after the job's cancellation: ", Task));
 }
 
-auto Checker::cancellationAccepted(TrueTime Now, const JobId &Job) -> void {
-  CancelledSince_.emplace(Job, Now);
-}
-
 auto Checker::cancelledJobDenied(const JobId &Job) -> void {
   Denied_.insert(Job);
   if (Started_.count(Job) != 0)
@@ -152,9 +143,6 @@
   if (!Calm || !Calm_)
     CalmSince_ = Now;
   Calm_ = Calm;
-  if (!Calm)
-    for (auto &[Job, Since] : CancelledSince_)
-      Since = Now;
   if (Calm)
     checkCancelled(Now);
   for (auto &[Job, Since] : StartableSince_) {
--- a/test/fuzz/Checker.h
+++ b/test/fuzz/Checker.h
@@ -80,8 +80,6 @@
 
   /// A caller was told that an urgent job of one task was accepted.
   auto urgentJobAccepted(TrueTime Now, const JobId &Job) -> void;
-  /// A caller's cancellation of a job was accepted.
-  auto cancellationAccepted(TrueTime Now, const JobId &Job) -> void;
   /// A caller who cancelled a job was told that there is no such job: it must
   /// not have started, and must never start.
   auto cancelledJobDenied(const JobId &Job) -> void;
@@ -149,9 +147,6 @@
   std::map<JobId, TrueTime> StartableSince_;
   /// Jobs of which a task has started.
   std::set<JobId> Started_;
-  /// Since when each cancelled job should not be started any more; a
-  /// disturbance of processes restarts the time.
-  std::map<JobId, TrueTime> CancelledSince_;
   std::set<JobId> Denied_;
   int TaskStarts_ = 0;
   int Replies_ = 0;
--- a/test/fuzz/PromptCancellations.cpp
+++ b/test/fuzz/PromptCancellations.cpp
@@ -95,7 +95,7 @@
               [this, Id, Repeat, Answered](const CallerReply &Reply) {
                 const auto *Error = std::get_if<ErrorReply>(&Reply);
                 if (Error == nullptr)
-                  Checker_.cancellationAccepted(Now_, Id);
+                  Checker_.jobCancelled(Now_, Id);
                 else if (Error->Kind_ == ErrorKind::UnknownJob)
                   Checker_.cancelledJobDenied(Id);
                 else if (!*Answered)
