Owner: a job under a cancelled id is cancelled by a record of its own

What would have happened, found in review: an owner of an earlier version ignores the cancellation of an unknown job, stores the job that is submitted later, and binds its tasks. An owner of this version that reads that ledger took the job for cancelled from its submission on; the first change of a task then broke an invariant, which ends the process, at each entry that acquires the shard.

Cause: the state of the job was derived from two records in a way that an earlier version doesn't. Change: the owner appends the cancellation behind the submission, and an owner that finds such a job without it, at its takeover. Until that is committed no task of the job is bound. A DELETE whose submission is queued is taken also if the record of unknown ids is full.

Evidence: Cancellation/ALedgerThatAnEarlierVersionContinuedIsRead ends with "task left its terminal state" before.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -492,15 +492,21 @@
           Id, {Token, Now.Steady_ + CallerTimeout, Refusal, StateOnly}))
     return;
   ++Submitting_[Id];
+  Ledger_.append(std::move(Record));
   if (CancelledIds_.contains(Id)) {
     log("submitted-after-cancellation", Id.Value_, ErrorKind::Cancelled, "",
         Out);
     ++Context_.Counters_.SubmittedCancelled_;
+    cancelSubmitted(Now, Id);
   }
-  Ledger_.append(std::move(Record));
   Ledger_.advance();
 }
 
+auto ShardOwner::cancelSubmitted(Moment Now, const JobId &Id) -> void {
+  Cancelling_.insert(Id);
+  Ledger_.append(JobCancelled{Id, Now.Wall_});
+}
+
 auto ShardOwner::submissionSettled(const JobId &Id) -> bool {
   const auto Found = Submitting_.find(Id);
   if (Found == Submitting_.end() || --Found->second > 0)
@@ -523,7 +529,6 @@
 auto ShardOwner::committed(Moment Now, const JobAdded &Record, EntryOutbox &Out)
     -> void {
   submissionSettled(Record.Job_.Id_);
-  CancelledIds_.remove(Record.Job_.Id_);
   const auto *AddedJob = state().findJob(Record.Job_.Id_);
   MeanWork_.record(*AddedJob);
   indexJob(Now.Steady_, *AddedJob);
@@ -608,8 +613,9 @@
     refuseUnknown(Now, Token, Id, Out);
     return false;
   }
-  if (Ledger_.queued() >= MaxQueuedRecords ||
-      (CancelledIds_.isFull() && !CancelledIds_.contains(Id))) {
+  const auto IsNew = Submitting_.count(Id) == 0 && !CancelledIds_.contains(Id);
+  if (IsNew &&
+      (Ledger_.queued() >= MaxQueuedRecords || CancelledIds_.isFull())) {
     Context_.Counters_.countRefusal(ErrorKind::QueueFull);
     refuse(Token, ErrorKind::QueueFull, "cancellations of unknown jobs", Out);
     return false;
@@ -636,9 +642,13 @@
 
 auto ShardOwner::committed(Moment Now, const JobCancelled &Record,
                            EntryOutbox &Out) -> void {
+  const auto *Cancelled = state().findJob(Record.Job_);
+  // The job was submitted meanwhile; the cancellation that follows its
+  // submission is still queued.
+  if (Cancelled != nullptr && !Cancelled->Cancelled_)
+    return;
   Cancelling_.erase(Record.Job_);
   log("job-cancelled", Record.Job_.Value_, ErrorKind::Cancelled, "", Out);
-  const auto *Cancelled = state().findJob(Record.Job_);
   if (Cancelled == nullptr) {
     CancelledIds_.add(Now.Steady_, Record.Job_);
     for (const auto &Caller : CancelCallers_.take(Record.Job_))
@@ -751,7 +761,7 @@
     indexStep(Now, *state().findJob(JobOfStep), Step, Occurrence);
 }
 
-auto ShardOwner::reindex(TimePoint Now) -> void {
+auto ShardOwner::reindex(Moment Now) -> void {
   Indexed_ = true;
   Pending_.clear();
   Bound_.clear();
@@ -768,7 +778,7 @@
   Proof_.clear();
   Submitting_.clear();
   Cancelling_.clear();
-  CancelledIds_.reset(Now, state().cancelledIds());
+  CancelledIds_.reset(Now.Steady_, state().cancelledIds());
   Failing_.clear();
   FailedIndexed_.clear();
   FinishedSteps_.clear();
@@ -779,8 +789,12 @@
   MeanWork_ = {};
   for (const auto &Each : state().jobs()) {
     MeanWork_.record(Each.second);
-    indexJob(Now, Each.second);
+    indexJob(Now.Steady_, Each.second);
   }
+  // An earlier owner stored the job without its cancellation.
+  for (const auto &Id : state().cancelledIds())
+    if (state().findJob(Id) != nullptr)
+      cancelSubmitted(Now, Id);
 }
 
 auto ShardOwner::propose(const TaskId &Task, TaskChanged Change) -> void {
@@ -1224,7 +1238,7 @@
   return (Delayed == NotBefore_.end() || Delayed->second <= Now.Steady_) &&
          state().findJob(Task.Job_)->scheduledAt(Task) <= Now.Wall_ &&
          Proposed_.count(Task) == 0 && Cancelling_.count(Task.Job_) == 0 &&
-         Failing_.count(Task.Job_) == 0;
+         !CancelledIds_.contains(Task.Job_) && Failing_.count(Task.Job_) == 0;
 }
 
 auto ShardOwner::dueStepsInOrder(Moment Now) const -> std::vector<RankedTask> {
@@ -1939,7 +1953,7 @@
   }
   Proof_.update(Ledger_);
   if (!Indexed_) {
-    reindex(Now.Steady_);
+    reindex(Now);
     log("shard-taken", std::to_string(Shard_), ErrorKind::None,
         "epoch " + std::to_string(Ledger_.epoch()) + ", " +
             std::to_string(state().jobs().size()) + " jobs, " +
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -282,7 +282,7 @@
   /// Records which workers of these losses answer again.
   auto noteReturned(const std::vector<SilentLoss> &Losses) -> void;
   /// Rebuilds the index from the ledger's state.
-  auto reindex(TimePoint Now) -> void;
+  auto reindex(Moment Now) -> void;
   auto indexJob(TimePoint Now, const Job &Job) -> void;
   auto indexStep(TimePoint Now, const Job &Job, std::uint32_t StepIndex,
                  std::uint32_t Occurrence) -> void;
@@ -412,6 +412,8 @@
                      bool Failed, EntryOutbox &Out) -> void;
   auto expireWaitingCallers(Moment Now, EntryOutbox &Out) -> void;
   /// Takes note that a queued submission was committed or won't be. \returns
+  /// Cancels a job that was submitted under an id which had been cancelled.
+  auto cancelSubmitted(Moment Now, const JobId &Id) -> void;
   /// whether it was the last one of the job.
   auto submissionSettled(const JobId &Id) -> bool;
   /// Prepares to cancel a job that the ledger doesn't have, or refuses that.
--- a/core/ShardState.cpp
+++ b/core/ShardState.cpp
@@ -127,10 +127,6 @@
     return;
   auto &Job = Added->second;
   Job.Outline_ = std::make_shared<JobOutline>(Job.Declaration_);
-  if (CancelledIds_.erase(Job.Id_) != 0) {
-    Job.Cancelled_ = true;
-    cancelPending(Job, Job.SubmittedAt_, ErrorKind::Cancelled);
-  }
   const auto &Progress = Progress_.emplace(Job.Id_, Job).first->second;
   if (isUnstarted(Job, Progress))
     ++Unstarted_[Job.Declaration_.Queue_];
@@ -141,6 +137,7 @@
     CancelledIds_.insert(Record.Job_);
     return;
   }
+  CancelledIds_.erase(Record.Job_);
   changeJob(Record.Job_, [&](Job &Cancelled, JobProgress &Progress) {
     Cancelled.Cancelled_ = true;
     cancelPending(Cancelled, Record.At_, ErrorKind::Cancelled);
@@ -219,10 +216,12 @@
     -> std::vector<LedgerRecord> {
   std::vector<LedgerRecord> Records;
   Records.reserve(Jobs_.size() + CancelledIds_.size() + 2 * Claims_.size());
-  for (const auto &Each : Jobs_)
-    addJob(Each.second, MaxSize, Records);
+  // Before the jobs, or the id of a job that is yet to be cancelled would be
+  // applied to it.
   for (const auto &Id : CancelledIds_)
     Records.emplace_back(JobCancelled{Id, {}});
+  for (const auto &Each : Jobs_)
+    addJob(Each.second, MaxSize, Records);
   for (const auto &[Key, Claim] : Claims_) {
     Records.emplace_back(
         ClaimOpened{Key, Claim.RequestDigest_, Claim.Request_, Claim.At_});
--- a/test/correctness/CancellationTest.cpp
+++ b/test/correctness/CancellationTest.cpp
@@ -243,6 +243,12 @@
   for (const auto &Record : State.snapshot(1000))
     Restored.apply(Record);
   Restored.apply(LedgerRecord{JobAdded{Added}});
+  BOOST_TEST(Restored.cancelledIds().count(Added.Id_) == 1U);
+  ShardState Again;
+  for (const auto &Record : Restored.snapshot(1000))
+    Again.apply(Record);
+  BOOST_TEST(Again.cancelledIds().count(Added.Id_) == 1U);
+  Restored.apply(LedgerRecord{JobCancelled{Added.Id_, {}}});
   BOOST_TEST(Restored.findJob(Added.Id_)->Cancelled_);
   BOOST_TEST(
       (Restored.findTask({Added.Id_, 0})->State_ == TaskState::Cancelled));
@@ -257,6 +263,25 @@
   }
 }
 
+// An owner of an earlier version ignores the cancellation of an unknown job.
+BOOST_AUTO_TEST_CASE(ALedgerThatAnEarlierVersionContinuedIsRead) {
+  Job Added;
+  Added.Id_ = {"a"};
+  Added.Tasks_.resize(1);
+  ShardState State;
+  State.apply(LedgerRecord{JobCancelled{Added.Id_, {}}});
+  State.apply(LedgerRecord{JobAdded{Added}});
+  TaskChanged Change;
+  Change.Task_ = {Added.Id_, 0};
+  Change.State_ = TaskState::Bound;
+  Change.Attempt_ = 1;
+  State.apply(LedgerRecord{Change});
+  Change.State_ = TaskState::Finished;
+  State.apply(LedgerRecord{Change});
+  BOOST_TEST((State.findTask({Added.Id_, 0})->State_ == TaskState::Finished));
+  BOOST_TEST(State.cancelledIds().count(Added.Id_) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ACancelledIdIsKeptForMinutes) {
   EntryFixture Fixture;
   const auto Cancel = Fixture.cancel(0, "a");
