Unlisted runs: stops back off, and a stop is given two seconds to take effect

Found in review. While a worker has more ends than it lists, each missing attempt was told to stop every 0.5 s for as long as that lasts; the interval now doubles up to 8 s. An unlisted run counted as over 1 s after the worker had answered its stop, while a worker may take stop_timeout_ms, 0.9 s in the example of the settings; it is 2 s now. Agent/AnUnlistedRunEndsOnlyOnceTheWorkerHasAnsweredItsStop asks for the longer time. Not measured with a worker of many ends.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1873,7 +1873,11 @@
                               EntryOutbox &Out) -> void {
   if (Now.Steady_ < Delivery.NextUnlistedStop_)
     return;
-  Delivery.NextUnlistedStop_ = Now.Steady_ + StopRepeatInterval;
+  constexpr std::uint32_t MaxDoublings = 4;
+  Delivery.NextUnlistedStop_ =
+      Now.Steady_ +
+      StopRepeatInterval *
+          (1U << std::min(Delivery.UnlistedStops_++, MaxDoublings));
   const auto &Task = *state().findTask(Id);
   Out.push_back(
       SendToAgent{To.Session_, StopTask{Shard_, Ledger_.epoch(), Id,
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -168,6 +168,8 @@
     bool Unlisted_ = false;
     /// When the agent is next told to stop the unlisted task.
     TimePoint NextUnlistedStop_{};
+    /// Number of such stops.
+    std::uint32_t UnlistedStops_ = 0;
     /// The end that the agent has reported of the current attempt; a phase
     /// that is no end if there is none.
     TaskPhase ReportedEnd_ = TaskPhase::Queued;
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -18,8 +18,8 @@
 /// How long after a shrink of the worker's capacity bindings may arrive that
 /// its owner made for the larger one.
 constexpr Millis StaleBindingPeriod{1000};
-/// How long after a worker has answered a stop the run may go on at most.
-constexpr Millis StopSettledPeriod{1000};
+/// Longer than a worker takes to carry a stop out that it has answered.
+constexpr Millis StopSettledPeriod{2000};
 /// A worker that can't be connected to fails each start command at once.
 constexpr Millis StartRepeatInterval{50};
 
