A newer evacuation brings no older document back

Found in review: an entry that has missed a configuration but knows of a newer evacuation has the higher revision. An entry that holds the missed configuration took the older document with that revision, from a peer or from its own reader that doesn't know what a peer had told it: a change that was in force came back older. The document held now stays if its own revision is higher.

EnvironmentViews/ANewerEvacuationBringsNoOlderDocumentBack failed before: the older document was in force.

--- a/core/EnvironmentView.cpp
+++ b/core/EnvironmentView.cpp
@@ -131,6 +131,12 @@
                                          ConfigurationSource Source) -> void {
   if (!Next.Head_.supersedes(Current_.Head_))
     return;
+  // A source that has missed a document may know of a newer evacuation.
+  if (Next.Head_.DocumentRevision_ < Current_.Head_.DocumentRevision_) {
+    Next.Head_.DocumentRevision_ = Current_.Head_.DocumentRevision_;
+    Next.Head_.DocumentDigest_ = Current_.Head_.DocumentDigest_;
+    Next.Document_ = Current_.Document_;
+  }
   // Permits granted so far have the duration set by the previous document.
   const auto LongerPermit = std::max(Current_.Document_.Policy_.PermitDuration_,
                                      Next.Document_.Policy_.PermitDuration_);
--- a/test/correctness/EnvironmentViewTest.cpp
+++ b/test/correctness/EnvironmentViewTest.cpp
@@ -318,4 +318,27 @@
   BOOST_TEST((Fixture.LongestPause_ < AgentHeartbeatInterval));
 }
 
+// An entry that had missed a configuration took it back from another one.
+BOOST_AUTO_TEST_CASE(ANewerEvacuationBringsNoOlderDocumentBack) {
+  ViewFixture Fixture;
+  const auto Offer = [&](Revision Newest, Revision DocumentRevision,
+                         std::vector<DataCentreName> Out) {
+    Configuration Offered;
+    Offered.Document_.Text_ = "version " + std::to_string(DocumentRevision);
+    Offered.Document_.Policy_ = ViewFixture::policy();
+    Offered.Head_.Revision_ = Newest;
+    Offered.Head_.DocumentRevision_ = DocumentRevision;
+    Offered.Head_.DocumentDigest_ = digestText(Offered.Document_.Text_);
+    Offered.Head_.DataCentresOut_ = std::move(Out);
+    Fixture.View_.offerConfiguration(Fixture.Now_, Offered);
+  };
+  Offer(25, 25, {});
+  Offer(41, 10, {{"hobart"}});
+  const auto &Held = Fixture.View_.configuration();
+  BOOST_TEST(Held.Document_.Text_ == "version 25");
+  BOOST_TEST(Held.Head_.DocumentDigest_ == digestText("version 25"));
+  BOOST_TEST(Held.Head_.isOut({"hobart"}));
+  BOOST_TEST(Fixture.View_.revision() == 41U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
