HTTP client: an answer that breaks off shows that its connection is silent

Found in review: a connection that goes silent after the headers of an answer didn't retire the kept connections, so the next call could take another silent one and pay a second time-out. A call that times out 0.5 s or more after the last byte retires them; an answer that is still arriving doesn't.

HttpClients/AnAnswerThatBreaksOffShowsThatItsConnectionIsSilent failed before by the condition that it replaces (no retirement once headers have arrived).

--- a/runtime/HttpClient.cpp
+++ b/runtime/HttpClient.cpp
@@ -23,6 +23,8 @@
   curl_slist *Headers_ = nullptr;
   HttpCall Call_;
   HttpResult Result_;
+  /// When a part of the answer last arrived.
+  TimePoint LastByteAt_{};
   std::function<void(HttpResult)> Done_;
 
   ~Transfer() {
@@ -33,6 +35,7 @@
 
 auto writeBody(char *Data, std::size_t Size, std::size_t Count, void *User)
     -> std::size_t {
+  static_cast<Transfer *>(User)->LastByteAt_ = SteadyClock::now();
   auto &Body = static_cast<Transfer *>(User)->Result_.Body_;
   if (Body.size() + Size * Count > MaxAnswerBytes)
     return 0;
@@ -45,7 +48,9 @@
   std::string Line(Data, Size * Count);
   while (!Line.empty() && (Line.back() == '\n' || Line.back() == '\r'))
     Line.pop_back();
-  static_cast<Transfer *>(User)->Result_.Headers_.push_back(std::move(Line));
+  auto &Each = *static_cast<Transfer *>(User);
+  Each.LastByteAt_ = SteadyClock::now();
+  Each.Result_.Headers_.push_back(std::move(Line));
   return Size * Count;
 }
 
@@ -63,11 +68,16 @@
          (Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST);
 }
 
-/// \returns whether the request was sent and nothing came back in time, after
-/// which the other connections to the host may be silent too.
-auto sentUnanswered(CURLcode Code, const HttpResult &Result) -> bool {
-  return Code == CURLE_OPERATION_TIMEDOUT && Result.Copies_ > 0 &&
-         Result.Headers_.empty();
+/// An answer of which nothing has arrived for this long has been cut off.
+constexpr Millis SilencePeriod{500};
+
+/// \returns whether the request was sent and the connection has gone silent,
+/// after which the other connections to the host may be silent too. An answer
+/// that is still arriving when the call times out doesn't show that.
+auto hasGoneSilent(CURLcode Code, const Transfer &Each) -> bool {
+  return Code == CURLE_OPERATION_TIMEDOUT && Each.Result_.Copies_ > 0 &&
+         (Each.Result_.Headers_.empty() ||
+          SteadyClock::now() - Each.LastByteAt_ >= SilencePeriod);
 }
 
 /// The host and port of a URL.
@@ -255,7 +265,7 @@
       Each->Result_.Complete_ = Code == CURLE_OK;
       Each->Result_.NeverSent_ = neverSent(Code, Each->Result_.Copies_);
       Each->Result_.Status_ = static_cast<std::uint16_t>(Status);
-      if (sentUnanswered(Code, Each->Result_))
+      if (hasGoneSilent(Code, *Each))
         Unanswered_(*this);
       Each->Done_(std::move(Each->Result_));
     }
--- a/test/correctness/HttpClientTest.cpp
+++ b/test/correctness/HttpClientTest.cpp
@@ -122,6 +122,8 @@
   auto heldRequests() const -> std::size_t { return Held_.size(); }
   /// Silences every connection that has been accepted so far.
   auto silence() -> void { SilentBefore_ = Connections_.size(); }
+  /// Whether a connection that has gone silent still carries headers.
+  bool CarriesHeaders_ = false;
   auto release() -> void {
     for (const auto Each : Held_)
       answer(Each);
@@ -161,11 +163,15 @@
             Held_.push_back(Index);
           else if (Index >= SilentBefore_)
             answer(Index);
+          else if (CarriesHeaders_)
+            answer(Index, 1);
           read(Index);
         });
   }
-  auto answer(std::size_t Index) -> void {
-    const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  auto answer(std::size_t Index, std::size_t MissingBytes = 0) -> void {
+    const auto Answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(MissingBytes) +
+        "\r\n\r\n";
     asio::write(Connections_[Index]->Socket_, asio::buffer(Answer));
   }
 
@@ -280,6 +286,22 @@
   BOOST_TEST(Server.connections() == KeptConnections + 2);
 }
 
+// Each kept connection that went silent after the headers cost a time-out.
+BOOST_AUTO_TEST_CASE(AnAnswerThatBreaksOffShowsThatItsConnectionIsSilent) {
+  asio::io_context Traffic;
+  SilentServer Server(Traffic);
+  HttpClient Client(Traffic);
+  HttpCall Call;
+  Call.Url_ = Server.url();
+  Call.Timeout_ = Millis{800};
+  BOOST_REQUIRE(answeredOf(Traffic, Client, Call, KeptConnections) ==
+                KeptConnections);
+  Server.silence();
+  Server.CarriesHeaders_ = true;
+  BOOST_TEST(answeredOf(Traffic, Client, Call, 1) == 0);
+  BOOST_TEST(answeredOf(Traffic, Client, Call, 1) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(ACallUnderWayIsAnsweredAfterAnotherHasTimedOut) {
   asio::io_context Traffic;
   SilentServer Server(Traffic);
