A submission that an old view can't place isn't said not to have run

While its view isn't fresh an entry answered a submission to a queue that it doesn't know with 503, which says that the job never runs. An earlier copy may have been accepted at another entry. Such a submission is now answered key-not-checked (504 on the users' platform), as elsewhere where the ledger can't be asked; queries and cancellations keep 503, and so does an entry that has read no configuration yet.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -101,7 +101,8 @@
       View_.configuration().Document_.findService(Request.Service_);
   if (Service == nullptr) {
     refuseRequest(Counters_, Token, Request,
-                  absenceError(Now, ErrorKind::UnknownService),
+                  absenceError(Now, ErrorKind::UnknownService,
+                               ErrorKind::StoreUnavailable),
                   Request.Service_.Value_, Out);
     return;
   }
@@ -195,29 +196,31 @@
 
 // Requests to queues; the address of a request identifies its queue.
 
-auto EntryCore::absenceError(Moment Now, ErrorKind Absent) -> ErrorKind {
-  const auto Proven =
-      View_.revision() != 0 && View_.storeContact(Now) == StoreContact::Fresh;
-  if (Proven)
+auto EntryCore::absenceError(Moment Now, ErrorKind Absent, ErrorKind Unproven)
+    -> ErrorKind {
+  const auto HasRead = View_.revision() != 0;
+  if (HasRead && View_.storeContact(Now) == StoreContact::Fresh)
     return Absent;
   ++Counters_.UnprovenAbsences_;
-  return ErrorKind::StoreUnavailable;
+  return HasRead ? Unproven : ErrorKind::StoreUnavailable;
 }
 
 auto EntryCore::resolveQueue(Moment Now, CallerToken Token,
-                             const QueueAddress &Address, EntryOutbox &Out)
-    -> const QueueDeclaration * {
+                             const QueueAddress &Address, ErrorKind Unproven,
+                             EntryOutbox &Out) -> const QueueDeclaration * {
   const auto *Found =
       View_.configuration().Document_.findQueue(Address.Host_, Address.Path_);
   if (Found == nullptr)
-    refuse(Token, absenceError(Now, ErrorKind::UnknownQueue),
+    refuse(Token, absenceError(Now, ErrorKind::UnknownQueue, Unproven),
            Address.Host_ + Address.Path_, Out);
   return Found;
 }
 
 auto EntryCore::handle(Moment Now, CallerToken Token,
                        const SubmitToQueue &Request, EntryOutbox &Out) -> void {
-  const auto *Queue = resolveQueue(Now, Token, Request.Address_, Out);
+  // An earlier copy of the submission may have been accepted elsewhere.
+  const auto *Queue =
+      resolveQueue(Now, Token, Request.Address_, ErrorKind::KeyNotChecked, Out);
   if (Queue == nullptr)
     return;
   SubmitJob Submission;
@@ -237,7 +240,8 @@
 
 auto EntryCore::handle(Moment Now, CallerToken Token, const ReadQueue &Request,
                        EntryOutbox &Out) -> void {
-  const auto *Queue = resolveQueue(Now, Token, Request.Address_, Out);
+  const auto *Queue = resolveQueue(Now, Token, Request.Address_,
+                                   ErrorKind::StoreUnavailable, Out);
   if (Queue == nullptr)
     return;
   const JobId Job{Request.Address_.Path_.substr(Queue->PathPrefix_.size())};
@@ -249,7 +253,8 @@
 
 auto EntryCore::handle(Moment Now, CallerToken Token,
                        const CancelInQueue &Request, EntryOutbox &Out) -> void {
-  const auto *Queue = resolveQueue(Now, Token, Request.Address_, Out);
+  const auto *Queue = resolveQueue(Now, Token, Request.Address_,
+                                   ErrorKind::StoreUnavailable, Out);
   if (Queue == nullptr)
     return;
   const JobId Job{Request.Address_.Path_.substr(Queue->PathPrefix_.size())};
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -164,11 +164,15 @@
   /// refuses those that have expired.
   auto resumeParked(Moment Now, EntryOutbox &Out) -> void;
   /// Finds the queue at an address; refuses the request if there is none.
+  /// \param Unproven the error if a newer configuration may have one.
   auto resolveQueue(Moment Now, CallerToken Token, const QueueAddress &Address,
-                    EntryOutbox &Out) -> const QueueDeclaration *;
+                    ErrorKind Unproven, EntryOutbox &Out)
+      -> const QueueDeclaration *;
   /// The reason to refuse a request for something that the configuration held
-  /// doesn't name: `Absent` if that is the newest one as far as can be known.
-  auto absenceError(Moment Now, ErrorKind Absent) -> ErrorKind;
+  /// doesn't name: `Absent` if that is the newest one as far as can be known,
+  /// and otherwise `Unproven`.
+  auto absenceError(Moment Now, ErrorKind Absent, ErrorKind Unproven)
+      -> ErrorKind;
   auto shardOfQueue(const QueueName &Queue) const -> ShardNumber;
   auto shardOfJob(const JobId &Job, const QueueName &Queue) const
       -> ShardNumber;
