--- a/core/CancellationRetries.h
+++ b/core/CancellationRetries.h
@@ -12,8 +12,7 @@
 
 /// Cancellations of queues' jobs that callers of this entry have asked for. A
 /// cancellation that found no owner, or whose outcome is not known, is repeated
-/// after its caller was answered: it is idempotent, and counts as due once it
-/// has waited.
+/// after its caller was answered: it is idempotent, and callers rely on it.
 class CancellationRetries {
 public:
   struct Retry {
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -391,7 +391,7 @@
              WaitingJob.Value_, Out);
   }
   // A cancellation is carried out though its callers don't wait any longer: it
-  // is idempotent, and counts as due once it has waited.
+  // is idempotent, and callers rely on it.
   for (const auto &[WaitingJob, Callers] :
        CancelCallers_.takeExpired(Now.Steady_))
     for (const auto &Caller : Callers)
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -413,10 +413,10 @@
   auto recordOutcome(Moment Now, const Target &From, const TaskId &Task,
                      bool Failed, EntryOutbox &Out) -> void;
   auto expireWaitingCallers(Moment Now, EntryOutbox &Out) -> void;
-  /// Takes note that a queued submission was committed or won't be. \returns
   /// Cancels a job that was submitted under an id which had been cancelled.
   auto cancelSubmitted(Moment Now, const JobId &Id) -> void;
-  /// whether it was the last one of the job.
+  /// Records that a queued submission was committed or won't be.
+  /// \returns whether it was the last one of the job.
   auto submissionSettled(const JobId &Id) -> bool;
   /// Prepares to cancel a job that the ledger doesn't have, or refuses that.
   /// \returns whether to go on.
--- a/core/ShardState.h
+++ b/core/ShardState.h
@@ -20,8 +20,8 @@
 };
 
 /// Cancels a job. Its pending tasks end at once; its bound tasks end once their
-/// agents report so. If there is no such job, one that is added later is
-/// cancelled from the beginning.
+/// agents report so. If there is no such job, its id is kept, and the owner
+/// cancels a job that is added under it.
 struct JobCancelled {
   JobId Job_;
   WallTime At_{};
