Soak of real processes: half of all connections silent, and no orphans

Cause: the soak only killed its processes in its destructor. What was ruled out: a group kill, since the soak may run in the group of its caller. Change: the loaded library asks the kernel for SIGKILL at the parent's end; a fault silence-half; 24 queriers at the end, since a query that isn't answered takes 1.5 s.

--- a/test/processes/Faults.cpp
+++ b/test/processes/Faults.cpp
@@ -32,6 +32,7 @@
       {"freeze", 2, &Faults::freeze},
       {"reload", 1, &Faults::reload},
       {"silence-connections", 4, &Faults::silenceConnections},
+      {"silence-half", 1, &Faults::silenceHalf},
       {"reset-connections", 2, &Faults::resetConnections},
       {"delay-connections", 2, &Faults::delayConnections},
       {"silent-store", 2, &Faults::silenceStore},
@@ -172,6 +173,17 @@
   Violations_.count("connections silenced", static_cast<int>(Count));
 }
 
+auto Faults::silenceHalf() -> void {
+  const Selection Chosen{{Pair::ClientEntry, Pair::EntryEntry, Pair::AgentEntry,
+                          Pair::Store, Pair::AgentWorker},
+                         0.5};
+  const auto Count =
+      Site_.forwarder().silence(Chosen, Silence::Discard, Direction::Both);
+  disturbLinks(milliseconds{0});
+  Log_.line("silent for good: " + std::to_string(Count) + " connections");
+  Violations_.count("connections silenced", static_cast<int>(Count));
+}
+
 auto Faults::resetConnections() -> void {
   const Selection Chosen{randomPairs(), 0.5};
   const auto Count = Site_.forwarder().reset(Chosen);
--- a/test/processes/Faults.h
+++ b/test/processes/Faults.h
@@ -50,6 +50,7 @@
   auto freeze() -> void;
   auto reload() -> void;
   auto silenceConnections() -> void;
+  auto silenceHalf() -> void;
   auto resetConnections() -> void;
   auto delayConnections() -> void;
   auto silenceStore() -> void;
--- a/test/processes/ProcessShim.cpp
+++ b/test/processes/ProcessShim.cpp
@@ -10,6 +10,7 @@
 #include "test/processes/SiteAddresses.h"
 
 #include <arpa/inet.h>
+#include <csignal>
 #include <cstdint>
 #include <cstdlib>
 #include <cstring>
@@ -18,6 +19,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/mman.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -61,6 +63,11 @@
   return Own;
 }
 
+/// The process doesn't outlive the soak that started it.
+__attribute__((constructor)) auto endWithParent() -> void {
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 auto thirdOctet(const in_addr &Address) -> unsigned {
   return ntohl(Address.s_addr) >> 8U & 0xffU;
 }
--- a/test/processes/Promises.cpp
+++ b/test/processes/Promises.cpp
@@ -18,7 +18,7 @@
 constexpr Seconds CancelTimeout{3};
 constexpr Seconds StopTimeout{0.9};
 constexpr milliseconds StableWindow{3000};
-constexpr int Queriers = 8;
+constexpr int Queriers = 24;
 
 auto jobOf(const std::string &Task) -> std::string {
   return Task.substr(0, Task.find('.'));
