--- a/test/processes/KeepAliveClient.cpp
+++ b/test/processes/KeepAliveClient.cpp
@@ -6,6 +6,9 @@
 using std::chrono::milliseconds;
 using SteadyClock = std::chrono::steady_clock;
 
+/// The reader gives up to this much before its deadline.
+constexpr milliseconds ReaderGranularity{2};
+
 /// Whether the peer has closed an idle connection.
 auto closedByPeer(int Socket) -> bool {
   pollfd Poll{Socket, POLLIN, 0};
@@ -43,8 +46,9 @@
     Result.End_ = CallEnd::Answered;
     Result.Status_ = std::stoi(Line.substr(Line.find(' ') + 1));
   } else {
-    Result.End_ =
-        SteadyClock::now() >= Deadline ? CallEnd::TimedOut : CallEnd::Cut;
+    Result.End_ = SteadyClock::now() + ReaderGranularity >= Deadline
+                      ? CallEnd::TimedOut
+                      : CallEnd::Cut;
   }
   Result.Waited_ = std::chrono::duration_cast<milliseconds>(SteadyClock::now() -
                                                             Result.SentAt_);
