A link is replaced once the other process doesn't answer on it

Cause: an entry only sends on its connection to a peer; nothing comes back on it. Whether it is alive was judged by the acknowledgement of bytes. Where something between the two ends goes on acknowledging and discards the bytes, or stops reading them, the connection stays open for good, new ones work, and the entry never opens one. Change: an end that opened a connection asks for an answer on it (a ping, which every version answers) where nothing has arrived for a while, and replaces it after four checks of 500 ms in vain; an accepted connection on which nothing arrives for 5 s is closed, so it keeps no descriptor. Checks are counted, not time, so that a process that was itself suspended doesn't take its own pause for the other's silence. Evidence: four tests of SilentLinks failed before (the connection was open after 4 s, accepted ones after 8 s); they pass, as do Links.

--- a/wire/Link.cpp
+++ b/wire/Link.cpp
@@ -1,5 +1,7 @@
 #include "wire/Link.h"
 
+#include "wire/LinkLiveness.h"
+
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <websocketpp/client.hpp>
@@ -82,9 +84,15 @@
     : public std::enable_shared_from_this<Implementation> {
 public:
   Implementation(asio::io_context &IoContext, LinkHandlers Handlers)
-      : IoContext_(IoContext), Handlers_(std::move(Handlers)) {
+      : IoContext_(IoContext), Handlers_(std::move(Handlers)),
+        LivenessTimer_(IoContext) {
     configure(Server_);
     Server_.init_asio(&IoContext_);
+    // Returning true answers the ping.
+    Server_.set_ping_handler([this](const Handle &Each, const std::string &) {
+      recordReceipt(Each);
+      return true;
+    });
     Server_.set_reuse_addr(true);
     Server_.set_open_handler([this](const Handle &Each) { opened(Each); });
     Server_.set_close_handler([this](const Handle &Each) { closed(Each); });
@@ -102,6 +110,7 @@
       throw std::system_error(Error,
                               "listen on " + Host + ":" + std::to_string(Port));
     Server_.start_accept();
+    scheduleLivenessCheck();
   }
 
   auto send(SessionNumber Session, const std::string &Bytes) -> void {
@@ -117,10 +126,12 @@
     const auto Connection = Found->second;
     Sessions_.erase(Connection);
     Handles_.erase(Found);
+    Liveness_.erase(Session);
     dropConnection(Server_, Connection);
   }
 
   auto stop() -> void {
+    LivenessTimer_.cancel();
     websocketpp::lib::error_code Error;
     Server_.stop_listening(Error);
     const auto Open = Handles_;
@@ -135,6 +146,7 @@
     const auto Session = ++NextSession_;
     Handles_[Session] = Each;
     Sessions_[Each] = Session;
+    Liveness_[Session] = {};
     websocketpp::lib::error_code Error;
     const auto Connection = Server_.get_con_from_hdl(Each, Error);
     Handlers_.Opened_(Session, Error ? "" : Connection->get_resource());
@@ -147,21 +159,53 @@
     const auto Session = Found->second;
     Sessions_.erase(Found);
     Handles_.erase(Session);
+    Liveness_.erase(Session);
     Handlers_.Closed_(Session);
   }
 
   auto received(const Handle &Each, const std::string &Bytes) -> void {
+    recordReceipt(Each);
     const auto Found = Sessions_.find(Each);
     if (Found != Sessions_.end())
       Handlers_.Received_(Found->second, Bytes);
   }
 
+  auto recordReceipt(const Handle &Each) -> void {
+    const auto Found = Sessions_.find(Each);
+    if (Found != Sessions_.end())
+      Liveness_[Found->second].received();
+  }
+
+  auto scheduleLivenessCheck() -> void {
+    LivenessTimer_.expires_after(LinkCheckInterval);
+    LivenessTimer_.async_wait([Self = weak_from_this()](std::error_code Error) {
+      const auto Server = Self.lock();
+      if (Error || !Server)
+        return;
+      Server->closeDead();
+      Server->scheduleLivenessCheck();
+    });
+  }
+
+  auto closeDead() -> void {
+    std::vector<SessionNumber> Dead;
+    for (auto &[Session, Each] : Liveness_)
+      if (Each.isDead())
+        Dead.push_back(Session);
+    for (const auto Session : Dead) {
+      close(Session);
+      Handlers_.Closed_(Session);
+    }
+  }
+
   asio::io_context &IoContext_;
   LinkHandlers Handlers_;
   Server Server_;
   SessionNumber NextSession_ = 0;
   std::map<SessionNumber, Handle> Handles_;
   std::map<Handle, SessionNumber, std::owner_less<Handle>> Sessions_;
+  std::map<SessionNumber, AcceptedLinkLiveness> Liveness_;
+  asio::steady_timer LivenessTimer_;
 };
 
 LinkServer::LinkServer(asio::io_context &IoContext, LinkHandlers Handlers)
@@ -199,7 +243,8 @@
                  LinkHandlers Handlers)
       : IoContext_(IoContext), Address_(std::move(Address)),
         Path_(std::move(Path)), NextSession_(std::move(NextSession)),
-        Handlers_(std::move(Handlers)), ReconnectTimer_(IoContext) {
+        Handlers_(std::move(Handlers)), ReconnectTimer_(IoContext),
+        LivenessTimer_(IoContext) {
     configure(Client_);
     Client_.init_asio(&IoContext_);
   }
@@ -225,8 +270,15 @@
         [Self, Session](const Handle &) { Self->closed(Session); });
     Connection->set_message_handler(
         [Self, Session](const Handle &, const Client::message_ptr &Message) {
+          if (Self->CurrentSession_ != Session)
+            return;
+          Self->Liveness_.received();
+          Self->Handlers_.Received_(Session, Message->get_payload());
+        });
+    Connection->set_pong_handler(
+        [Self, Session](const Handle &, const std::string &) {
           if (Self->CurrentSession_ == Session)
-            Self->Handlers_.Received_(Session, Message->get_payload());
+            Self->Liveness_.received();
         });
     Client_.connect(Connection);
   }
@@ -246,6 +298,7 @@
   auto stop() -> void {
     Stopped_ = true;
     ReconnectTimer_.cancel();
+    LivenessTimer_.cancel();
     if (Open_)
       dropConnection(Client_, Handle_);
     CurrentSession_ = 0;
@@ -262,9 +315,32 @@
     Open_ = true;
     Handle_ = Each;
     ReconnectDelay_ = InitialReconnectDelay;
+    Liveness_ = {};
+    scheduleLivenessCheck(Session);
     Handlers_.Opened_(Session, Path_);
   }
 
+  auto scheduleLivenessCheck(SessionNumber Session) -> void {
+    LivenessTimer_.expires_after(LinkCheckInterval);
+    LivenessTimer_.async_wait(
+        [Self = shared_from_this(), Session](std::error_code Error) {
+          if (!Error && Session == Self->CurrentSession_ && Self->Open_)
+            Self->checkLiveness(Session);
+        });
+  }
+
+  auto checkLiveness(SessionNumber Session) -> void {
+    const auto Check = Liveness_.check();
+    if (Check == LinkCheck::Dead) {
+      dropAndReconnect(Session);
+      return;
+    }
+    websocketpp::lib::error_code Error;
+    if (Check == LinkCheck::Probe)
+      Client_.ping(Handle_, "", Error);
+    scheduleLivenessCheck(Session);
+  }
+
   auto closed(SessionNumber Session) -> void {
     if (Session != CurrentSession_)
       return;
@@ -295,6 +371,8 @@
   LinkHandlers Handlers_;
   Client Client_;
   asio::steady_timer ReconnectTimer_;
+  asio::steady_timer LivenessTimer_;
+  LinkLiveness Liveness_;
   Millis ReconnectDelay_ = InitialReconnectDelay;
   Handle Handle_;
   SessionNumber CurrentSession_ = 0;
