--- a/test/processes/Faults.cpp
+++ b/test/processes/Faults.cpp
@@ -40,7 +40,8 @@
       {"lost-store-answers", 1, &Faults::loseStoreAnswers},
       {"refused-machines", 1, &Faults::refuseMachines},
       {"change-configuration", 2, &Faults::changeConfiguration},
-      {"step-clock", 2, &Faults::stepClock}};
+      {"step-clock", 2, &Faults::stepClock},
+      {"skip-a-day", 1, &Faults::skipADay}};
   return Table;
 }
 
@@ -241,7 +242,16 @@
   constexpr std::array<int, 6> Steps{-90000000, -60000, -1000,
                                      1000,      60000,  90000000};
   const milliseconds Shift{Steps[Random_() % Steps.size()]};
-  const auto Names = Random_() % 3 == 0 ? everyProcess() : randomProcesses(3);
+  shiftClocks(Random_() % 3 == 0 ? everyProcess() : randomProcesses(3), Shift);
+}
+
+auto Faults::skipADay() -> void {
+  SkippedDays_ += std::chrono::hours{25};
+  shiftClocks(everyProcess(), SkippedDays_);
+}
+
+auto Faults::shiftClocks(const std::vector<std::string> &Names,
+                         milliseconds Shift) -> void {
   Log_.line("clocks of " + std::to_string(Names.size()) +
             " processes are shifted by " + std::to_string(Shift.count()) +
             " ms");
--- a/test/processes/Faults.h
+++ b/test/processes/Faults.h
@@ -59,11 +59,15 @@
   auto refuseMachines() -> void;
   auto changeConfiguration() -> void;
   auto stepClock() -> void;
+  /// All clocks leap by 25 hours, once more each time.
+  auto skipADay() -> void;
 
   auto after(std::chrono::milliseconds Delay, Action Work) -> void;
   auto runDue() -> void;
   auto killAndRestart(const std::vector<std::string> &Names,
                       std::chrono::milliseconds Down) -> void;
+  auto shiftClocks(const std::vector<std::string> &Names,
+                   std::chrono::milliseconds Shift) -> void;
   auto killEverything(std::chrono::milliseconds Down) -> void;
   auto disturbLinks(std::chrono::milliseconds Duration) -> void;
   auto between(int Low, int High) -> int;
@@ -76,6 +80,7 @@
   review::Record &Log_;
   Violations &Violations_;
   std::mt19937_64 Random_;
+  std::chrono::milliseconds SkippedDays_{0};
   std::multimap<Clock::time_point, Action> Pending_;
 };
 
