--- a/test/processes/Faults.h
+++ b/test/processes/Faults.h
@@ -49,7 +49,10 @@
   auto stopTogether() -> void;
   auto freeze() -> void;
   auto reload() -> void;
+  /// Connections other than those among entries.
   auto silenceConnections() -> void;
+  auto silenceEntries() -> void;
+  /// Half of all connections, both ways.
   auto silenceHalf() -> void;
   auto resetConnections() -> void;
   auto delayConnections() -> void;
@@ -59,11 +62,17 @@
   auto refuseMachines() -> void;
   auto changeConfiguration() -> void;
   auto stepClock() -> void;
+  /// All clocks leap by 25 hours, once more each time.
+  auto skipADay() -> void;
 
   auto after(std::chrono::milliseconds Delay, Action Work) -> void;
   auto runDue() -> void;
   auto killAndRestart(const std::vector<std::string> &Names,
                       std::chrono::milliseconds Down) -> void;
+  auto shiftClocks(const std::vector<std::string> &Names,
+                   std::chrono::milliseconds Shift) -> void;
+  auto silence(const std::set<Pair> &Pairs) -> void;
+  auto silence(const Selection &Chosen, Silence How, Direction Which) -> void;
   auto killEverything(std::chrono::milliseconds Down) -> void;
   auto disturbLinks(std::chrono::milliseconds Duration) -> void;
   auto between(int Low, int High) -> int;
@@ -76,6 +85,7 @@
   review::Record &Log_;
   Violations &Violations_;
   std::mt19937_64 Random_;
+  std::chrono::milliseconds SkippedDays_{0};
   std::multimap<Clock::time_point, Action> Pending_;
 };
 
