--- a/core/Counters.h
+++ b/core/Counters.h
@@ -62,6 +62,10 @@
   std::uint64_t UnknownJobsCancelled_ = 0;
   /// Submissions with an id that was cancelled before; they never run.
   std::uint64_t SubmittedCancelled_ = 0;
+  /// Ended jobs that were removed from a ledger.
+  std::uint64_t JobsRemoved_ = 0;
+  /// Moves of the wall clock against the steady clock.
+  std::uint64_t WallClockMoves_ = 0;
   /// Stops sent for tasks of cancelled or failed jobs.
   std::uint64_t StopsSent_ = 0;
   /// Tasks of cancelled jobs that were bound for longer than they may run.
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -821,6 +821,7 @@
   Dispatcher_.tick(Now, Generator_, Out);
   relinquishShards(Now, Out);
   logContact(Now, Out);
+  logClock(Now, Out);
   // Each reading of the store may show that an owner has joined or left.
   if (View_.lastReadAt() != RebalancedReadAt_)
     NextRebalance_ = Now.Steady_;
@@ -893,6 +894,17 @@
   LoggedAdoptions_ = View_.adoptionCount();
 }
 
+auto EntryCore::logClock(Moment Now, EntryOutbox &Out) -> void {
+  const auto Move = WallClock_.update(Now);
+  if (!Move)
+    return;
+  ++Counters_.WallClockMoves_;
+  Out.push_back(LogDecision{"wall-clock-moved", Identity_.Entry_.Value_,
+                            View_.revision(), ErrorKind::None,
+                            std::to_string(Move->count()) +
+                                " ms against the steady clock"});
+}
+
 auto EntryCore::leave(Moment Now, EntryOutbox &Out) -> void {
   if (Leaving_)
     return;
@@ -927,6 +939,13 @@
                        [](const auto &Shard) { return Shard->owning(); });
 }
 
+auto EntryCore::ledgerSize() const -> LedgerSize {
+  LedgerSize Sum;
+  for (const auto &Each : Shards_)
+    Sum += Each->ledgerSize();
+  return Sum;
+}
+
 auto EntryCore::healthy(Moment /*Now*/) const -> bool {
   return !Leaving_ && View_.revision() > 0;
 }
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -12,6 +12,7 @@
 #include "core/RevisionsInForce.h"
 #include "core/ShardOwner.h"
 #include "core/ShardOwnership.h"
+#include "core/WallClockWatch.h"
 
 namespace skylark {
 
@@ -74,6 +75,8 @@
   }
   auto targetCount() const -> std::size_t { return Targets_.size(); }
   auto ownedShards() const -> std::size_t;
+  /// What this entry's shards hold, in all.
+  auto ledgerSize() const -> LedgerSize;
   auto inFlight() const -> std::size_t { return Dispatcher_.inFlight(); }
   auto healthy(Moment Now) const -> bool;
   /// Returns the number of peers that are connected and have been seen
@@ -220,6 +223,8 @@
   /// Records and logs when contact with the store, or the registration in it,
   /// is lost or regained.
   auto logContact(Moment Now, EntryOutbox &Out) -> void;
+  /// Logs a move of the wall clock.
+  auto logClock(Moment Now, EntryOutbox &Out) -> void;
   /// Withdraws the registration once all work is done, and ends the process
   /// once the registration is withdrawn or the deadline for stopping has
   /// passed.
@@ -259,6 +264,7 @@
   std::uint64_t LoggedAdoptions_ = 0;
   bool StoreReached_ = false;
   GrantMonitor GrantMonitor_;
+  WallClockWatch WallClock_;
   bool Registered_ = false;
   TimePoint RegisteredAt_{};
   /// Number of this entry's registrations when the shards' heads were last
--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -94,6 +94,9 @@
   /// are not queued any more.
   auto appended() const -> std::uint64_t { return Appended_; }
   auto settled() const -> std::uint64_t { return Appended_ - queued(); }
+  /// Sizes, in bytes, of the newest snapshot and of the commits after it.
+  auto snapshotSize() const -> std::size_t { return SnapshotSize_; }
+  auto commitsSize() const -> std::size_t { return CommitsSize_; }
   /// Returns the records committed since the last call.
   auto takeCommitted() -> std::vector<LedgerRecord>;
   /// Returns the records that the store has refused since the last call. They
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1908,7 +1908,19 @@
       Out);
 }
 
-auto ShardOwner::removeExpired(Moment Now) -> void {
+auto ShardOwner::ledgerSize() const -> LedgerSize {
+  LedgerSize Size;
+  if (!owning())
+    return Size;
+  Size.Jobs_ = state().jobs().size();
+  for (const auto &Each : state().jobs())
+    Size.EndedJobs_ += state().progressOf(Each.first).isOver() ? 1 : 0;
+  Size.SnapshotBytes_ = Ledger_.snapshotSize();
+  Size.CommitBytes_ = Ledger_.commitsSize();
+  return Size;
+}
+
+auto ShardOwner::removeExpired(Moment Now, EntryOutbox &Out) -> void {
   if (Now.Steady_ < NextRemoval_)
     return;
   NextRemoval_ = Now.Steady_ + RemovalInterval;
@@ -1919,14 +1931,35 @@
   for (const auto &[Key, Claim] : state().claims())
     if (!Claim.Open_ && Claim.At_ + Retention < Now.Wall_)
       Ledger_.append(ClaimRemoved{Key});
-  for (const auto &[Id, Job] : state().jobs())
-    if (Job.SubmittedAt_ + Day < Now.Wall_ && state().progressOf(Id).isOver())
-      Ledger_.append(JobRemoved{Id});
+  removeEndedJobs(Now, Out);
   for (const auto &Id : CancelledIds_.expired(Now.Steady_))
     if (Submitting_.count(Id) == 0 && Cancelling_.count(Id) == 0)
       Ledger_.append(JobRemoved{Id});
 }
 
+auto ShardOwner::removeEndedJobs(Moment Now, EntryOutbox &Out) -> void {
+  std::size_t Removed = 0;
+  Millis Oldest{0};
+  auto Youngest = Millis::max();
+  for (const auto &[Id, Job] : state().jobs()) {
+    const Millis Age = Now.Wall_ - Job.SubmittedAt_;
+    if (Age <= Day || !state().progressOf(Id).isOver())
+      continue;
+    Ledger_.append(JobRemoved{Id});
+    ++Removed;
+    Oldest = std::max(Oldest, Age);
+    Youngest = std::min(Youngest, Age);
+  }
+  if (Removed == 0)
+    return;
+  Context_.Counters_.JobsRemoved_ += Removed;
+  log("jobs-removed", std::to_string(Shard_), ErrorKind::None,
+      std::to_string(Removed) + " of " + std::to_string(state().jobs().size()) +
+          " jobs, submitted " + std::to_string(Oldest.count()) + " to " +
+          std::to_string(Youngest.count()) + " ms ago by the wall clock",
+      Out);
+}
+
 auto ShardOwner::handleOwnershipLoss(EntryOutbox &Out) -> void {
   log("shard-given-up", std::to_string(Shard_), ErrorKind::StaleEpoch,
       "epoch " + std::to_string(Ledger_.epoch()), Out);
@@ -2021,7 +2054,7 @@
     checkBoundTasks(Now, Out);
     if (!Draining_) {
       bindPending(Now, Generator, Out);
-      removeExpired(Now);
+      removeExpired(Now, Out);
     }
   }
   Ledger_.advance();
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -6,6 +6,7 @@
 #include "core/CancelledIds.h"
 #include "core/CrashBlame.h"
 #include "core/DeadlineFeasibility.h"
+#include "core/LedgerSize.h"
 #include "core/LedgerWriter.h"
 #include "core/OutlierDetector.h"
 #include "core/OwnershipProof.h"
@@ -139,6 +140,8 @@
   auto epoch() const -> Epoch { return Ledger_.epoch(); }
   auto state() const -> const ShardState & { return Ledger_.state(); }
   auto commits() const -> std::uint64_t { return Ledger_.commits(); }
+  /// What this entry knows of the ledger; nothing if it isn't the owner.
+  auto ledgerSize() const -> LedgerSize;
   /// Returns the requests whose claims were committed since the last call.
   auto takeClaimed() -> std::vector<ClaimedRequest>;
 
@@ -433,7 +436,9 @@
   auto refuseUnknown(Moment Now, CallerToken Token, const JobId &Id,
                      EntryOutbox &Out) -> void;
   /// Queues the removal of old jobs and claims.
-  auto removeExpired(Moment Now) -> void;
+  auto removeExpired(Moment Now, EntryOutbox &Out) -> void;
+  /// Queues the removal of ended jobs that callers need no more.
+  auto removeEndedJobs(Moment Now, EntryOutbox &Out) -> void;
   /// Refuses all waiting callers and removes the shard from the records of all
   /// targets.
   auto handleOwnershipLoss(EntryOutbox &Out) -> void;
--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -227,6 +227,7 @@
     CurrentGauges.Peers_ = Core_.peerCount(currentMoment());
     CurrentGauges.OwnedShards_ = Core_.ownedShards();
     CurrentGauges.InFlight_ = Core_.inFlight();
+    CurrentGauges.Ledgers_ = Core_.ledgerSize();
     CurrentGauges.Revision_ = Core_.configuration().Head_.Revision_;
     auto Totals = Core_.counters();
     for (std::size_t Index = 0; Index < Totals.Refusals_.size(); ++Index)
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -34,6 +34,8 @@
     {"skylark_unknown_jobs_cancelled_total", &Counters::UnknownJobsCancelled_},
     {"skylark_cancelled_before_submission_total",
      &Counters::SubmittedCancelled_},
+    {"skylark_jobs_removed_total", &Counters::JobsRemoved_},
+    {"skylark_wall_clock_moves_total", &Counters::WallClockMoves_},
     {"skylark_stops_sent_total", &Counters::StopsSent_},
     {"skylark_stops_overdue_total", &Counters::StopsOverdue_},
     {"skylark_store_calls_total", &Counters::StoreCalls_},
@@ -56,6 +58,18 @@
     {"skylark_in_flight", &Gauges::InFlight_},
 };
 
+struct LedgerMetric {
+  const char *Name_;
+  std::size_t LedgerSize::*Member_;
+};
+
+constexpr LedgerMetric LedgerMetrics[] = {
+    {"skylark_ledger_jobs", &LedgerSize::Jobs_},
+    {"skylark_ledger_ended_jobs", &LedgerSize::EndedJobs_},
+    {"skylark_ledger_snapshot_bytes", &LedgerSize::SnapshotBytes_},
+    {"skylark_ledger_commit_bytes", &LedgerSize::CommitBytes_},
+};
+
 } // namespace
 
 class LatencyHistogram::Implementation {
@@ -132,6 +146,9 @@
   for (const auto &Each : GaugeMetrics)
     Out << "# TYPE " << Each.Name_ << " gauge\n"
         << Each.Name_ << ' ' << GaugeValues.*Each.Member_ << '\n';
+  for (const auto &Each : LedgerMetrics)
+    Out << "# TYPE " << Each.Name_ << " gauge\n"
+        << Each.Name_ << ' ' << GaugeValues.Ledgers_.*Each.Member_ << '\n';
   Out << "# TYPE skylark_revision gauge\nskylark_revision "
       << GaugeValues.Revision_ << '\n';
   return Out.str();
--- a/entry/Metrics.h
+++ b/entry/Metrics.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/Counters.h"
+#include "core/LedgerSize.h"
 #include "core/Time.h"
 
 #include <memory>
@@ -16,6 +17,8 @@
   std::size_t Peers_ = 0;
   std::size_t OwnedShards_ = 0;
   std::size_t InFlight_ = 0;
+  /// Of the shards that the entry owns.
+  LedgerSize Ledgers_;
   std::uint64_t Revision_ = 0;
 };
 
--- /dev/null
+++ b/test/correctness/WallClockTest.cpp
@@ -0,0 +1,76 @@
+/// \file
+/// Tests what an entry does while its time of day is wrong, at start or from
+/// some moment on.
+
+#include "core/WallClockWatch.h"
+#include "test/correctness/EntryFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace skylark;
+
+namespace {
+
+constexpr Seconds Hour{3600};
+
+auto countLines(const std::vector<LogDecision> &Log, std::string_view Event)
+    -> std::ptrdiff_t {
+  return std::count_if(Log.begin(), Log.end(), [&](const LogDecision &Each) {
+    return Each.Event_ == Event;
+  });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WallClock)
+
+BOOST_AUTO_TEST_CASE(MoveOfTheWallClockIsReportedOnceAndSuspensionIsNone) {
+  WallClockWatch Watch;
+  Moment Now{TimePoint(Seconds{100}), WallTime(Seconds{1000})};
+  BOOST_TEST(!Watch.update(Now).has_value());
+  Now = Now.after(25 * Hour);
+  BOOST_TEST(!Watch.update(Now).has_value());
+  Now.Wall_ -= 25 * Hour;
+  BOOST_TEST((Watch.update(Now) == Millis(-25 * Hour)));
+  BOOST_TEST(!Watch.update(Now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(WallClockThatKeepsMovingIsReportedOnceAMinute) {
+  WallClockWatch Watch;
+  Moment Now{TimePoint(Seconds{100}), WallTime(Seconds{1000})};
+  Watch.update(Now);
+  int Reports = 0;
+  Millis Sum{0};
+  for (int Step = 0; Step < 1200; ++Step) {
+    Now = Now.after(Millis{50});
+    Now.Wall_ += Millis{1500};
+    if (const auto Move = Watch.update(Now)) {
+      ++Reports;
+      Sum += *Move;
+    }
+  }
+  BOOST_TEST(Reports == 1);
+  BOOST_TEST((Sum == Millis{1500}));
+}
+
+BOOST_FIXTURE_TEST_CASE(MoveOfTheWallClockIsLoggedAndCounted, EntryFixture) {
+  Now_.Wall_ += 25 * Hour;
+  advance(Millis{500});
+  BOOST_TEST(countLines(Log_, "wall-clock-moved") == 2);
+  BOOST_TEST(Entries_[0]->counters().WallClockMoves_ == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(LedgerSizeCountsEndedJobs, EntryFixture) {
+  runJob("job");
+  submit(0, "other");
+  advance(Millis{500});
+  BOOST_TEST(Entries_[owner()]->ledgerSize().Jobs_ == 2U);
+  BOOST_TEST(Entries_[owner()]->ledgerSize().EndedJobs_ == 0U);
+  report("job", TaskPhase::Finished);
+  advance(Millis{500});
+  BOOST_TEST(Entries_[owner()]->ledgerSize().EndedJobs_ == 1U);
+  BOOST_TEST(Entries_[owner()]->ledgerSize().CommitBytes_ > 0U);
+  BOOST_TEST(Entries_[1 - owner()]->ledgerSize().Jobs_ == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
