Stops: what an entry leaves unanswered, and the limit of connections, are logged

Nothing was logged when the connections reached their limit.

stop-decided names what kept the entry and whether its time was up; stop-ended counts what is unanswered by kind, and what is unwritten. An open request is counted until RESTinio reports its answer as written.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -897,6 +897,7 @@
   if (Leaving_)
     return;
   Leaving_ = true;
+  LeaveStart_ = Now.Steady_;
   LeaveDeadline_ = Now.Steady_ + Identity_.StopTimeout_ - ForcedStopMargin;
   rebalanceShards(Now);
   processPending(Now, Out);
@@ -917,6 +918,25 @@
     View_.leave();
   if ((View_.leaveCompleted() || DeadlinePassed) && !ExitSent_) {
     ExitSent_ = true;
+    StopReport Report;
+    Report.Elapsed_ =
+        std::chrono::duration_cast<Millis>(Now.Steady_ - LeaveStart_);
+    Report.Forced_ = !View_.leaveCompleted();
+    Report.Calls_ = Calls_.open();
+    Report.Dispatched_ = Dispatcher_.inFlight();
+    Report.ChangesOpen_ = !Changes_.idle();
+    Report.CancellationsOpen_ = !Cancellations_.idle();
+    Report.ShardsHeld_ = static_cast<std::size_t>(
+        std::count_if(Shards_.begin(), Shards_.end(),
+                      [](const auto &Shard) { return !Shard->idle(); }));
+    Report.GrantsLeft_ = std::max(
+        Millis{0}, std::chrono::duration_cast<Millis>(GrantsEnd - Now.Steady_));
+    Report.StoreReached_ = View_.storeContact(Now) == StoreContact::Fresh;
+    Report.RegistrationWithdrawn_ = View_.leaveCompleted();
+    Counters_.StopsForced_ += Report.Forced_ ? 1 : 0;
+    Out.push_back(LogDecision{"stop-decided", Identity_.Entry_.Value_,
+                              View_.revision(), ErrorKind::None,
+                              describe(Report)});
     Calls_.answerRemaining(Out);
     Out.push_back(ExitProcess{});
   }
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -266,6 +266,7 @@
   std::uint64_t VerifiedRegistrations_ = 0;
   bool Leaving_ = false;
   bool ExitSent_ = false;
+  TimePoint LeaveStart_{};
   TimePoint LeaveDeadline_{};
 };
 
--- a/core/ForwardedCalls.h
+++ b/core/ForwardedCalls.h
@@ -5,6 +5,7 @@
 
 #include "core/Counters.h"
 #include "core/ShardOwnership.h"
+#include "core/StopReport.h"
 
 #include <deque>
 #include <map>
@@ -76,6 +77,10 @@
   auto idle() const -> bool {
     return Forwarded_.empty() && Parked_.empty() && PeerCallers_.empty();
   }
+  auto open() const -> OpenCalls {
+    return {Forwarded_.size(), Parked_.size(), OwnCalls_.size(),
+            PeerCallers_.size()};
+  }
   /// Answers every caller of this entry who still waits before its process
   /// ends.
   auto answerRemaining(EntryOutbox &Out) -> void;
--- a/entry/CallerServer.h
+++ b/entry/CallerServer.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/EntryOutput.h"
+#include "runtime/HttpServerLoad.h"
 #include "runtime/StoreTransport.h"
 #include "wire/Settings.h"
 
@@ -44,6 +45,8 @@
 
   /// Starts to listen. Throws an exception if an address is in use.
   virtual auto start() -> void = 0;
+  /// What the server carries for callers.
+  virtual auto load() const -> const HttpServerLoad & = 0;
 };
 
 /// Factories for an entry's connections to external systems.
--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -1,5 +1,6 @@
 #include "entry/EntryProcess.h"
 
+#include "core/RequestKind.h"
 #include "entry/Metrics.h"
 #include "runtime/HttpClient.h"
 #include "runtime/HttpServer.h"
@@ -52,6 +53,7 @@
     Threads_.onTerminate([this] {
       logEvent("stopping", "received a signal to terminate");
       Stopping_ = true;
+      StopStart_ = SteadyClock::now();
       handleEvent(
           [this](Moment Now, EntryOutbox &Out) { Core_.leave(Now, Out); });
     });
@@ -185,7 +187,8 @@
       postEvent([this, Request = std::move(Request), Send = std::move(Send),
                  ReceivedAt](Moment Now, EntryOutbox &Out) mutable {
         const auto Token = ++NextToken_;
-        WaitingCallers_[Token] = {std::move(Send), ReceivedAt};
+        WaitingCallers_[Token] = {std::move(Send), ReceivedAt,
+                                  requestKindText(Request)};
         Core_.callerAsked(Now, Token, Request, Out);
       });
     };
@@ -227,6 +230,10 @@
     CurrentGauges.Peers_ = Core_.peerCount(currentMoment());
     CurrentGauges.OwnedShards_ = Core_.ownedShards();
     CurrentGauges.InFlight_ = Core_.inFlight();
+    CurrentGauges.UnansweredRequests_ = WaitingCallers_.size();
+    CurrentGauges.OpenRequests_ = Callers_->load().OpenRequests_;
+    CurrentGauges.Connections_ = Callers_->load().Connections_;
+    CurrentGauges.ConnectionLimitsReached_ = Callers_->load().LimitsReached_;
     CurrentGauges.Revision_ = Core_.configuration().Head_.Revision_;
     auto Totals = Core_.counters();
     for (std::size_t Index = 0; Index < Totals.Refusals_.size(); ++Index)
@@ -291,12 +298,36 @@
   auto perform(const ExitProcess & /*Exit*/) -> void {
     const auto Timer = std::make_shared<asio::steady_timer>(Threads_.control(),
                                                             ShutdownFlushDelay);
-    Timer->async_wait([this, Timer](std::error_code) { Threads_.stop(); });
+    Timer->async_wait([this, Timer](std::error_code) {
+      logEvent("stop-ended", stopText());
+      Threads_.stop();
+    });
+  }
+
+  /// What the process leaves unanswered when it ends, for the log.
+  auto stopText() const -> std::string {
+    std::map<std::string_view, std::size_t> Unanswered;
+    for (const auto &[Token, Each] : WaitingCallers_)
+      ++Unanswered[Each.Kind_];
+    const auto Open = Callers_->load().OpenRequests_.load();
+    const auto Elapsed =
+        std::chrono::duration_cast<Millis>(SteadyClock::now() - StopStart_);
+    auto Text = "after " + std::to_string(Elapsed.count()) + " ms, " +
+                std::to_string(WaitingCallers_.size()) +
+                " read and not answered";
+    for (const auto &[Kind, Count] : Unanswered)
+      Text += ", " + std::string(Kind) + ' ' + std::to_string(Count);
+    return Text + ", " +
+           std::to_string(Open - std::min(Open, WaitingCallers_.size())) +
+           " answered and not written, " +
+           std::to_string(Callers_->load().Connections_.load()) +
+           " connections open";
   }
 
   struct WaitingCaller {
     ReplySender Send_;
     TimePoint ReceivedAt_{};
+    std::string_view Kind_;
   };
 
   Settings Settings_;
@@ -305,6 +336,7 @@
   EntryCore Core_;
   std::unordered_map<CallerToken, WaitingCaller> WaitingCallers_;
   CallerToken NextToken_ = 0;
+  TimePoint StopStart_{};
   std::map<EntryId, PeerLink> Peers_;
   LatencyHistogram Latency_;
   // Used on the traffic thread only.
--- a/entry/HttpApi.cpp
+++ b/entry/HttpApi.cpp
@@ -4,7 +4,7 @@
 #include "wire/ApiJson.h"
 #include "wire/DocumentJson.h"
 
-#include <restinio/all.hpp>
+#include "runtime/ConnectionCounter.h"
 
 #include <optional>
 
@@ -18,6 +18,7 @@
 struct ServerTraits : public restinio::default_single_thread_traits_t {
   using request_handler_t = Router; // NOLINT: named by RESTinio
   using timer_manager_t = restinio::asio_timer_manager_t;    // NOLINT
+  using connection_state_listener_t = ConnectionCounter;     // NOLINT
   static constexpr bool use_connection_count_limiter = true; // NOLINT
 };
 using Server = restinio::http_server_t<ServerTraits>;
@@ -34,7 +35,9 @@
           Status < 400 ? "OK" : "Refused"};
 }
 
-auto sendAnswer(const HttpRequest &To, HttpResponse Answer) -> void {
+/// \param Open kept until the answer is written.
+auto sendAnswer(const HttpRequest &To, HttpResponse Answer,
+                const std::shared_ptr<void> &Open = nullptr) -> void {
   auto Response = To->create_response(statusLine(Answer.Status_));
   Response.append_header(restinio::http_field::content_type,
                          Answer.ContentType_);
@@ -43,7 +46,7 @@
   if (!Answer.RequestId_.empty())
     Response.append_header("Skylark-Request-Id", Answer.RequestId_);
   Response.set_body(std::move(Answer.Body_));
-  Response.done();
+  Response.done([Open](const auto & /*Error*/) {});
 }
 
 auto joinDescriptions(const std::vector<Problem> &Problems) -> std::string {
@@ -103,6 +106,8 @@
             .port(Settings.Http_.Port_)
             .request_handler(makeRouter())
             .incoming_http_msg_limits(Limits)
+            .connection_state_listener(std::make_shared<ConnectionCounter>(
+                Load_, Settings.Http_.Port_, Settings.Limits_.Connections_))
             .max_parallel_connections(Settings.Limits_.Connections_)
             .read_next_http_message_timelimit(ConnectionIoTimeout)
             .write_http_response_timelimit(ConnectionIoTimeout)
@@ -110,11 +115,13 @@
   }
 
   auto start() -> void { Server_->open_sync(); }
+  auto load() const -> const HttpServerLoad & { return *Load_; }
 
 private:
-  static auto replySenderFor(const HttpRequest &To) -> ReplySender {
-    return
-        [To](const CallerReply &Reply) { sendAnswer(To, renderReply(Reply)); };
+  auto replySenderFor(const HttpRequest &To) const -> ReplySender {
+    return [To, Open = countOpenRequest(Load_)](const CallerReply &Reply) {
+      sendAnswer(To, renderReply(Reply), Open);
+    };
   }
 
   auto refuse(const HttpRequest &To, ErrorKind Kind, std::string Detail)
@@ -292,6 +299,7 @@
 
   std::size_t MaxBodyBytes_;
   CallerHandlers Handlers_;
+  std::shared_ptr<HttpServerLoad> Load_ = std::make_shared<HttpServerLoad>();
   std::unique_ptr<Server> Server_;
 };
 
@@ -304,4 +312,8 @@
 
 auto HttpApi::start() -> void { Implementation_->start(); }
 
+auto HttpApi::load() const -> const HttpServerLoad & {
+  return Implementation_->load();
+}
+
 } // namespace skylark
--- a/entry/HttpApi.h
+++ b/entry/HttpApi.h
@@ -14,6 +14,7 @@
   ~HttpApi() override;
 
   auto start() -> void override;
+  auto load() const -> const HttpServerLoad & override;
 
 private:
   class Implementation;
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -36,6 +36,7 @@
      &Counters::SubmittedCancelled_},
     {"skylark_stops_sent_total", &Counters::StopsSent_},
     {"skylark_stops_overdue_total", &Counters::StopsOverdue_},
+    {"skylark_stops_forced_total", &Counters::StopsForced_},
     {"skylark_store_calls_total", &Counters::StoreCalls_},
     {"skylark_workers_ejected_total", &Counters::WorkersEjected_},
     {"skylark_store_failures_total", &Counters::StoreFailures_},
@@ -54,6 +55,9 @@
     {"skylark_peers", &Gauges::Peers_},
     {"skylark_owned_shards", &Gauges::OwnedShards_},
     {"skylark_in_flight", &Gauges::InFlight_},
+    {"skylark_unanswered_requests", &Gauges::UnansweredRequests_},
+    {"skylark_open_requests", &Gauges::OpenRequests_},
+    {"skylark_connections", &Gauges::Connections_},
 };
 
 } // namespace
@@ -132,6 +136,9 @@
   for (const auto &Each : GaugeMetrics)
     Out << "# TYPE " << Each.Name_ << " gauge\n"
         << Each.Name_ << ' ' << GaugeValues.*Each.Member_ << '\n';
+  Out << "# TYPE skylark_connection_limits_reached_total counter\n"
+      << "skylark_connection_limits_reached_total "
+      << GaugeValues.ConnectionLimitsReached_ << '\n';
   Out << "# TYPE skylark_revision gauge\nskylark_revision "
       << GaugeValues.Revision_ << '\n';
   return Out.str();
--- a/entry/Metrics.h
+++ b/entry/Metrics.h
@@ -16,6 +16,13 @@
   std::size_t Peers_ = 0;
   std::size_t OwnedShards_ = 0;
   std::size_t InFlight_ = 0;
+  /// Requests of callers that the entry has not answered.
+  std::size_t UnansweredRequests_ = 0;
+  /// Those, and the ones whose answers are not written completely.
+  std::size_t OpenRequests_ = 0;
+  /// Connections of callers, and how often they have reached their limit.
+  std::size_t Connections_ = 0;
+  std::uint64_t ConnectionLimitsReached_ = 0;
   std::uint64_t Revision_ = 0;
 };
 
--- a/runtime/HttpServer.cpp
+++ b/runtime/HttpServer.cpp
@@ -1,6 +1,6 @@
 #include "runtime/HttpServer.h"
 
-#include <restinio/all.hpp>
+#include "runtime/ConnectionCounter.h"
 
 namespace skylark {
 namespace {
@@ -10,6 +10,7 @@
 struct Traits : public restinio::default_single_thread_traits_t {
   using timer_manager_t = restinio::asio_timer_manager_t;    // NOLINT
   static constexpr bool use_connection_count_limiter = true; // NOLINT
+  using connection_state_listener_t = ConnectionCounter;     // NOLINT
   using request_handler_t =                                  // NOLINT
       std::function<restinio::request_handling_status_t(Request)>;
 };
@@ -36,7 +37,9 @@
   return Result;
 }
 
-auto send(const Request &To, HttpServerAnswer Answer) -> void {
+/// \param Open kept until the answer is written.
+auto send(const Request &To, HttpServerAnswer Answer,
+          const std::shared_ptr<void> &Open) -> void {
   auto Response =
       To->create_response({restinio::http_status_code_t{Answer.Status_},
                            Answer.Status_ < 400 ? "OK" : "Refused"});
@@ -49,7 +52,7 @@
     Response.append_header(restinio::http_field::retry_after,
                            std::to_string(Answer.RetryAfter_.count()));
   Response.set_body(std::move(Answer.Body_));
-  Response.done();
+  Response.done([Open](const auto & /*Error*/) {});
 }
 
 } // namespace
@@ -62,12 +65,12 @@
                 makeSettings(Options, std::move(Handler))) {}
 
   auto start() -> void { Server_.open_sync(); }
+  auto load() const -> const HttpServerLoad & { return *Load_; }
 
 private:
   using Server = restinio::http_server_t<Traits>;
 
-  static auto makeSettings(const HttpServerOptions &Options,
-                           HttpHandler Handler)
+  auto makeSettings(const HttpServerOptions &Options, HttpHandler Handler)
       -> restinio::server_settings_t<Traits> {
     const auto Limits = restinio::incoming_http_msg_limits_t{}
                             .max_url_size(MaxUrlSize)
@@ -82,16 +85,21 @@
         .read_next_http_message_timelimit(IdleTimeout)
         .write_http_response_timelimit(IdleTimeout)
         .handle_request_timeout(HandlerTimeout)
+        .connection_state_listener(std::make_shared<ConnectionCounter>(
+            Load_, Options.Port_, Options.Connections_))
         .request_handler(std::make_unique<Traits::request_handler_t>(
-            [Handler = std::move(Handler)](const Request &From) {
-              Handler(convertRequest(From), [From](HttpServerAnswer Answer) {
-                send(From, std::move(Answer));
-              });
+            [Load = Load_, Handler = std::move(Handler)](const Request &From) {
+              Handler(convertRequest(From),
+                      [From,
+                       Open = countOpenRequest(Load)](HttpServerAnswer Answer) {
+                        send(From, std::move(Answer), Open);
+                      });
               return restinio::request_accepted();
             }));
     return Settings;
   }
 
+  std::shared_ptr<HttpServerLoad> Load_ = std::make_shared<HttpServerLoad>();
   Server Server_;
 };
 
@@ -104,4 +112,8 @@
 
 auto HttpServer::start() -> void { Implementation_->start(); }
 
+auto HttpServer::load() const -> const HttpServerLoad & {
+  return Implementation_->load();
+}
+
 } // namespace skylark
--- a/runtime/HttpServer.h
+++ b/runtime/HttpServer.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/Time.h"
+#include "runtime/HttpServerLoad.h"
 
 #include <asio/io_context.hpp>
 
@@ -59,6 +60,7 @@
   /// Starts to listen; throws if the address is in use. Must be called on
   /// the context's thread, or before it runs.
   auto start() -> void;
+  auto load() const -> const HttpServerLoad &;
 
 private:
   class Implementation;
