--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -272,6 +272,7 @@
   std::uint64_t VerifiedRegistrations_ = 0;
   bool Leaving_ = false;
   bool ExitSent_ = false;
+  TimePoint LeaveStart_{};
   TimePoint LeaveDeadline_{};
 };
 
