Ended jobs are kept by the owner's steady clock, not by the time of day

Ruled out: removal at the promised time already, which gains memory that isn't needed and forgets jobs that are still asked for; a limit within the promise. Change: core/EndedJobs counts on the owner's steady clock since when it has known a job to be over; the next owner starts anew. At most 1,000 removals a pass of 10 s, so that removals don't fill the ledger's queue, beyond which new work is refused. The lines jobs-removed name the steady clock. Evidence: before, the new cases of WallClock fail with 8 checks: EndedJobStaysKnownAfterALeapOfTheWallClock (isKnown() has failed; jobs-removed 1 != 0), EndedJobStaysKnownToAnOwnerWithAnotherTimeOfDay (3), JobSubmittedOnAClockADayBehindStaysKnownAsItEnds, EndedJobSubmittedAgainAfterALeapDoesNotRunAgain (Binds_.empty() has failed), CancelledJobStaysKnownAfterALeapOfTheWallClock. After: WallClock 9 of 9, EndedJobList 5 of 5.

--- a/core/Document.h
+++ b/core/Document.h
@@ -97,7 +97,10 @@
   Millis RegistrationTtl_{6000};
   /// Interval at which an entry reads the environment from the store.
   Millis ReadInterval_{300};
+  /// How long a job stays known after its end, at least.
+  Seconds JobStatusTime_{24 * 3600};
 
+  static constexpr std::size_t RequiredFields = 13;
   static constexpr auto fields() {
     return std::make_tuple(
         &PolicySettings::PermitDuration_, &PolicySettings::FreshnessWindow_,
@@ -106,7 +109,7 @@
         &PolicySettings::ReturnRamp_, &PolicySettings::KeyRetention_,
         &PolicySettings::RetryPercent_, &PolicySettings::TaskFailureLimit_,
         &PolicySettings::MoveWhenOut_, &PolicySettings::RegistrationTtl_,
-        &PolicySettings::ReadInterval_);
+        &PolicySettings::ReadInterval_, &PolicySettings::JobStatusTime_);
   }
 };
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -51,7 +51,10 @@
 /// Delay after a task's first failure; doubles with each further failure.
 constexpr Millis FailureBackoff{50};
 constexpr Millis MaxFailureBackoff{5000};
-constexpr Millis RemovalInterval{60000};
+constexpr Millis RemovalInterval{10000};
+/// Maximum number of ended jobs removed in one pass. Many more records than
+/// MaxQueuedRecords would make the owner refuse new work.
+constexpr std::size_t MaxRemovalsPerPass = 1000;
 /// Interval at which an owner reads the shard's head. An owner with nothing to
 /// write learns of a successor only from these reads.
 constexpr Millis VerifyInterval{10000};
@@ -657,7 +660,7 @@
   }
   CancelledIds_.remove(Record.Job_);
   indexJob(Now.Steady_, *Cancelled);
-  logIfOver(*Cancelled, Out);
+  recordIfOver(Now, *Cancelled, Out);
   for (const auto &Caller : CancelCallers_.take(Record.Job_))
     Out.push_back(AnswerCaller{
         Caller.Token_, jobAnswer(state(), *Cancelled, Caller.StateOnly_)});
@@ -787,9 +790,12 @@
   FinishReported_.clear();
   Waits_.clear();
   MeanWork_ = {};
-  for (const auto &Each : state().jobs()) {
-    MeanWork_.record(Each.second);
-    indexJob(Now.Steady_, Each.second);
+  Ended_.clear();
+  for (const auto &[Id, Each] : state().jobs()) {
+    MeanWork_.record(Each);
+    indexJob(Now.Steady_, Each);
+    if (state().progressOf(Id).isOver())
+      Ended_.add(Now.Steady_, Id, Each.Tasks_.size());
   }
   // An earlier owner stored the job without its cancellation.
   for (const auto &Id : state().cancelledIds())
@@ -822,7 +828,7 @@
   updateIndex(Now.Steady_, *Job, Record.Task_);
   if (Record.State_ == TaskState::Pending)
     Waits_.attemptLost(Record.Task_.Job_);
-  logIfOver(*Job, Out);
+  recordIfOver(Now, *Job, Out);
   if (Record.State_ == TaskState::Failed)
     Failing_.erase(Record.Task_.Job_);
   const auto Finished = FinishReported_.erase(Record.Task_) != 0 ||
@@ -1211,11 +1217,14 @@
   return true;
 }
 
-auto ShardOwner::logIfOver(const Job &Job, EntryOutbox &Out) -> void {
+auto ShardOwner::recordIfOver(Moment Now, const Job &Job, EntryOutbox &Out)
+    -> void {
   const auto FirstBound = Bound_.lower_bound(TaskId{Job.Id_});
   const auto HasBoundTask =
       FirstBound != Bound_.end() && FirstBound->first.Job_ == Job.Id_;
   const auto &Progress = state().progressOf(Job.Id_);
+  if (Progress.isOver())
+    Ended_.add(Now.Steady_, Job.Id_, Job.Tasks_.size());
   if (HasBoundTask || !Progress.isOver())
     return;
   const auto Ended = Waits_.takeEnded();
@@ -1913,8 +1922,7 @@
   if (!owning())
     return Size;
   Size.Jobs_ = state().jobs().size();
-  for (const auto &Each : state().jobs())
-    Size.EndedJobs_ += state().progressOf(Each.first).isOver() ? 1 : 0;
+  Size.EndedJobs_ = Ended_.size();
   Size.SnapshotBytes_ = Ledger_.snapshotSize();
   Size.CommitBytes_ = Ledger_.commitsSize();
   return Size;
@@ -1938,25 +1946,23 @@
 }
 
 auto ShardOwner::removeEndedJobs(Moment Now, EntryOutbox &Out) -> void {
-  std::size_t Removed = 0;
-  Millis Oldest{0};
-  auto Youngest = Millis::max();
-  for (const auto &[Id, Job] : state().jobs()) {
-    const Millis Age = Now.Wall_ - Job.SubmittedAt_;
-    if (Age <= Day || !state().progressOf(Id).isOver())
-      continue;
-    Ledger_.append(JobRemoved{Id});
-    ++Removed;
-    Oldest = std::max(Oldest, Age);
-    Youngest = std::min(Youngest, Age);
-  }
-  if (Removed == 0)
+  const auto Removed = Ended_.takeExpired(
+      Now.Steady_, Context_.Configuration_.Document_.Policy_.JobStatusTime_,
+      MaxRemovalsPerPass);
+  for (const auto &Each : Removed)
+    Ledger_.append(JobRemoved{Each.Job_});
+  if (Removed.empty())
     return;
-  Context_.Counters_.JobsRemoved_ += Removed;
+  Context_.Counters_.JobsRemoved_ += Removed.size();
+  const auto AgeText = [](const EndedJobs::Removal &Each) {
+    return std::to_string(
+        std::chrono::duration_cast<Seconds>(Each.Age_).count());
+  };
   log("jobs-removed", std::to_string(Shard_), ErrorKind::None,
-      std::to_string(Removed) + " of " + std::to_string(state().jobs().size()) +
-          " jobs, submitted " + std::to_string(Oldest.count()) + " to " +
-          std::to_string(Youngest.count()) + " ms ago by the wall clock",
+      std::to_string(Removed.size()) + " of " +
+          std::to_string(state().jobs().size()) +
+          " jobs, known to be over for " + AgeText(Removed.front()) + " to " +
+          AgeText(Removed.back()) + " s by the owner's steady clock",
       Out);
 }
 
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -6,6 +6,7 @@
 #include "core/CancelledIds.h"
 #include "core/CrashBlame.h"
 #include "core/DeadlineFeasibility.h"
+#include "core/EndedJobs.h"
 #include "core/LedgerSize.h"
 #include "core/LedgerWriter.h"
 #include "core/OutlierDetector.h"
@@ -368,8 +369,9 @@
   /// so long that it accepts any worker with capacity.
   auto recordWait(Moment Now, const StepDeclaration &Step, const TaskId &Task)
       -> bool;
-  /// Logs the waits of a job whose last task has ended.
-  auto logIfOver(const Job &Job, EntryOutbox &Out) -> void;
+  /// Adds the job to the ended ones if its last task has ended, and logs its
+  /// waits.
+  auto recordIfOver(Moment Now, const Job &Job, EntryOutbox &Out) -> void;
   auto withinQuota(const JobDeclaration &Declaration,
                    const Resources &Need) const -> bool;
   /// Sends an agent this owner's claim of the shard, unless the agent has
@@ -539,6 +541,7 @@
   WaitingCallers SubmitCallers_;
   WaitingCallers CancelCallers_;
   CancelledIds CancelledIds_;
+  EndedJobs Ended_;
   WaitingQueries Queries_;
   std::vector<ClaimedRequest> Claimed_;
   TimePoint NextRemoval_{};
--- a/core/ShardState.h
+++ b/core/ShardState.h
@@ -59,8 +59,8 @@
   }
 };
 
-/// Removes a job that has ended and was submitted long ago, or the cancellation
-/// of a job that was never submitted.
+/// Removes a job that has ended long ago, or the cancellation of a job that was
+/// never submitted.
 struct JobRemoved {
   JobId Job_;
 
--- a/test/correctness/WallClockTest.cpp
+++ b/test/correctness/WallClockTest.cpp
@@ -20,6 +20,27 @@
   });
 }
 
+/// Entries whose agent has run the job to its end.
+class EndedJobFixture : public EntryFixture {
+public:
+  EndedJobFixture() {
+    runJob("job");
+    report("job", TaskPhase::Finished);
+    HeldTasks_ = {};
+    advance(Millis{500});
+  }
+  /// Whether both entries tell a caller that the job has completed.
+  auto isKnown() -> bool {
+    for (std::size_t Index = 0; Index < EntryCount; ++Index) {
+      const auto Token = query(Index, "job");
+      advance(Millis{500});
+      if (Entries_[Index] && !toldState(Token, JobState::Completed))
+        return false;
+    }
+    return true;
+  }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(WallClock)
@@ -73,4 +94,61 @@
   BOOST_TEST(Entries_[1 - owner()]->ledgerSize().Jobs_ == 0U);
 }
 
+BOOST_FIXTURE_TEST_CASE(EndedJobStaysKnownAfterALeapOfTheWallClock,
+                        EndedJobFixture) {
+  Now_.Wall_ += 25 * Hour;
+  advance(Seconds{61});
+  BOOST_TEST(isKnown());
+  BOOST_TEST(countLines(Log_, "jobs-removed") == 0);
+}
+
+// The clock of the entry that takes over is a day ahead, or behind.
+BOOST_FIXTURE_TEST_CASE(EndedJobStaysKnownToAnOwnerWithAnotherTimeOfDay,
+                        EndedJobFixture) {
+  for (const auto Leap : {25 * Hour, -50 * Hour, 75 * Hour}) {
+    const auto Former = owner();
+    killEntry(Former);
+    Now_.Wall_ += Leap;
+    advance(Millis{6000});
+    startEntry(Former);
+    advance(Seconds{61});
+    BOOST_TEST(isKnown());
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(JobSubmittedOnAClockADayBehindStaysKnownAsItEnds,
+                        EntryFixture) {
+  Now_.Wall_ -= 25 * Hour;
+  runJob("job");
+  Now_.Wall_ += 25 * Hour;
+  advance(Seconds{61});
+  report("job", TaskPhase::Finished);
+  HeldTasks_ = {};
+  advance(Seconds{61});
+  const auto Token = query(0, "job");
+  advance(Millis{500});
+  BOOST_TEST(toldState(Token, JobState::Completed));
+}
+
+BOOST_FIXTURE_TEST_CASE(EndedJobSubmittedAgainAfterALeapDoesNotRunAgain,
+                        EndedJobFixture) {
+  Now_.Wall_ += 25 * Hour;
+  advance(Seconds{61});
+  submit(0, "job");
+  advance(Millis{2000});
+  BOOST_TEST(Binds_.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(CancelledJobStaysKnownAfterALeapOfTheWallClock,
+                        EntryFixture) {
+  submit(0, "job");
+  advance(Millis{500});
+  cancel(0, "job");
+  Now_.Wall_ += 25 * Hour;
+  advance(Seconds{61});
+  const auto Token = query(0, "job");
+  advance(Millis{500});
+  BOOST_TEST(toldState(Token, JobState::Cancelled));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/error/SettingsTest.cpp
+++ b/test/error/SettingsTest.cpp
@@ -111,4 +111,19 @@
   BOOST_TEST(CheckedFiles >= 6);
 }
 
+BOOST_AUTO_TEST_CASE(TimeForWhichEndedJobsAreKnownIsChecked) {
+  const auto Parse = [](const std::string &Value) {
+    return parseSettings(R"({"role": "entry", "id": "e",
+      "environment": "production", "data_centre": "hobart",
+      "http": {"endpoint": "127.0.0.1:1"}, "link": {"endpoint":
+      "127.0.0.1:2"}, "store": {"endpoint": "127.0.0.1:3"},
+      "policy": {"job_status_s": )" +
+                         Value + "}}");
+  };
+  const auto Parsed = Parse("120");
+  BOOST_TEST(Parsed.Problems_.empty());
+  BOOST_TEST((Parsed.Settings_.Entry_.Policy_.JobStatusTime_ == Seconds{120}));
+  BOOST_TEST(hasPath(Parse("0").Problems_, "policy.job_status_s"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/wire/DocumentJson.cpp
+++ b/wire/DocumentJson.cpp
@@ -49,6 +49,8 @@
   Policy.KeyRetention_ =
       Seconds{Object.integer("key_retention_s", {DaySeconds, 30 * DaySeconds},
                              Policy.KeyRetention_.count())};
+  Policy.JobStatusTime_ = Seconds{Object.integer(
+      "job_status_s", {1, 30 * DaySeconds}, Policy.JobStatusTime_.count())};
 }
 
 auto readQueue(CheckedObject &Object) -> QueueDeclaration {
