The log says why a shard is given up and why a takeover ends

Callers see 504 while no entry owns the shard.

Change: LedgerWriter keeps the reason (core/OwnershipLoss); shard-given-up names it, takeover-ended names it with how much of the ledger was read, at most once a second, and skylark_takeovers_ended_total counts all. No decision changes.

Evidence: Ledger/WhyAShardIsNotOwnedIsKnown; without the change it doesn't compile.

--- a/core/Counters.h
+++ b/core/Counters.h
@@ -66,6 +66,8 @@
   std::uint64_t StopsSent_ = 0;
   /// Tasks of cancelled jobs that were bound for longer than they may run.
   std::uint64_t StopsOverdue_ = 0;
+  /// Attempts to acquire a shard that ended before it was owned.
+  std::uint64_t TakeoversEnded_ = 0;
   std::uint64_t StoreCalls_ = 0;
   std::uint64_t StoreFailures_ = 0;
   /// Failed calls to the store, by reason where it is known.
--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -179,7 +179,7 @@
   const auto WrittenHead = *std::exchange(InFlightHead_, std::nullopt);
   // Idle: the shard was abandoned while the write was in flight.
   if (!TookEffect || Phase_ == Phase::Idle) {
-    loseOwnership();
+    loseOwnership(OwnershipLoss::HeadReplaced);
     return;
   }
   SKYLARK_ASSERT(WrittenHead.Epoch_ >= Head_.Epoch_,
@@ -192,6 +192,7 @@
       OldGrantsUntil_ = {};
     State_ = {};
     SegmentsLoaded_ = 0;
+    CommitsLoaded_ = 0;
     SnapshotSize_ = 0;
     CommitsSize_ = 0;
     Phase_ = Phase::Loading;
@@ -199,7 +200,7 @@
     return;
   }
   if (Head_.Owner_.empty()) {
-    loseOwnership();
+    loseOwnership(OwnershipLoss::Released);
     return;
   }
   applyCommittedBatch();
@@ -230,7 +231,7 @@
                 CallInFlight_ = false;
                 if (Result.Status_ == StoreStatus::NotFound) {
                   // A later owner has replaced and deleted the snapshot.
-                  loseOwnership();
+                  loseOwnership(OwnershipLoss::SnapshotPartMissing);
                   return;
                 }
                 if (Result.Status_ == StoreStatus::Ok) {
@@ -276,8 +277,9 @@
     CommitsSize_ += sizeOf(Each.Records_);
     ++ExpectedCommit;
   }
+  CommitsLoaded_ = ExpectedCommit - Head_.FirstCommit_;
   if (ExpectedCommit != Head_.NextCommit_) {
-    loseOwnership();
+    loseOwnership(OwnershipLoss::CommitMissing);
     return;
   }
   Phase_ = Phase::Owning;
@@ -357,7 +359,7 @@
                 if (Result.Status_ == StoreStatus::Unavailable)
                   VerifyRequested_ = true;
                 else if (Result.Index_ != HeadIndex_)
-                  loseOwnership();
+                  loseOwnership(OwnershipLoss::HeadReplaced);
                 else
                   LastVerification_ = Number;
               });
@@ -383,7 +385,7 @@
   InFlightHead_.reset();
   WriteRefused_ = false;
   if (Phase_ == Phase::Acquiring || Batch_.empty()) {
-    loseOwnership();
+    loseOwnership(OwnershipLoss::WriteRefused);
     return;
   }
   if (Batch_.size() == 1) {
@@ -478,7 +480,16 @@
   }
 }
 
-auto LedgerWriter::loseOwnership() -> void {
+auto LedgerWriter::loadProgress() const -> std::string {
+  return std::to_string(SegmentsLoaded_) + " of " +
+         std::to_string(Head_.Segments_.size()) + " snapshot parts, " +
+         std::to_string(CommitsLoaded_) + " of " +
+         std::to_string(Head_.NextCommit_ - Head_.FirstCommit_) + " commits";
+}
+
+auto LedgerWriter::loseOwnership(OwnershipLoss Reason) -> void {
+  if (Phase_ != Phase::Idle)
+    Loss_ = Reason;
   Phase_ = Phase::Idle;
   VerifyRequested_ = false;
   Pending_.clear();
--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -3,10 +3,13 @@
 /// by compare-and-swap, snapshots, and recovery when a store answer is lost.
 #pragma once
 
+#include "core/OwnershipLoss.h"
 #include "core/StoreClient.h"
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace skylark {
 
@@ -67,7 +70,7 @@
   /// records.
   auto abandon() -> void {
     if (owning())
-      loseOwnership();
+      loseOwnership(OwnershipLoss::Relinquished);
   }
   /// Starts the store calls that are due: one call at a time for the head and
   /// the commits, and in parallel the writes of a snapshot.
@@ -78,6 +81,13 @@
   }
   auto releasing() const -> bool { return Phase_ == Phase::Releasing; }
   auto idle() const -> bool { return Phase_ == Phase::Idle; }
+  /// Returns why the shard stopped being owned, or being acquired, since the
+  /// last call.
+  auto takeLoss() -> OwnershipLoss {
+    return std::exchange(Loss_, OwnershipLoss::None);
+  }
+  /// How much of the ledger that the head names was read, for the log.
+  auto loadProgress() const -> std::string;
   auto epoch() const -> Epoch { return Head_.Epoch_; }
   auto state() const -> const ShardState & { return State_; }
   /// Records in the state that an attempt of the task has begun.
@@ -140,7 +150,7 @@
   auto readToVerify() -> void;
   /// Drops all uncommitted records, an unfinished snapshot and the records that
   /// takeCommitted() has not returned yet, and becomes idle.
-  auto loseOwnership() -> void;
+  auto loseOwnership(OwnershipLoss Reason) -> void;
   auto newWriteId() -> WriteId;
   /// Returns the head for the next commit, which refers to the new snapshot if
   /// that has been written.
@@ -157,6 +167,7 @@
   LedgerIdentity Identity_;
   StoreClient &Store_;
   Phase Phase_ = Phase::Idle;
+  OwnershipLoss Loss_ = OwnershipLoss::None;
   AcquireRule AcquireRule_;
   ShardHead Head_;
   /// The store's index of Head_, which the next compare-and-swap expects.
@@ -171,6 +182,7 @@
   std::uint64_t LastVerification_ = 0;
   ShardState State_;
   std::size_t SegmentsLoaded_ = 0;
+  CommitNumber CommitsLoaded_ = 0;
   /// Sizes, in bytes, of the newest snapshot and of the commits after it.
   std::size_t SnapshotSize_ = 0;
   std::size_t CommitsSize_ = 0;
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -55,6 +55,7 @@
 /// Interval at which an owner reads the shard's head. An owner with nothing to
 /// write learns of a successor only from these reads.
 constexpr Millis VerifyInterval{10000};
+constexpr Millis TakeoverLogInterval{1000};
 /// How old the number of a queue's jobs that have not started may be.
 constexpr Millis MaxCountAge{2000};
 /// How long a task waits for a worker before it may use one on which tasks
@@ -1927,9 +1928,25 @@
       Ledger_.append(JobRemoved{Id});
 }
 
-auto ShardOwner::handleOwnershipLoss(EntryOutbox &Out) -> void {
+auto ShardOwner::logTakeoverEnd(Moment Now, OwnershipLoss Reason,
+                                EntryOutbox &Out) -> void {
+  ++Context_.Counters_.TakeoversEnded_;
+  if (Now.Steady_ < NextTakeoverLog_)
+    return;
+  NextTakeoverLog_ = Now.Steady_ + TakeoverLogInterval;
+  log("takeover-ended", std::to_string(Shard_), ErrorKind::StaleEpoch,
+      "epoch " + std::to_string(Ledger_.epoch()) + ", " +
+          std::string(ownershipLossText(Reason)) + ", " +
+          Ledger_.loadProgress(),
+      Out);
+}
+
+auto ShardOwner::handleOwnershipLoss(OwnershipLoss Reason, EntryOutbox &Out)
+    -> void {
   log("shard-given-up", std::to_string(Shard_), ErrorKind::StaleEpoch,
-      "epoch " + std::to_string(Ledger_.epoch()), Out);
+      "epoch " + std::to_string(Ledger_.epoch()) + ", " +
+          std::string(ownershipLossText(Reason)),
+      Out);
   for (const auto &[Key, Claim] : PendingClaims_)
     refuse(Claim.Token_, ErrorKind::KeyNotChecked, Key.Value_, Out);
   PendingClaims_.clear();
@@ -1951,8 +1968,11 @@
 
 auto ShardOwner::afterStoreCall(Moment Now, EntryOutbox &Out) -> void {
   if (!owning()) {
+    const auto Loss = Ledger_.takeLoss();
     if (Indexed_)
-      handleOwnershipLoss(Out);
+      handleOwnershipLoss(Loss, Out);
+    else if (Loss != OwnershipLoss::None)
+      logTakeoverEnd(Now, Loss, Out);
     return;
   }
   Proof_.update(Ledger_);
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -436,7 +436,11 @@
   auto removeExpired(Moment Now) -> void;
   /// Refuses all waiting callers and removes the shard from the records of all
   /// targets.
-  auto handleOwnershipLoss(EntryOutbox &Out) -> void;
+  auto handleOwnershipLoss(OwnershipLoss Reason, EntryOutbox &Out) -> void;
+  /// Counts a takeover that ended before the shard was owned, and logs it, at
+  /// most once in TakeoverLogInterval.
+  auto logTakeoverEnd(Moment Now, OwnershipLoss Reason, EntryOutbox &Out)
+      -> void;
   auto log(std::string_view Event, std::string Subject, ErrorKind Reason,
            std::string Detail, EntryOutbox &Out) const -> void;
 
@@ -538,6 +542,7 @@
   std::vector<ClaimedRequest> Claimed_;
   TimePoint NextRemoval_{};
   TimePoint NextVerify_{};
+  TimePoint NextTakeoverLog_{};
   TimePoint NextPass_{};
 };
 
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -36,6 +36,7 @@
      &Counters::SubmittedCancelled_},
     {"skylark_stops_sent_total", &Counters::StopsSent_},
     {"skylark_stops_overdue_total", &Counters::StopsOverdue_},
+    {"skylark_takeovers_ended_total", &Counters::TakeoversEnded_},
     {"skylark_store_calls_total", &Counters::StoreCalls_},
     {"skylark_workers_ejected_total", &Counters::WorkersEjected_},
     {"skylark_store_failures_total", &Counters::StoreFailures_},
--- a/test/correctness/LedgerTest.cpp
+++ b/test/correctness/LedgerTest.cpp
@@ -322,6 +322,30 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(WhyAShardIsNotOwnedIsKnown) {
+  Fuzz::FakeStore Store;
+  LedgerFixture First(Store, "a");
+  First.acquire();
+  First.Writer_.append(claimRecord(1));
+  First.runStoreCalls();
+  BOOST_TEST((First.Writer_.takeLoss() == OwnershipLoss::None));
+  LedgerFixture Second(Store, "b");
+  Second.acquire();
+  First.Writer_.verifyOwnership();
+  First.runStoreCalls();
+  BOOST_TEST((First.Writer_.takeLoss() == OwnershipLoss::HeadReplaced));
+  Second.Writer_.abandon();
+  BOOST_TEST((Second.Writer_.takeLoss() == OwnershipLoss::Relinquished));
+  BOOST_TEST((Second.Writer_.takeLoss() == OwnershipLoss::None));
+  Store.apply(Micros{0}, DeleteValue{commitKey({"test"}, 0, 1), 0});
+  LedgerFixture Third(Store, "c");
+  Third.acquire();
+  Third.runStoreCalls();
+  BOOST_TEST((Third.Writer_.takeLoss() == OwnershipLoss::CommitMissing));
+  BOOST_TEST(Third.Writer_.loadProgress() ==
+             "0 of 0 snapshot parts, 0 of 1 commits");
+}
+
 BOOST_AUTO_TEST_CASE(CommitsAndVerificationsDontStarveEachOther) {
   Fuzz::FakeStore Store;
   LedgerFixture Fixture(Store, "a");
