--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -246,15 +246,16 @@
 }
 
 auto LedgerWriter::loadCommits() -> void {
-  if (Head_.FirstCommit_ == Head_.NextCommit_) {
+  const auto Next = Head_.FirstCommit_ + CommitsLoaded_;
+  if (Next == Head_.NextCommit_) {
     Phase_ = Phase::Owning;
     return;
   }
   CallInFlight_ = true;
   Store_.call(
-      ReadSegments{commitPrefix(Identity_.Environment_, Identity_.Shard_),
-                   commitKey(Identity_.Environment_, Identity_.Shard_,
-                             Head_.FirstCommit_ - 1)},
+      ReadSegments{
+          commitPrefix(Identity_.Environment_, Identity_.Shard_),
+          commitKey(Identity_.Environment_, Identity_.Shard_, Next - 1)},
       [this](Moment, const StoreResult &Result, EntryOutbox &) {
         CallInFlight_ = false;
         handleCommitsRead(Result);
@@ -266,23 +267,23 @@
     loadCommits();
     return;
   }
-  auto ExpectedCommit = Head_.FirstCommit_;
+  const auto LoadedBefore = CommitsLoaded_;
   for (const auto &Each : Result.Segments_) {
+    const auto Next = Head_.FirstCommit_ + CommitsLoaded_;
     // Commits of a later owner may follow. They are not part of this epoch, and
     // that owner's compare-and-swap has ended this writer's ownership.
-    if (Each.Commit_ != ExpectedCommit || ExpectedCommit == Head_.NextCommit_)
+    if (Each.Commit_ != Next || Next == Head_.NextCommit_)
       break;
     for (const auto &Record : Each.Records_)
       State_.apply(Record);
     CommitsSize_ += sizeOf(Each.Records_);
-    ++ExpectedCommit;
+    ++CommitsLoaded_;
   }
-  CommitsLoaded_ = ExpectedCommit - Head_.FirstCommit_;
-  if (ExpectedCommit != Head_.NextCommit_) {
+  if (CommitsLoaded_ == LoadedBefore) {
     loseOwnership(OwnershipLoss::CommitMissing);
     return;
   }
-  Phase_ = Phase::Owning;
+  loadCommits();
 }
 
 auto LedgerWriter::append(LedgerRecord Record) -> void {
--- a/core/StoreCalls.h
+++ b/core/StoreCalls.h
@@ -116,7 +116,8 @@
   StoreKey Key_;
 };
 
-/// Reads the segments under a key prefix whose keys sort after `After_`.
+/// Reads segments under a key prefix whose keys sort after `After_`: all of
+/// them, or as many as the store puts on one page.
 struct ReadSegments {
   StoreKey Prefix_;
   StoreKey After_;
--- a/test/fuzz/VirtualHttpStore.cpp
+++ b/test/fuzz/VirtualHttpStore.cpp
@@ -15,6 +15,9 @@
 /// How far back a stale range may be.
 constexpr Micros LongestStaleness{1000000};
 constexpr std::uint32_t LostPercent = 30;
+/// Most items, and most bytes, of a page of a range.
+constexpr std::size_t MaxPageItems = 500;
+constexpr std::size_t MaxPageSize = std::size_t{1024} * 1024;
 
 auto parameter(const std::string &Path, const std::string &Name)
     -> std::string {
@@ -109,7 +112,8 @@
                                : R"(,"value":")" + *Each.Value_ + R"("})");
 }
 
-auto VirtualHttpStore::range(const std::string &Prefix) -> std::string {
+auto VirtualHttpStore::range(const std::string &Prefix,
+                             const std::string &After) -> std::string {
   auto *Read = &Items_;
   auto Revision = Revision_;
   if (RangesAreStale_ && !Snapshots_.empty()) {
@@ -119,10 +123,21 @@
     Revision = Chosen.Revision_;
   }
   std::string List;
-  for (const auto &[Key, Each] : *Read)
-    if (startsWith(Key, Prefix))
-      List += (List.empty() ? "" : ",") + text(Each);
-  return R"({"items":[)" + List + R"(],"has_more":false,"current_rev":)" +
+  std::size_t Count = 0;
+  auto HasMore = false;
+  for (auto Each = Read->upper_bound(After); Each != Read->end(); ++Each) {
+    if (!startsWith(Each->first, Prefix))
+      continue;
+    const auto Item = text(Each->second);
+    HasMore = Count == MaxPageItems ||
+              (Count > 0 && List.size() + Item.size() > MaxPageSize);
+    if (HasMore)
+      break;
+    List += (List.empty() ? "" : ",") + Item;
+    ++Count;
+  }
+  return R"({"items":[)" + List + R"(],"has_more":)" +
+         (HasMore ? "true" : "false") + R"(,"current_rev":)" +
          std::to_string(Revision) + "}";
 }
 
@@ -147,6 +162,8 @@
   for (const auto &Each : Request.value("set_keys", Json::array()))
     write({Each.at("key"), 0, false,
            std::make_shared<std::string>(Each.at("value"))});
+  for (const auto &Each : Request.value("remove", Json::array()))
+    remove(Each);
   return R"({"revision":)" + std::to_string(Revision_) + "}";
 }
 
@@ -157,7 +174,8 @@
   if (startsWith(Path, "/kv-lease"))
     return complete(200, R"({"lease":1,"ttl_ms":6000})");
   if (startsWith(Path, "/kv-range"))
-    return complete(200, range(parameter(Path, "prefix")));
+    return complete(200,
+                    range(parameter(Path, "prefix"), parameter(Path, "after")));
   if (startsWith(Path, "/kv-key")) {
     const auto Found = Items_.find(parameter(Path, "key"));
     if (Found == Items_.end())
--- a/test/fuzz/VirtualHttpStore.h
+++ b/test/fuzz/VirtualHttpStore.h
@@ -13,9 +13,10 @@
 
 namespace skylark::Fuzz {
 
-/// Answers the calls that an entry makes to read the operator's keys and to
-/// register. Answers arrive as time passes, one after the other as the link
-/// allows. Of an answer that takes too long only a part arrives.
+/// Answers the calls that an entry makes to read the operator's keys, to
+/// register, and to write a ledger that no other entry writes. Answers arrive
+/// as time passes, one after the other as the link allows. Of an answer that
+/// takes too long only a part arrives.
 class VirtualHttpStore : public HttpCaller {
 public:
   explicit VirtualHttpStore(std::uint64_t Seed) : Generator_(Seed) {}
@@ -65,7 +66,9 @@
   auto deliver(HttpResult Answer, Micros Deadline,
                const std::function<void(HttpResult)> &Done) -> void;
   auto answer(const HttpCall &Call) -> HttpResult;
-  auto range(const std::string &Prefix) -> std::string;
+  /// Lists one page of the items after a key.
+  auto range(const std::string &Prefix, const std::string &After)
+      -> std::string;
   auto watch(const std::string &Prefix, std::uint64_t After) -> std::string;
   auto transact(const std::string &Body) -> std::string;
   auto write(Version Written) -> std::uint64_t;
