A takeover outlasts answers that lag

Until then nothing is placed for any job.

Change: a part that an answer lacks is looked for again under the same epoch, each 200 ms and at most 25 times, as long as a read of the head shows it unchanged (an answer older than this entry's own head proves nothing). A replaced head ends the takeover at once, as before; a part that stays missing ends it after 5 s.

Evidence: Ledger/ATakeoverOutlastsAnswersThatLag; before: "check Second.Writer_.owning() has failed", 4 of 5 lagging answers not asked for, since the takeover had ended. Ledger/AnotherOwnerEndsATakeoverWhoseAnswersLag guards the other side. Suites Ledger and LedgerLinks: no errors. The other suites were not run on it.

--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -22,6 +22,10 @@
 /// MaxCommitsBeforeCompaction of them.
 constexpr std::size_t MinCompactionSize = std::size_t{1024} * 1024;
 constexpr CommitNumber MaxCommitsBeforeCompaction = 3000;
+/// How often, and how long after an answer that lacked a part of the ledger,
+/// the part is read again. An answer may be some seconds old.
+constexpr int MaxMissingParts = 25;
+constexpr Millis LoadRetryInterval{200};
 
 auto splitSnapshot(std::vector<LedgerRecord> Records, std::size_t MaxSize)
     -> std::deque<ShardSegment> {
@@ -193,6 +197,8 @@
     State_ = {};
     SegmentsLoaded_ = 0;
     CommitsLoaded_ = 0;
+    MissingParts_ = 0;
+    LoadRetryAt_.reset();
     SnapshotSize_ = 0;
     CommitsSize_ = 0;
     Phase_ = Phase::Loading;
@@ -230,8 +236,7 @@
               [this](Moment, const StoreResult &Result, EntryOutbox &) {
                 CallInFlight_ = false;
                 if (Result.Status_ == StoreStatus::NotFound) {
-                  // A later owner has replaced and deleted the snapshot.
-                  loseOwnership(OwnershipLoss::SnapshotPartMissing);
+                  handleMissingPart(OwnershipLoss::SnapshotPartMissing);
                   return;
                 }
                 if (Result.Status_ == StoreStatus::Ok) {
@@ -240,6 +245,7 @@
                     State_.apply(Record);
                   SnapshotSize_ += sizeOf(Part.Records_);
                   ++SegmentsLoaded_;
+                  MissingParts_ = 0;
                 }
                 loadSnapshot();
               });
@@ -280,12 +286,42 @@
     ++CommitsLoaded_;
   }
   if (CommitsLoaded_ == LoadedBefore) {
-    loseOwnership(OwnershipLoss::CommitMissing);
+    handleMissingPart(OwnershipLoss::CommitMissing);
     return;
   }
+  MissingParts_ = 0;
   loadCommits();
 }
 
+auto LedgerWriter::handleMissingPart(OwnershipLoss Reason) -> void {
+  CallInFlight_ = true;
+  Store_.call(
+      ReadValue{shardHeadKey(Identity_.Environment_, Identity_.Shard_)},
+      [this, Reason](Moment Now, const StoreResult &Result, EntryOutbox &) {
+        CallInFlight_ = false;
+        if (Result.Status_ == StoreStatus::Unavailable) {
+          handleMissingPart(Reason);
+          return;
+        }
+        // An answer from before this writer's own head proves nothing.
+        const auto IsOld =
+            Result.Status_ == StoreStatus::Ok && Result.Index_ < HeadIndex_;
+        if (!IsOld && Result.Index_ != HeadIndex_)
+          loseOwnership(OwnershipLoss::HeadReplaced);
+        else if (++MissingParts_ > MaxMissingParts)
+          loseOwnership(Reason);
+        else
+          LoadRetryAt_ = Now.Steady_ + LoadRetryInterval;
+      });
+}
+
+auto LedgerWriter::retryLoad(Moment Now) -> void {
+  if (Phase_ != Phase::Loading || !LoadRetryAt_ || Now.Steady_ < *LoadRetryAt_)
+    return;
+  LoadRetryAt_.reset();
+  loadSnapshot();
+}
+
 auto LedgerWriter::append(LedgerRecord Record) -> void {
   SKYLARK_ASSERT(
       Phase_ == Phase::Owning || Phase_ == Phase::Releasing,
--- a/core/LedgerWriter.h
+++ b/core/LedgerWriter.h
@@ -86,6 +86,9 @@
   auto takeLoss() -> OwnershipLoss {
     return std::exchange(Loss_, OwnershipLoss::None);
   }
+  /// Reads again what the store's last answers lacked of the ledger, if that is
+  /// due.
+  auto retryLoad(Moment Now) -> void;
   /// How much of the ledger that the head names was read, for the log.
   auto loadProgress() const -> std::string;
   auto epoch() const -> Epoch { return Head_.Epoch_; }
@@ -139,6 +142,11 @@
   auto loadSnapshot() -> void;
   auto loadCommits() -> void;
   auto handleCommitsRead(const StoreResult &Result) -> void;
+  /// Decides, by a read of the head, whether a part of the ledger that an
+  /// answer lacks is read again: a part is removed only after a later head, but
+  /// an answer may be older than the part.
+  /// \param Reason why ownership is lost if the part stays missing.
+  auto handleMissingPart(OwnershipLoss Reason) -> void;
   auto startBatch() -> void;
   /// Ends a write that the store refuses. A batch is split; a single record is
   /// dropped.
@@ -183,6 +191,9 @@
   ShardState State_;
   std::size_t SegmentsLoaded_ = 0;
   CommitNumber CommitsLoaded_ = 0;
+  /// Answers in a row that lacked the next part of the ledger.
+  int MissingParts_ = 0;
+  std::optional<TimePoint> LoadRetryAt_;
   /// Sizes, in bytes, of the newest snapshot and of the commits after it.
   std::size_t SnapshotSize_ = 0;
   std::size_t CommitsSize_ = 0;
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -2028,6 +2028,7 @@
   afterStoreCall(Now, Out);
   expireWaitingCallers(Now, Out);
   MayGrant_ = MayGrant;
+  Ledger_.retryLoad(Now);
   if (!owning())
     return;
   if (Now.Steady_ >= NextVerify_) {
--- a/test/correctness/LedgerTest.cpp
+++ b/test/correctness/LedgerTest.cpp
@@ -34,7 +34,8 @@
         if (Call == nullptr)
           continue;
         recordWrite(Call->Operation_);
-        auto Result = Store_.apply(Micros{0}, Call->Operation_);
+        auto Result =
+            answeringStore(Call->Operation_).apply(Micros{0}, Call->Operation_);
         if (EachCallTwice_)
           Result = Store_.apply(Micros{0}, Call->Operation_);
         if (std::holds_alternative<CompareAndSwap>(Call->Operation_) &&
@@ -44,10 +45,24 @@
         EntryOutbox Ignored;
         Client_.answered(Now_, Result, Ignored);
       }
+      Writer_.retryLoad(Now_);
       Writer_.advance();
     }
   }
 
+  /// The store that answers a call: the lagging copy for reads of the ledger's
+  /// parts, as long as such answers are due.
+  auto answeringStore(const StoreOperation &Operation) -> Fuzz::FakeStore & {
+    const auto *Value = std::get_if<ReadValue>(&Operation);
+    const auto IsPart =
+        std::holds_alternative<ReadSegments>(Operation) ||
+        (Value != nullptr && !(Value->Key_ == shardHeadKey({"test"}, 0)));
+    if (!Lagging_ || !IsPart || LaggingAnswers_ == 0)
+      return Store_;
+    --LaggingAnswers_;
+    return *Lagging_;
+  }
+
   auto acquire() -> void {
     Writer_.acquire([](const ShardHead &) { return Duration(Seconds{1}); });
     runStoreCalls();
@@ -62,6 +77,10 @@
       LargestWrite_ = std::max(LargestWrite_, encode(Write->Value_).size());
   }
 
+  /// An earlier state of the store, and how many reads of the ledger's parts
+  /// it still answers.
+  std::optional<Fuzz::FakeStore> Lagging_;
+  int LaggingAnswers_ = 0;
   /// Each call is carried out twice; the answer is that to the second copy.
   bool EachCallTwice_ = false;
   /// Size in bytes of the largest value written.
@@ -346,6 +365,56 @@
              "0 of 0 snapshot parts, 0 of 1 commits");
 }
 
+// Each answer that lagged cost an epoch, and the whole ledger was read again.
+BOOST_AUTO_TEST_CASE(ATakeoverOutlastsAnswersThatLag) {
+  for (const auto Records : {1, 400}) {
+    Fuzz::FakeStore Store;
+    LedgerFixture First(Store, "a");
+    First.acquire();
+    const auto Earlier = Store;
+    // 400 of them make a snapshot due.
+    for (int Number = 0; Number < Records; ++Number)
+      First.Writer_.append(scheduleRecord(Number));
+    First.runStoreCalls();
+    First.Writer_.append(claimRecord(1));
+    First.runStoreCalls();
+    const auto Head =
+        Store.apply(Micros{0}, ReadValue{shardHeadKey({"test"}, 0)});
+    BOOST_TEST(std::get<ShardHead>(Head.Value_).Segments_.empty() ==
+               (Records == 1));
+    LedgerFixture Second(Store, "b");
+    Second.Lagging_ = Earlier;
+    Second.LaggingAnswers_ = 5;
+    Second.acquire();
+    BOOST_TEST(Second.LaggingAnswers_ == 0);
+    BOOST_TEST(Second.Writer_.owning());
+    BOOST_TEST(Second.Writer_.epoch() == 2U);
+    BOOST_TEST(Second.Writer_.state().jobs().size() ==
+               static_cast<std::size_t>(Records));
+    BOOST_TEST(Second.Writer_.state().claims().size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnotherOwnerEndsATakeoverWhoseAnswersLag) {
+  Fuzz::FakeStore Store;
+  LedgerFixture First(Store, "a");
+  First.acquire();
+  LedgerFixture Second(Store, "b");
+  Second.Lagging_ = Store;
+  Second.LaggingAnswers_ = 1000;
+  First.Writer_.append(claimRecord(1));
+  First.runStoreCalls();
+  Second.acquire();
+  BOOST_TEST(!Second.Writer_.owning());
+  BOOST_TEST(!Second.Writer_.idle());
+  LedgerFixture Third(Store, "c");
+  Third.acquire();
+  BOOST_TEST(Third.Writer_.owning());
+  Second.runStoreCalls();
+  BOOST_TEST(Second.Writer_.idle());
+  BOOST_TEST((Second.Writer_.takeLoss() == OwnershipLoss::HeadReplaced));
+}
+
 BOOST_AUTO_TEST_CASE(CommitsAndVerificationsDontStarveEachOther) {
   Fuzz::FakeStore Store;
   LedgerFixture Fixture(Store, "a");
