--- a/core/Counters.h
+++ b/core/Counters.h
@@ -72,6 +72,8 @@
   std::uint64_t StopsOverdue_ = 0;
   /// Stops that ended since their time was up.
   std::uint64_t StopsForced_ = 0;
+  /// Attempts to acquire a shard that ended before it was owned.
+  std::uint64_t TakeoversEnded_ = 0;
   std::uint64_t StoreCalls_ = 0;
   std::uint64_t StoreFailures_ = 0;
   /// Failed calls to the store, by reason where it is known.
--- a/core/LedgerWriter.cpp
+++ b/core/LedgerWriter.cpp
@@ -22,6 +22,10 @@
 /// MaxCommitsBeforeCompaction of them.
 constexpr std::size_t MinCompactionSize = std::size_t{1024} * 1024;
 constexpr CommitNumber MaxCommitsBeforeCompaction = 3000;
+/// How often, and how long after an answer that lacked a part of the ledger,
+/// the part is read again. An answer may be some seconds old.
+constexpr int MaxMissingParts = 25;
+constexpr Millis LoadRetryInterval{200};
 
 auto splitSnapshot(std::vector<LedgerRecord> Records, std::size_t MaxSize)
     -> std::deque<ShardSegment> {
@@ -179,7 +183,7 @@
   const auto WrittenHead = *std::exchange(InFlightHead_, std::nullopt);
   // Idle: the shard was abandoned while the write was in flight.
   if (!TookEffect || Phase_ == Phase::Idle) {
-    loseOwnership();
+    loseOwnership(OwnershipLoss::HeadReplaced);
     return;
   }
   SKYLARK_ASSERT(WrittenHead.Epoch_ >= Head_.Epoch_,
@@ -192,6 +196,9 @@
       OldGrantsUntil_ = {};
     State_ = {};
     SegmentsLoaded_ = 0;
+    CommitsLoaded_ = 0;
+    MissingParts_ = 0;
+    LoadRetryAt_.reset();
     SnapshotSize_ = 0;
     CommitsSize_ = 0;
     Phase_ = Phase::Loading;
@@ -199,7 +206,7 @@
     return;
   }
   if (Head_.Owner_.empty()) {
-    loseOwnership();
+    loseOwnership(OwnershipLoss::Released);
     return;
   }
   applyCommittedBatch();
@@ -229,8 +236,7 @@
               [this](Moment, const StoreResult &Result, EntryOutbox &) {
                 CallInFlight_ = false;
                 if (Result.Status_ == StoreStatus::NotFound) {
-                  // A later owner has replaced and deleted the snapshot.
-                  loseOwnership();
+                  handleMissingPart(OwnershipLoss::SnapshotPartMissing);
                   return;
                 }
                 if (Result.Status_ == StoreStatus::Ok) {
@@ -239,21 +245,23 @@
                     State_.apply(Record);
                   SnapshotSize_ += sizeOf(Part.Records_);
                   ++SegmentsLoaded_;
+                  MissingParts_ = 0;
                 }
                 loadSnapshot();
               });
 }
 
 auto LedgerWriter::loadCommits() -> void {
-  if (Head_.FirstCommit_ == Head_.NextCommit_) {
+  const auto Next = Head_.FirstCommit_ + CommitsLoaded_;
+  if (Next == Head_.NextCommit_) {
     Phase_ = Phase::Owning;
     return;
   }
   CallInFlight_ = true;
   Store_.call(
-      ReadSegments{commitPrefix(Identity_.Environment_, Identity_.Shard_),
-                   commitKey(Identity_.Environment_, Identity_.Shard_,
-                             Head_.FirstCommit_ - 1)},
+      ReadSegments{
+          commitPrefix(Identity_.Environment_, Identity_.Shard_),
+          commitKey(Identity_.Environment_, Identity_.Shard_, Next - 1)},
       [this](Moment, const StoreResult &Result, EntryOutbox &) {
         CallInFlight_ = false;
         handleCommitsRead(Result);
@@ -265,22 +273,53 @@
     loadCommits();
     return;
   }
-  auto ExpectedCommit = Head_.FirstCommit_;
+  const auto LoadedBefore = CommitsLoaded_;
   for (const auto &Each : Result.Segments_) {
+    const auto Next = Head_.FirstCommit_ + CommitsLoaded_;
     // Commits of a later owner may follow. They are not part of this epoch, and
     // that owner's compare-and-swap has ended this writer's ownership.
-    if (Each.Commit_ != ExpectedCommit || ExpectedCommit == Head_.NextCommit_)
+    if (Each.Commit_ != Next || Next == Head_.NextCommit_)
       break;
     for (const auto &Record : Each.Records_)
       State_.apply(Record);
     CommitsSize_ += sizeOf(Each.Records_);
-    ++ExpectedCommit;
+    ++CommitsLoaded_;
   }
-  if (ExpectedCommit != Head_.NextCommit_) {
-    loseOwnership();
+  if (CommitsLoaded_ == LoadedBefore) {
+    handleMissingPart(OwnershipLoss::CommitMissing);
     return;
   }
-  Phase_ = Phase::Owning;
+  MissingParts_ = 0;
+  loadCommits();
+}
+
+auto LedgerWriter::handleMissingPart(OwnershipLoss Reason) -> void {
+  CallInFlight_ = true;
+  Store_.call(
+      ReadValue{shardHeadKey(Identity_.Environment_, Identity_.Shard_)},
+      [this, Reason](Moment Now, const StoreResult &Result, EntryOutbox &) {
+        CallInFlight_ = false;
+        if (Result.Status_ == StoreStatus::Unavailable) {
+          handleMissingPart(Reason);
+          return;
+        }
+        // An answer from before this writer's own head proves nothing.
+        const auto IsOld =
+            Result.Status_ == StoreStatus::Ok && Result.Index_ < HeadIndex_;
+        if (!IsOld && Result.Index_ != HeadIndex_)
+          loseOwnership(OwnershipLoss::HeadReplaced);
+        else if (++MissingParts_ > MaxMissingParts)
+          loseOwnership(Reason);
+        else
+          LoadRetryAt_ = Now.Steady_ + LoadRetryInterval;
+      });
+}
+
+auto LedgerWriter::retryLoad(Moment Now) -> void {
+  if (Phase_ != Phase::Loading || !LoadRetryAt_ || Now.Steady_ < *LoadRetryAt_)
+    return;
+  LoadRetryAt_.reset();
+  loadSnapshot();
 }
 
 auto LedgerWriter::append(LedgerRecord Record) -> void {
@@ -357,7 +396,7 @@
                 if (Result.Status_ == StoreStatus::Unavailable)
                   VerifyRequested_ = true;
                 else if (Result.Index_ != HeadIndex_)
-                  loseOwnership();
+                  loseOwnership(OwnershipLoss::HeadReplaced);
                 else
                   LastVerification_ = Number;
               });
@@ -383,7 +422,7 @@
   InFlightHead_.reset();
   WriteRefused_ = false;
   if (Phase_ == Phase::Acquiring || Batch_.empty()) {
-    loseOwnership();
+    loseOwnership(OwnershipLoss::WriteRefused);
     return;
   }
   if (Batch_.size() == 1) {
@@ -478,7 +517,16 @@
   }
 }
 
-auto LedgerWriter::loseOwnership() -> void {
+auto LedgerWriter::loadProgress() const -> std::string {
+  return std::to_string(SegmentsLoaded_) + " of " +
+         std::to_string(Head_.Segments_.size()) + " snapshot parts, " +
+         std::to_string(CommitsLoaded_) + " of " +
+         std::to_string(Head_.NextCommit_ - Head_.FirstCommit_) + " commits";
+}
+
+auto LedgerWriter::loseOwnership(OwnershipLoss Reason) -> void {
+  if (Phase_ != Phase::Idle)
+    Loss_ = Reason;
   Phase_ = Phase::Idle;
   VerifyRequested_ = false;
   Pending_.clear();
