A listener accepts callers again after a failed acceptance

What callers saw: an entry whose listener had failed to accept once (no descriptor left) accepted nobody until its process ended, while its readiness check, a listener of its own, went on answering 200: callers hung in the backlog. And each caller that had reset its connection before it was accepted took one of the places of the listener for good; the listener of the readiness checks has 32. Cause: RESTinio 0.6.16 starts no further acceptance after an error, and its limiter counts an acceptance whose connection has no remote address any more as active for ever. Ruled out: the handling of answers; a listener without a shortage went on accepting in the same test. Change: the servers use an acceptor of the project's own in place of RESTinio's.

--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -234,6 +234,7 @@
     CurrentGauges.OpenRequests_ = Callers_->load().OpenRequests_;
     CurrentGauges.Connections_ = Callers_->load().Connections_;
     CurrentGauges.ConnectionLimitsReached_ = Callers_->load().LimitsReached_;
+    CurrentGauges.AcceptFailures_ = Callers_->load().AcceptFailures_;
     CurrentGauges.Revision_ = Core_.configuration().Head_.Revision_;
     auto Totals = Core_.counters();
     for (std::size_t Index = 0; Index < Totals.Refusals_.size(); ++Index)
--- a/entry/HttpApi.cpp
+++ b/entry/HttpApi.cpp
@@ -4,7 +4,7 @@
 #include "wire/ApiJson.h"
 #include "wire/DocumentJson.h"
 
-#include "runtime/ConnectionCounter.h"
+#include "runtime/CallerAcceptor.h"
 
 #include <optional>
 
@@ -21,6 +21,15 @@
   using connection_state_listener_t = ConnectionCounter;     // NOLINT
   static constexpr bool use_connection_count_limiter = true; // NOLINT
 };
+
+} // namespace
+} // namespace skylark
+
+SKYLARK_USE_CALLER_ACCEPTOR(skylark::ServerTraits);
+
+namespace skylark {
+namespace {
+
 using Server = restinio::http_server_t<ServerTraits>;
 
 constexpr std::size_t MaxUrlBytes = 4096;
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -139,6 +139,9 @@
   Out << "# TYPE skylark_connection_limits_reached_total counter\n"
       << "skylark_connection_limits_reached_total "
       << GaugeValues.ConnectionLimitsReached_ << '\n';
+  Out << "# TYPE skylark_accept_failures_total counter\n"
+      << "skylark_accept_failures_total " << GaugeValues.AcceptFailures_
+      << '\n';
   Out << "# TYPE skylark_revision gauge\nskylark_revision "
       << GaugeValues.Revision_ << '\n';
   return Out.str();
--- a/entry/Metrics.h
+++ b/entry/Metrics.h
@@ -23,6 +23,8 @@
   /// Connections of callers, and how often they have reached their limit.
   std::size_t Connections_ = 0;
   std::uint64_t ConnectionLimitsReached_ = 0;
+  /// Connections that could not be accepted.
+  std::uint64_t AcceptFailures_ = 0;
   std::uint64_t Revision_ = 0;
 };
 
--- a/runtime/ConnectionCounter.cpp
+++ b/runtime/ConnectionCounter.cpp
@@ -19,13 +19,23 @@
   if (++Load_->Connections_ != Limit_)
     return;
   ++Load_->LimitsReached_;
+  log("connection-limit-reached", std::to_string(Limit_) + " connections");
+}
+
+auto ConnectionCounter::acceptFailed(std::error_code Error) -> void {
+  ++Load_->AcceptFailures_;
+  log("accept-failed", Error.message() + ", " +
+                           std::to_string(Load_->Connections_.load()) +
+                           " connections");
+}
+
+auto ConnectionCounter::log(std::string_view Event, const std::string &Detail)
+    -> void {
   const auto Now = SteadyClock::now();
   if (Now < NextLine_)
     return;
   NextLine_ = Now + LineInterval;
-  logEvent("connection-limit-reached", "port " + std::to_string(Port_) + ", " +
-                                           std::to_string(Limit_) +
-                                           " connections");
+  logEvent(Event, "port " + std::to_string(Port_) + ", " + Detail);
 }
 
 } // namespace skylark
--- a/runtime/ConnectionCounter.h
+++ b/runtime/ConnectionCounter.h
@@ -21,7 +21,13 @@
   auto state_changed(const restinio::connection_state::notice_t &Notice)
       -> void;
 
+  /// Counts and logs a connection that could not be accepted.
+  auto acceptFailed(std::error_code Error) -> void;
+
 private:
+  /// Logs an event about the port, unless another line was logged lately.
+  auto log(std::string_view Event, const std::string &Detail) -> void;
+
   std::shared_ptr<HttpServerLoad> Load_;
   std::uint16_t Port_;
   std::size_t Limit_;
--- a/runtime/HttpServer.cpp
+++ b/runtime/HttpServer.cpp
@@ -1,6 +1,6 @@
 #include "runtime/HttpServer.h"
 
-#include "runtime/ConnectionCounter.h"
+#include "runtime/CallerAcceptor.h"
 
 namespace skylark {
 namespace {
@@ -15,6 +15,14 @@
       std::function<restinio::request_handling_status_t(Request)>;
 };
 
+} // namespace
+} // namespace skylark
+
+SKYLARK_USE_CALLER_ACCEPTOR(skylark::Traits);
+
+namespace skylark {
+namespace {
+
 constexpr std::size_t MaxUrlSize = 4096;
 constexpr std::size_t MaxFieldCount = 64;
 constexpr std::size_t MaxFieldSize = 8192;
--- a/runtime/HttpServerLoad.h
+++ b/runtime/HttpServerLoad.h
@@ -16,6 +16,8 @@
   std::atomic<std::size_t> OpenRequests_{0};
   /// How often the connections have reached their limit.
   std::atomic<std::uint64_t> LimitsReached_{0};
+  /// Connections that could not be accepted, usually for want of descriptors.
+  std::atomic<std::uint64_t> AcceptFailures_{0};
 };
 
 /// Counts an open request until the last copy of the result is gone.
