A second SIGTERM doesn't end a stopping process at once

Cause: the set of signals was destroyed with its handler after the first one, so the next one had its default effect. Change: the set is kept until the process ends; further signals wait.

--- a/runtime/Process.cpp
+++ b/runtime/Process.cpp
@@ -216,10 +216,11 @@
 }
 
 auto ProcessThreads::onTerminate(std::function<void()> Callback) -> void {
-  const auto Signals =
-      std::make_shared<asio::signal_set>(Control_, SIGTERM, SIGINT);
-  Signals->async_wait(
-      [Signals, Callback = std::move(Callback)](std::error_code Error, int) {
+  // Kept until the process ends: without it, a further signal would have its
+  // default effect and end the process at once.
+  TerminateSignals_.emplace(Control_, SIGTERM, SIGINT);
+  TerminateSignals_->async_wait(
+      [Callback = std::move(Callback)](std::error_code Error, int) {
         if (!Error)
           Callback();
       });
--- a/runtime/Process.h
+++ b/runtime/Process.h
@@ -11,6 +11,7 @@
 #include <asio/signal_set.hpp>
 
 #include <functional>
+#include <optional>
 #include <thread>
 
 namespace skylark {
@@ -49,7 +50,8 @@
   /// Calls `Callback` on the control thread until stop(), and waits for
   /// `Interval` before each call.
   auto runPeriodically(Millis Interval, std::function<void()> Callback) -> void;
-  /// Calls `Callback` on the control thread once on SIGTERM or SIGINT.
+  /// Calls `Callback` on the control thread once, on the first SIGTERM or
+  /// SIGINT; further ones have no effect.
   auto onTerminate(std::function<void()> Callback) -> void;
   /// Calls `Callback` on the control thread on each SIGHUP.
   auto onReload(std::function<void()> Callback) -> void;
@@ -61,6 +63,7 @@
   using Guard = asio::executor_work_guard<asio::io_context::executor_type>;
   asio::io_context Control_;
   asio::io_context Traffic_;
+  std::optional<asio::signal_set> TerminateSignals_;
   Guard ControlGuard_;
   Guard TrafficGuard_;
   std::thread TrafficThread_;
