An entry raises its soft limit of descriptors to what its settings say

Cause: the number of connections follows from the settings, and nobody raised the limit that the process was started with. Ruled out: a lack of descriptors at the hard limit; that is logged as descriptors-limited, and stays as it is.

--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "core/RequestKind.h"
 #include "entry/Metrics.h"
+#include "runtime/DescriptorLimit.h"
 #include "runtime/HttpClient.h"
 #include "runtime/HttpServer.h"
 #include "runtime/Process.h"
@@ -21,6 +22,9 @@
 constexpr Millis TickInterval{50};
 /// Time for sending the last replies before the process exits.
 constexpr Millis ShutdownFlushDelay{300};
+/// Descriptors for files and the connections to peers, agents and the store,
+/// beside those of callers.
+constexpr std::size_t OwnDescriptors = 700;
 const std::string PeerPathPrefix = "/peer/";
 
 /// The outgoing connection to another entry. It is only sent on; messages from
@@ -360,6 +364,7 @@
 auto runEntry(const Settings &Settings, const EntryProtocols &Protocols)
     -> int {
   startLog(Settings.Entry_.Entry_.Value_);
+  raiseDescriptorLimit(Settings.Limits_.Connections_ + OwnDescriptors);
   logEvent("started", "entry in " + Settings.Entry_.DataCentre_.Value_);
   const auto Status = EntryProcess(Settings, Protocols).run();
   logEvent("stopped", "");
--- a/test/process/ListenerTest.cpp
+++ b/test/process/ListenerTest.cpp
@@ -2,6 +2,7 @@
 /// Tests over real connections that an HTTP server goes on accepting callers,
 /// whatever became of earlier connections.
 
+#include "runtime/DescriptorLimit.h"
 #include "runtime/HttpServer.h"
 
 #include <asio/connect.hpp>
@@ -133,4 +134,19 @@
   BOOST_TEST(Fixture.isAnswered(Client));
 }
 
+// A process was left with the soft limit that it was started with.
+BOOST_AUTO_TEST_CASE(TheSoftLimitOfDescriptorsIsRaised) {
+  rlimit Before{};
+  BOOST_REQUIRE(::getrlimit(RLIMIT_NOFILE, &Before) == 0);
+  BOOST_REQUIRE(Before.rlim_max >= 512);
+  auto Lowered = Before;
+  Lowered.rlim_cur = 256;
+  ::setrlimit(RLIMIT_NOFILE, &Lowered);
+  const auto Raised = raiseDescriptorLimit(512);
+  const auto Kept = raiseDescriptorLimit(300);
+  ::setrlimit(RLIMIT_NOFILE, &Before);
+  BOOST_TEST(Raised == 512U);
+  BOOST_TEST(Kept == 512U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
