--- a/test/processes/Faults.cpp
+++ b/test/processes/Faults.cpp
@@ -33,6 +33,7 @@
       {"reload", 1, &Faults::reload},
       {"silence-connections", 4, &Faults::silenceConnections},
       {"silence-entries", 1, &Faults::silenceEntries},
+      {"stall-entries", 1, &Faults::stallEntries},
       {"silence-half", 1, &Faults::silenceHalf},
       {"reset-connections", 2, &Faults::resetConnections},
       {"delay-connections", 2, &Faults::delayConnections},
@@ -172,6 +173,10 @@
 
 auto Faults::silenceEntries() -> void { silence({Pair::EntryEntry}); }
 
+auto Faults::stallEntries() -> void {
+  silence({{Pair::EntryEntry}, 0.5}, Silence::Stall, Direction::Both);
+}
+
 auto Faults::silenceHalf() -> void {
   silence({{Pair::ClientEntry, Pair::EntryEntry, Pair::AgentEntry, Pair::Store,
             Pair::AgentWorker},
--- a/test/processes/Faults.h
+++ b/test/processes/Faults.h
@@ -52,6 +52,8 @@
   /// Connections other than those among entries.
   auto silenceConnections() -> void;
   auto silenceEntries() -> void;
+  /// With --link-bytes 4096, bytes are unacknowledged from then on.
+  auto stallEntries() -> void;
   /// Half of all connections, both ways.
   auto silenceHalf() -> void;
   auto resetConnections() -> void;
--- a/test/processes/Forwarder.cpp
+++ b/test/processes/Forwarder.cpp
@@ -166,13 +166,16 @@
 }
 
 auto Forwarder::listen(const std::string &From, const std::string &To, int Port,
-                       Pair Kind) -> void {
+                       Pair Kind, int ReceiveBytes) -> void {
   const auto Number = static_cast<std::uint16_t>(Port);
   const Tcp::endpoint Own(asio::ip::make_address(From), Number);
   auto Created = std::make_unique<Listener>(
       Context_, Tcp::endpoint(asio::ip::make_address(To), Number), Kind);
   Created->Acceptor_.open(Own.protocol());
   Created->Acceptor_.set_option(Tcp::acceptor::reuse_address(true));
+  if (ReceiveBytes != 0)
+    Created->Acceptor_.set_option(
+        asio::socket_base::receive_buffer_size(ReceiveBytes));
   Created->Acceptor_.bind(Own);
   Created->Acceptor_.listen(ListenBacklog);
   Listeners_.push_back(std::move(Created));
--- a/test/processes/Forwarder.h
+++ b/test/processes/Forwarder.h
@@ -47,9 +47,11 @@
   auto operator=(const Forwarder &) -> Forwarder & = delete;
 
   /// Starts to forward; to be called before run().
+  /// \param ReceiveBytes size of the buffer for bytes from the connecting side,
+  ///   0: the system's. Beyond it a stalled connection acknowledges nothing.
   /// \throws std::system_error if the address can't be bound.
   auto listen(const std::string &From, const std::string &To, int Port,
-              Pair Kind) -> void;
+              Pair Kind, int ReceiveBytes = 0) -> void;
   auto run() -> void;
 
   /// Silences open connections for good; new ones work.
--- a/test/processes/ProcessShim.cpp
+++ b/test/processes/ProcessShim.cpp
@@ -21,6 +21,7 @@
 #include <sys/mman.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <sys/time.h>
 #include <unistd.h>
 
@@ -63,9 +64,12 @@
   return Own;
 }
 
-/// The process doesn't outlive the soak that started it.
-__attribute__((constructor)) auto endWithParent() -> void {
+/// The process doesn't outlive the soak that started it, and holds none of its
+/// sockets.
+__attribute__((constructor)) auto detachFromSoak() -> void {
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  constexpr unsigned FirstInherited = 3;
+  ::syscall(SYS_close_range, FirstInherited, ~0U, 0U);
 }
 
 auto thirdOctet(const in_addr &Address) -> unsigned {
--- a/test/processes/Site.cpp
+++ b/test/processes/Site.cpp
@@ -64,7 +64,8 @@
     Forwarder_.listen(Addresses_.forwarded(Octet), Addresses_.own(Octet),
                       Addresses_.port(FrontPortOffset), Pair::ClientEntry);
     Forwarder_.listen(Addresses_.forwarded(Octet), Addresses_.own(Octet),
-                      Addresses_.port(LinkPortOffset), Pair::EntryEntry);
+                      Addresses_.port(LinkPortOffset), Pair::EntryEntry,
+                      Options_.LinkReceiveBytes_);
   }
   for (int Index = 0; Index < Options_.Workers_; ++Index) {
     const auto Octet = FirstAgentOctet + Index;
--- a/test/processes/Site.h
+++ b/test/processes/Site.h
@@ -14,6 +14,8 @@
   std::uint64_t Seed_ = 1;
   int Entries_ = 9;
   int Workers_ = 54;
+  /// Size of the forwarder's buffers for links, 0: the system's.
+  int LinkReceiveBytes_ = 0;
   /// The programs, and an empty folder for settings and logs.
   std::string Program_;
   std::string Shim_;
--- a/test/processes/SoakProcesses.cpp
+++ b/test/processes/SoakProcesses.cpp
@@ -29,6 +29,7 @@
   int Entries_ = 9;
   int Workers_ = 54;
   int Clients_ = 16;
+  int LinkReceiveBytes_ = 0;
   std::chrono::seconds Duration_{40};
   std::string Program_;
   std::string Shim_;
@@ -82,7 +83,8 @@
   Violations Found(Log);
   Site System(Log, Runs,
               {Options.Seed_, Options.Entries_, Options.Workers_,
-               Options.Program_, Options.Shim_, Options.Folder_});
+               Options.LinkReceiveBytes_, Options.Program_, Options.Shim_,
+               Options.Folder_});
   System.start(drawClocks(Options, System));
   Traffic Clients(System, Runs, Log, Found, {Options.Seed_, Options.Clients_});
   Promises Checks(System, Runs, Log, Clients, Found);
@@ -127,6 +129,8 @@
       cxxopts::value<std::string>()->default_value("drawn"));
   Add("faults", "kinds of faults, or none; see the table in Faults.cpp",
       cxxopts::value<std::vector<std::string>>()->default_value(""));
+  Add("link-bytes", "size of the forwarder's buffers for links",
+      cxxopts::value<int>()->default_value("0"));
   Add("without", "kinds of faults that aren't played",
       cxxopts::value<std::vector<std::string>>()->default_value(""));
   Add("skylarkd", "the program",
@@ -144,6 +148,7 @@
   skylark::soak::SoakOptions Options;
   Options.Entries_ = Parsed["entries"].as<int>();
   Options.Workers_ = Parsed["workers"].as<int>();
+  Options.LinkReceiveBytes_ = Parsed["link-bytes"].as<int>();
   Options.Clients_ = Parsed["clients"].as<int>();
   Options.Duration_ = std::chrono::seconds{Parsed["seconds"].as<int>()};
   Options.Program_ = Parsed["skylarkd"].as<std::string>();
