Entries log their connections to each other, and calls without an answer

Change: link-opened and link-closed with direction, reason, life and the age of the peer's last message; at most 6 lines in 5 s for each peer and direction, the number left out in the next one. forwarded-calls-unanswered, one line a second for each peer, with count, reason and oldest age. Gauges of open links by direction, and a counter of unanswered calls by reason. No decision changes. Limit: websocketpp keeps no cause of a failed write, so a link that ends while a write is under way is logged as "a write failed, unacknowledged or reset"; small messages (heartbeats) end in "bytes unacknowledged", by the pending read.

--- a/agent/AgentProcess.cpp
+++ b/agent/AgentProcess.cpp
@@ -135,7 +135,7 @@
         Core_->receive(Now, Session, Message, Out);
       });
     };
-    Handlers.Closed_ = [this](SessionNumber Session) {
+    Handlers.Closed_ = [this](SessionNumber Session, LinkEnd) {
       postEvent(
           [this, Session](Moment, AgentOutbox &) { dropSession(Session); });
     };
--- a/core/Counters.cpp
+++ b/core/Counters.cpp
@@ -10,4 +10,11 @@
   return Texts[static_cast<std::size_t>(Reason)];
 }
 
+auto unansweredReasonText(UnansweredReason Reason) -> std::string_view {
+  constexpr std::array<std::string_view,
+                       static_cast<std::size_t>(UnansweredReason::Count)>
+      Texts{"expired", "peer-silent", "link-closed"};
+  return Texts[static_cast<std::size_t>(Reason)];
+}
+
 } // namespace skylark
--- a/core/Counters.h
+++ b/core/Counters.h
@@ -27,6 +27,20 @@
 /// The label of `Reason` in the metrics.
 auto retryReasonText(RetryReason Reason) -> std::string_view;
 
+/// Why a forwarded call got no answer.
+enum class UnansweredReason : std::uint8_t {
+  /// The peer's messages kept arriving, but no answer did.
+  Expired,
+  /// No message of the peer arrived for too long.
+  PeerSilent,
+  /// The connection to the peer was closed.
+  LinkClosed,
+  Count
+};
+
+/// The label of `Reason` in the metrics.
+auto unansweredReasonText(UnansweredReason Reason) -> std::string_view;
+
 /// One entry's counters since it started.
 struct Counters {
   std::array<std::uint64_t, static_cast<std::size_t>(ErrorKind::Count)>
@@ -40,6 +54,10 @@
   /// a job ends.
   std::array<std::uint64_t, static_cast<std::size_t>(TaskWait::Count)>
       TaskWaitMicros_{};
+  /// Calls forwarded to other entries that got no answer, by reason; a call
+  /// that is then repeated counts each time.
+  std::array<std::uint64_t, static_cast<std::size_t>(UnansweredReason::Count)>
+      UnansweredCalls_{};
   std::uint64_t Answered_ = 0;
   std::uint64_t Dispatched_ = 0;
   std::uint64_t TasksBound_ = 0;
--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -273,8 +273,8 @@
   }
   const auto Owner = issuingEntry(Request.Request_);
   if (Owner != Identity_.Entry_ && isReachable(Now, Owner))
-    Calls_.forward(Owner, {Token, 0, Now.Steady_ + ForwardTimeout, Request},
-                   Out);
+    Calls_.forward(Now.Steady_, Owner,
+                   {Token, 0, Now.Steady_ + ForwardTimeout, Request}, Out);
   else
     refuse(Token, ErrorKind::NotKnown, Request.Request_.Value_, Out);
 }
@@ -356,6 +356,7 @@
 
 auto EntryCore::expireForwardedCalls(Moment Now, EntryOutbox &Out) -> void {
   Calls_.expire(Now.Steady_, ownership(Now), Out);
+  Calls_.reportUnanswered(Now.Steady_, Out);
 }
 
 auto EntryCore::peerConnected(Moment Now, const EntryId &Peer, EntryOutbox &Out)
--- a/core/ForwardedCalls.cpp
+++ b/core/ForwardedCalls.cpp
@@ -16,6 +16,14 @@
 /// forwarded.
 constexpr CallerToken FirstPeerToken = CallerToken{1} << 62;
 
+auto unansweredReason(const ShardOwnership &Ownership, const EntryId &Owner)
+    -> UnansweredReason {
+  if (!Ownership.isConnected(Owner))
+    return UnansweredReason::LinkClosed;
+  return Ownership.isReachable(Owner) ? UnansweredReason::Expired
+                                      : UnansweredReason::PeerSilent;
+}
+
 } // namespace
 
 auto ForwardedCalls::refuseMoving(const ShardCall &Call, ErrorKind Kind,
@@ -24,8 +32,8 @@
                 "shard " + std::to_string(Call.Shard_), Out);
 }
 
-auto ForwardedCalls::forward(const EntryId &Owner, ShardCall Call,
-                             EntryOutbox &Out) -> void {
+auto ForwardedCalls::forward(TimePoint Now, const EntryId &Owner,
+                             ShardCall Call, EntryOutbox &Out) -> void {
   if (Forwarded_.size() >= MaxForwardedCalls) {
     refuseRequest(Counters_, Call.Token_, Call.Request_,
                   ErrorKind::TooManyInFlight, "forwarded requests", Out);
@@ -33,7 +41,7 @@
   }
   const auto Number = ++LastCallNumber_;
   Out.push_back(SendToPeer{Owner, ForwardRequest{Number, Call.Request_}});
-  Forwarded_[Number] = {Owner, std::move(Call)};
+  Forwarded_[Number] = {Owner, std::move(Call), Now};
 }
 
 auto ForwardedCalls::forwardToShard(TimePoint Now,
@@ -49,7 +57,7 @@
   if (Owner.empty())
     Owner = Ownership.preferredOwner(Call.Shard_);
   if (Owner != Self_ && Ownership.isReachable(Owner)) {
-    forward(Owner, std::move(Call), Out);
+    forward(Now, Owner, std::move(Call), Out);
     return;
   }
   Call.ExpiresAt_ = Now + ParkTimeout;
@@ -89,8 +97,10 @@
       ++Each;
       continue;
     }
-    const auto [Owner, Call] = std::move(Each->second);
+    const auto [Owner, Call, SentAt] = std::move(Each->second);
     Each = Forwarded_.erase(Each);
+    Unanswered_.add(SentAt, Owner, unansweredReason(Ownership, Owner),
+                    Counters_);
     // A request to a queue can be repeated at the shard's next owner.
     if (park(Now, Call))
       continue;
@@ -122,7 +132,7 @@
                             ShardCall Call, EntryOutbox &Out) -> void {
   const auto Owner = Ownership.knownOwner(Call.Shard_);
   if (!Owner.empty())
-    forward(Owner, std::move(Call), Out);
+    forward(Now, Owner, std::move(Call), Out);
   else if (!park(Now, Call))
     refuseMoving(Call, ErrorKind::ShardMoving, Out);
 }
--- a/core/ForwardedCalls.h
+++ b/core/ForwardedCalls.h
@@ -5,6 +5,7 @@
 
 #include "core/Counters.h"
 #include "core/ShardOwnership.h"
+#include "core/UnansweredCalls.h"
 
 #include <deque>
 #include <map>
@@ -32,7 +33,8 @@
 
   // Requests of this entry's callers.
   /// Forwards a request to an entry; refuses it if too many are forwarded.
-  auto forward(const EntryId &Owner, ShardCall Call, EntryOutbox &Out) -> void;
+  auto forward(TimePoint Now, const EntryId &Owner, ShardCall Call,
+               EntryOutbox &Out) -> void;
   /// Forwards a request to its shard's owner; parks or refuses it if none can
   /// be reached. A request that a peer has forwarded is refused.
   /// \param StoreDown whether the store is known to be unreachable.
@@ -48,6 +50,11 @@
   auto expire(TimePoint Now, const ShardOwnership &Ownership, EntryOutbox &Out)
       -> void;
 
+  /// Logs forwarded requests that got no answer.
+  auto reportUnanswered(TimePoint Now, EntryOutbox &Out) -> void {
+    Unanswered_.report(Now, Out);
+  }
+
   // Parked requests, which wait until their shard has a reachable owner.
   auto parkedCount() const -> std::size_t { return Parked_.size(); }
   /// Removes and returns the request that has been parked first.
@@ -84,6 +91,7 @@
   struct ForwardedCall {
     EntryId Owner_;
     ShardCall Call_;
+    TimePoint SentAt_{};
   };
   /// The origin of a request that a peer has forwarded.
   struct PeerCaller {
@@ -101,6 +109,7 @@
   Counters &Counters_;
   std::map<std::uint64_t, ForwardedCall> Forwarded_;
   std::uint64_t LastCallNumber_ = 0;
+  UnansweredCalls Unanswered_;
   std::deque<ShardCall> Parked_;
   /// Requests to queues that a shard owner of this entry has not answered yet.
   std::unordered_map<CallerToken, ShardCall> OwnCalls_;
--- a/core/ShardOwnership.cpp
+++ b/core/ShardOwnership.cpp
@@ -25,6 +25,11 @@
   return Facts_.Peers_.isReachable(Now_, Facts_.Policy_.SilenceTimeout_, Peer);
 }
 
+auto ShardOwnership::isConnected(const EntryId &Peer) const -> bool {
+  const auto *Found = Facts_.Peers_.find(Peer);
+  return Found != nullptr && Found->Connected_;
+}
+
 auto ShardOwnership::isCandidate(const EntryId &Peer) const -> bool {
   const auto *Found = Facts_.Peers_.find(Peer);
   if (Found == nullptr)
--- a/core/ShardOwnership.h
+++ b/core/ShardOwnership.h
@@ -40,6 +40,8 @@
   ShardOwnership(TimePoint Now, const OwnershipFacts &Facts)
       : Now_(Now), Facts_(Facts) {}
 
+  /// Whether this entry has an open connection to the peer.
+  auto isConnected(const EntryId &Peer) const -> bool;
   /// Whether the peer is connected and has been seen recently.
   auto isReachable(const EntryId &Peer) const -> bool;
   /// Returns the reachable peer that owns a shard according to its last
--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -1,6 +1,7 @@
 #include "entry/EntryProcess.h"
 
 #include "entry/Metrics.h"
+#include "entry/PeerLinkMonitor.h"
 #include "runtime/HttpClient.h"
 #include "runtime/HttpServer.h"
 #include "runtime/Process.h"
@@ -97,8 +98,12 @@
   auto linkHandlers() -> LinkHandlers {
     LinkHandlers Handlers;
     Handlers.Opened_ = [this](SessionNumber Session, const std::string &Path) {
-      if (Path.rfind(PeerPathPrefix, 0) == 0)
-        PeerSessions_[Session] = {Path.substr(PeerPathPrefix.size())};
+      if (Path.rfind(PeerPathPrefix, 0) != 0)
+        return;
+      const EntryId Peer{Path.substr(PeerPathPrefix.size())};
+      PeerSessions_[Session] = Peer;
+      PeerLinks_.opened(SteadyClock::now(), Peer, LinkDirection::Incoming,
+                        Session);
     };
     Handlers.Received_ = [this](SessionNumber Session,
                                 const std::string &Bytes) {
@@ -108,9 +113,14 @@
       else
         receiveFromPeer(Peer->second, Bytes);
     };
-    Handlers.Closed_ = [this](SessionNumber Session) {
-      if (PeerSessions_.erase(Session) != 0)
+    Handlers.Closed_ = [this](SessionNumber Session, LinkEnd End) {
+      const auto Peer = PeerSessions_.find(Session);
+      if (Peer != PeerSessions_.end()) {
+        PeerLinks_.closed(SteadyClock::now(), Peer->second,
+                          LinkDirection::Incoming, Session, End);
+        PeerSessions_.erase(Peer);
         return;
+      }
       postEvent([this, Session](Moment Now, EntryOutbox &Out) {
         Core_.agentDisconnected(Now, Session, Out);
       });
@@ -136,6 +146,7 @@
   }
 
   auto receiveFromPeer(const EntryId &Peer, const std::string &Bytes) -> void {
+    PeerLinks_.received(SteadyClock::now(), Peer);
     auto Message = decodePeerMessage(Bytes);
     if (!Message)
       return;
@@ -150,19 +161,29 @@
     if (Peer.Link_ &&
         Peer.Registration_.PeerAddress_ == Registration.PeerAddress_)
       return;
-    if (Peer.Link_)
+    if (Peer.Link_) {
       Peer.Link_->stop();
+      asio::post(Threads_.traffic(), [this, Id = Registration.Entry_,
+                                      Session = Peer.Session_] {
+        PeerLinks_.closed(SteadyClock::now(), Id, LinkDirection::Outgoing,
+                          Session, LinkEnd::AddressChanged);
+      });
+    }
     Peer.Registration_ = Registration;
     const auto Id = Registration.Entry_;
     LinkHandlers Handlers;
     Handlers.Opened_ = [this, Id](SessionNumber Session, const std::string &) {
+      PeerLinks_.opened(SteadyClock::now(), Id, LinkDirection::Outgoing,
+                        Session);
       postEvent([this, Id, Session](Moment Now, EntryOutbox &Out) {
         Peers_[Id].Session_ = Session;
         Core_.peerConnected(Now, Id, Out);
       });
     };
     Handlers.Received_ = [](SessionNumber, const std::string &) {};
-    Handlers.Closed_ = [this, Id](SessionNumber) {
+    Handlers.Closed_ = [this, Id](SessionNumber Session, LinkEnd End) {
+      PeerLinks_.closed(SteadyClock::now(), Id, LinkDirection::Outgoing,
+                        Session, End);
       postEvent([this, Id](Moment Now, EntryOutbox &Out) {
         Peers_[Id].Session_ = 0;
         Core_.peerDisconnected(Now, Id, Out);
@@ -225,6 +246,10 @@
     Gauges CurrentGauges;
     CurrentGauges.Targets_ = Core_.targetCount();
     CurrentGauges.Peers_ = Core_.peerCount(currentMoment());
+    CurrentGauges.OutgoingLinks_ =
+        PeerLinks_.openLinks(LinkDirection::Outgoing);
+    CurrentGauges.IncomingLinks_ =
+        PeerLinks_.openLinks(LinkDirection::Incoming);
     CurrentGauges.OwnedShards_ = Core_.ownedShards();
     CurrentGauges.InFlight_ = Core_.inFlight();
     CurrentGauges.Revision_ = Core_.configuration().Head_.Revision_;
@@ -309,6 +334,7 @@
   LatencyHistogram Latency_;
   // Used on the traffic thread only.
   std::map<SessionNumber, EntryId> PeerSessions_;
+  PeerLinkMonitor PeerLinks_{writeLog};
   // Used on both threads.
   std::array<std::atomic<std::uint64_t>,
              static_cast<std::size_t>(ErrorKind::Count)>
--- a/entry/Metrics.cpp
+++ b/entry/Metrics.cpp
@@ -52,6 +52,8 @@
 constexpr GaugeMetric GaugeMetrics[] = {
     {"skylark_targets", &Gauges::Targets_},
     {"skylark_peers", &Gauges::Peers_},
+    {"skylark_links_outgoing", &Gauges::OutgoingLinks_},
+    {"skylark_links_incoming", &Gauges::IncomingLinks_},
     {"skylark_owned_shards", &Gauges::OwnedShards_},
     {"skylark_in_flight", &Gauges::InFlight_},
 };
@@ -117,6 +119,12 @@
     Out << "skylark_grants_withheld_total{reason=\""
         << grantBarrierText(static_cast<GrantBarrier>(Index)) << "\"} "
         << CounterValues.GrantsWithheld_[Index] << '\n';
+  Out << "# TYPE skylark_forwarded_calls_unanswered_total counter\n";
+  for (std::size_t Index = 0; Index < CounterValues.UnansweredCalls_.size();
+       ++Index)
+    Out << "skylark_forwarded_calls_unanswered_total{reason=\""
+        << unansweredReasonText(static_cast<UnansweredReason>(Index)) << "\"} "
+        << CounterValues.UnansweredCalls_[Index] << '\n';
   Out << "# TYPE skylark_store_failures_by_reason_total counter\n";
   for (std::size_t Index = 1;
        Index < CounterValues.StoreFailuresByReason_.size(); ++Index)
--- a/entry/Metrics.h
+++ b/entry/Metrics.h
@@ -14,6 +14,9 @@
 struct Gauges {
   std::size_t Targets_ = 0;
   std::size_t Peers_ = 0;
+  /// Open connections to and from other entries.
+  std::size_t OutgoingLinks_ = 0;
+  std::size_t IncomingLinks_ = 0;
   std::size_t OwnedShards_ = 0;
   std::size_t InFlight_ = 0;
   std::uint64_t Revision_ = 0;
--- a/test/correctness/ForwardedCallsTest.cpp
+++ b/test/correctness/ForwardedCallsTest.cpp
@@ -208,6 +208,42 @@
   BOOST_TEST(Fixture.Calls_.parkedCount() == 1U);
 }
 
+// Calls that were never answered left no trace of how many, where, or why.
+BOOST_AUTO_TEST_CASE(UnansweredCallsAreCountedByReasonAndLoggedOnceASecond) {
+  CallsFixture Fixture;
+  const auto TakeLines = [&] {
+    std::vector<std::string> Lines;
+    Fixture.Calls_.reportUnanswered(Fixture.Now_, Fixture.Out_);
+    for (const auto &Each : std::exchange(Fixture.Out_, {}))
+      if (const auto *Line = std::get_if<LogDecision>(&Each))
+        Lines.push_back(Line->Subject_ + ": " + Line->Detail_);
+    return Lines;
+  };
+  Fixture.forward(teamQuery());
+  Fixture.forward(teamQuery());
+  for (Millis Elapsed{0}; Elapsed < CallTimeout; Elapsed += Millis{100}) {
+    Fixture.Now_ += Millis{100};
+    Fixture.sendHeartbeat();
+  }
+  Fixture.expire();
+  BOOST_TEST(TakeLines() == std::vector<std::string>{"other: expired 2, oldest "
+                                                     "forwarded 2800 ms ago"},
+             boost::test_tools::per_element());
+  Fixture.forward(teamQuery());
+  Fixture.disconnectOwner();
+  Fixture.expire();
+  BOOST_TEST(TakeLines().empty());
+  Fixture.Now_ += Millis{1000};
+  BOOST_TEST(TakeLines() ==
+                 std::vector<std::string>{"other: link-closed 1, oldest "
+                                          "forwarded 1000 ms ago"},
+             boost::test_tools::per_element());
+  const auto &Counts = Fixture.Counters_.UnansweredCalls_;
+  BOOST_TEST(Counts[static_cast<std::size_t>(UnansweredReason::Expired)] == 2U);
+  BOOST_TEST(Counts[static_cast<std::size_t>(UnansweredReason::LinkClosed)] ==
+             1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnOwnShardsRefusalOfAQueuesRequestParksIt) {
   CallsFixture Fixture;
   Fixture.Calls_.recordOwnCall(
--- a/test/correctness/LinkTest.cpp
+++ b/test/correctness/LinkTest.cpp
@@ -52,12 +52,13 @@
   int Opened_ = 0;
   int Closed_ = 0;
   std::size_t Received_ = 0;
+  LinkEnd LastEnd_ = LinkEnd::Count;
 
 private:
   auto serverHandlers() -> LinkHandlers {
     return {[](SessionNumber, const std::string &) {},
             [this](SessionNumber, const std::string &) { ++Received_; },
-            [](SessionNumber) {}};
+            [](SessionNumber, LinkEnd) {}};
   }
   auto clientHandlers() -> LinkHandlers {
     return {[this](SessionNumber Session, const std::string &) {
@@ -65,7 +66,8 @@
               ++Opened_;
             },
             [](SessionNumber, const std::string &) {},
-            [this](SessionNumber) {
+            [this](SessionNumber, LinkEnd End) {
+              LastEnd_ = End;
               Session_ = 0;
               ++Closed_;
             }};
@@ -94,6 +96,7 @@
   BOOST_REQUIRE(Fixture.Received_ > 0);
   Fixture.run(Millis{6000}, false);
   BOOST_TEST(Fixture.Closed_ == 1);
+  BOOST_TEST((Fixture.LastEnd_ == LinkEnd::WriteFailed));
   const auto Before = Fixture.Received_;
   Fixture.run(Millis{3000}, true);
   BOOST_TEST(Fixture.Opened_ == 2);
@@ -101,4 +104,13 @@
   Fixture.stop();
 }
 
+BOOST_AUTO_TEST_CASE(ALinksEndIsClassifiedByItsError) {
+  BOOST_TEST((linkEndOf(std::make_error_code(std::errc::timed_out), false) ==
+              LinkEnd::Unacknowledged));
+  BOOST_TEST((linkEndOf(std::make_error_code(std::errc::connection_reset),
+                        false) == LinkEnd::ClosedByPeer));
+  BOOST_TEST((linkEndOf({}, true) == LinkEnd::ClosedByPeer));
+  BOOST_TEST((linkEndOf({}, false) == LinkEnd::BufferFull));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/wire/Link.cpp
+++ b/wire/Link.cpp
@@ -76,6 +76,18 @@
   Each.close(Connection, websocketpp::close::status::going_away, "", Error);
 }
 
+/// Returns why a connection that this end didn't drop has ended.
+template <typename Endpoint>
+auto endOf(Endpoint &Each, const Handle &Connection) -> LinkEnd {
+  websocketpp::lib::error_code Error;
+  const auto Ended = Each.get_con_from_hdl(Connection, Error);
+  if (Error)
+    return LinkEnd::Failed;
+  return linkEndOf(Ended->get_ec(),
+                   Ended->get_remote_close_code() !=
+                       websocketpp::close::status::abnormal_close);
+}
+
 } // namespace
 
 class LinkServer::Implementation
@@ -147,7 +159,7 @@
     const auto Session = Found->second;
     Sessions_.erase(Found);
     Handles_.erase(Session);
-    Handlers_.Closed_(Session);
+    Handlers_.Closed_(Session, endOf(Server_, Each));
   }
 
   auto received(const Handle &Each, const std::string &Bytes) -> void {
@@ -219,10 +231,12 @@
     CurrentSession_ = Session;
     Connection->set_open_handler(
         [Self, Session](const Handle &Each) { Self->opened(Session, Each); });
-    Connection->set_fail_handler(
-        [Self, Session](const Handle &) { Self->closed(Session); });
-    Connection->set_close_handler(
-        [Self, Session](const Handle &) { Self->closed(Session); });
+    Connection->set_fail_handler([Self, Session](const Handle &) {
+      Self->closed(Session, LinkEnd::Failed);
+    });
+    Connection->set_close_handler([Self, Session](const Handle &Each) {
+      Self->closed(Session, endOf(Self->Client_, Each));
+    });
     Connection->set_message_handler(
         [Self, Session](const Handle &, const Client::message_ptr &Message) {
           if (Self->CurrentSession_ == Session)
@@ -240,7 +254,7 @@
     if (Session != CurrentSession_ || !Open_)
       return;
     dropConnection(Client_, Handle_);
-    closed(Session);
+    closed(Session, LinkEnd::Replaced);
   }
 
   auto stop() -> void {
@@ -265,14 +279,14 @@
     Handlers_.Opened_(Session, Path_);
   }
 
-  auto closed(SessionNumber Session) -> void {
+  auto closed(SessionNumber Session, LinkEnd End) -> void {
     if (Session != CurrentSession_)
       return;
     const auto WasOpen = Open_;
     Open_ = false;
     CurrentSession_ = 0;
     if (WasOpen)
-      Handlers_.Closed_(Session);
+      Handlers_.Closed_(Session, End);
     scheduleReconnect();
   }
 
--- a/wire/Link.h
+++ b/wire/Link.h
@@ -5,6 +5,7 @@
 
 #include "core/Ids.h"
 #include "core/Time.h"
+#include "wire/LinkEnd.h"
 
 #include <asio/io_context.hpp>
 
@@ -26,9 +27,9 @@
   /// A connection was opened; `Path` is the resource that the client requested.
   std::function<void(SessionNumber, const std::string &Path)> Opened_;
   std::function<void(SessionNumber, std::string Bytes)> Received_;
-  /// An open connection was closed or lost. Not called where this end closed it
-  /// by LinkServer::close() or stop().
-  std::function<void(SessionNumber)> Closed_;
+  /// An open connection was closed or lost, and why. Not called where this end
+  /// closed it by LinkServer::close() or stop().
+  std::function<void(SessionNumber, LinkEnd)> Closed_;
 };
 
 /// Accepts connections. send(), close() and stop() may be called from any
