--- a/wire/Link.cpp
+++ b/wire/Link.cpp
@@ -78,6 +78,18 @@
   Each.close(Connection, websocketpp::close::status::going_away, "", Error);
 }
 
+/// Returns why a connection that this end didn't drop has ended.
+template <typename Endpoint>
+auto endOf(Endpoint &Each, const Handle &Connection) -> LinkEnd {
+  websocketpp::lib::error_code Error;
+  const auto Ended = Each.get_con_from_hdl(Connection, Error);
+  if (Error)
+    return LinkEnd::Failed;
+  return linkEndOf(Ended->get_ec(),
+                   Ended->get_remote_close_code() !=
+                       websocketpp::close::status::abnormal_close);
+}
+
 } // namespace
 
 class LinkServer::Implementation
@@ -160,7 +172,7 @@
     Sessions_.erase(Found);
     Handles_.erase(Session);
     Liveness_.erase(Session);
-    Handlers_.Closed_(Session);
+    Handlers_.Closed_(Session, endOf(Server_, Each));
   }
 
   auto received(const Handle &Each, const std::string &Bytes) -> void {
@@ -194,7 +206,7 @@
         Dead.push_back(Session);
     for (const auto Session : Dead) {
       close(Session);
-      Handlers_.Closed_(Session);
+      Handlers_.Closed_(Session, LinkEnd::Unanswered);
     }
   }
 
@@ -264,10 +276,12 @@
     CurrentSession_ = Session;
     Connection->set_open_handler(
         [Self, Session](const Handle &Each) { Self->opened(Session, Each); });
-    Connection->set_fail_handler(
-        [Self, Session](const Handle &) { Self->closed(Session); });
-    Connection->set_close_handler(
-        [Self, Session](const Handle &) { Self->closed(Session); });
+    Connection->set_fail_handler([Self, Session](const Handle &) {
+      Self->closed(Session, LinkEnd::Failed);
+    });
+    Connection->set_close_handler([Self, Session](const Handle &Each) {
+      Self->closed(Session, endOf(Self->Client_, Each));
+    });
     Connection->set_message_handler(
         [Self, Session](const Handle &, const Client::message_ptr &Message) {
           if (Self->CurrentSession_ != Session)
@@ -292,7 +306,7 @@
     if (Session != CurrentSession_ || !Open_)
       return;
     dropConnection(Client_, Handle_);
-    closed(Session);
+    closed(Session, LinkEnd::Replaced);
   }
 
   auto stop() -> void {
@@ -332,7 +346,8 @@
   auto checkLiveness(SessionNumber Session) -> void {
     const auto Check = Liveness_.check();
     if (Check == LinkCheck::Dead) {
-      dropAndReconnect(Session);
+      dropConnection(Client_, Handle_);
+      closed(Session, LinkEnd::Unanswered);
       return;
     }
     websocketpp::lib::error_code Error;
@@ -341,14 +356,14 @@
     scheduleLivenessCheck(Session);
   }
 
-  auto closed(SessionNumber Session) -> void {
+  auto closed(SessionNumber Session, LinkEnd End) -> void {
     if (Session != CurrentSession_)
       return;
     const auto WasOpen = Open_;
     Open_ = false;
     CurrentSession_ = 0;
     if (WasOpen)
-      Handlers_.Closed_(Session);
+      Handlers_.Closed_(Session, End);
     scheduleReconnect();
   }
 
