A call whose answer was lost with the owner's connection is repeated on the next

What callers saw: where the connection from the owner goes silent and the one to it doesn't, a request sent just before waits for its whole time (2.8 s) and is refused, although the owner replaces its connection after about 2.4 s. Cause: unanswered calls are repeated only when the outgoing connection closes or the peer has been silent for 2.5 s; a new incoming one wasn't taken as a sign. Change: when a peer opens its connection anew, the requests to queues that it hasn't answered, and whose time isn't up, are sent again under the same number. Such requests are repeated elsewhere too: the caller chose the job's id. Ruled out: a second answer; it finds no open call. Evidence: ForwardedReplies/ACallWhoseAnswerWasLostWithALinkIsRepeatedOnTheNext printed "check Repeated(entryIdOf(Owner)) has failed" with the new event doing nothing, and passes now; 78 cases of Links, PeerLinks, ForwardedRequests, ForwardedReplies and Ownership pass. The 2.4 s follow from the constants; no run over sockets measures them. Not run: randomised runs, process tests.

--- a/core/EntryCore.cpp
+++ b/core/EntryCore.cpp
@@ -373,6 +373,12 @@
   processPending(Now, Out);
 }
 
+auto EntryCore::peerLinkOpened(Moment Now, const EntryId &Peer,
+                               EntryOutbox &Out) -> void {
+  Calls_.repeatTo(Now.Steady_, Peer, Out);
+  processPending(Now, Out);
+}
+
 auto EntryCore::peerSent(Moment Now, const EntryId &Peer,
                          const PeerMessage &Message, EntryOutbox &Out) -> void {
   std::visit([&](const auto &Each) { handle(Now, Peer, Each, Out); }, Message);
--- a/core/EntryCore.h
+++ b/core/EntryCore.h
@@ -56,6 +56,9 @@
   auto agentDisconnected(Moment Now, SessionNumber Session, EntryOutbox &Out)
       -> void;
   auto peerConnected(Moment Now, const EntryId &Peer, EntryOutbox &Out) -> void;
+  /// The peer has opened a connection, on which it will send from now on.
+  auto peerLinkOpened(Moment Now, const EntryId &Peer, EntryOutbox &Out)
+      -> void;
   auto peerSent(Moment Now, const EntryId &Peer, const PeerMessage &Message,
                 EntryOutbox &Out) -> void;
   auto peerDisconnected(Moment Now, const EntryId &Peer, EntryOutbox &Out)
--- a/core/ForwardedCalls.cpp
+++ b/core/ForwardedCalls.cpp
@@ -90,6 +90,15 @@
   return ForQueue ? std::optional(Call.Shard_) : std::nullopt;
 }
 
+auto ForwardedCalls::repeatTo(TimePoint Now, const EntryId &Peer,
+                              EntryOutbox &Out) -> void {
+  for (const auto &[Number, Each] : Forwarded_)
+    if (Each.Owner_ == Peer && isForQueue(Each.Call_.Request_) &&
+        Each.Call_.ExpiresAt_ > Now)
+      Out.push_back(
+          SendToPeer{Peer, ForwardRequest{Number, Each.Call_.Request_}});
+}
+
 auto ForwardedCalls::expire(TimePoint Now, const ShardOwnership &Ownership,
                             EntryOutbox &Out) -> void {
   for (auto Each = Forwarded_.begin(); Each != Forwarded_.end();) {
--- a/core/ForwardedCalls.h
+++ b/core/ForwardedCalls.h
@@ -49,6 +49,9 @@
   /// \returns the shard, if the peer doesn't own it.
   auto answered(TimePoint Now, const EntryId &Peer, const ForwardReply &Message,
                 EntryOutbox &Out) -> std::optional<ShardNumber>;
+  /// Sends a peer again the requests to queues that it hasn't answered: its
+  /// answers may have been lost with the connection that it sent them on.
+  auto repeatTo(TimePoint Now, const EntryId &Peer, EntryOutbox &Out) -> void;
   /// Parks or refuses forwarded requests whose owner is unreachable or too
   /// slow.
   auto expire(TimePoint Now, const ShardOwnership &Ownership, EntryOutbox &Out)
--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -104,6 +104,9 @@
       PeerSessions_[Session] = Peer;
       PeerLinks_.opened(SteadyClock::now(), Peer, LinkDirection::Incoming,
                         Session);
+      postEvent([this, Peer](Moment Now, EntryOutbox &Out) {
+        Core_.peerLinkOpened(Now, Peer, Out);
+      });
     };
     Handlers.Received_ = [this](SessionNumber Session,
                                 const std::string &Bytes) {
--- a/test/correctness/ForwardedReplyTest.cpp
+++ b/test/correctness/ForwardedReplyTest.cpp
@@ -71,4 +71,31 @@
   BOOST_TEST(passesOn(Fixture, Core, entryIdOf(Owner), Call));
 }
 
+// Answers that were lost with the owner's connection were never asked for
+// again: the caller waited until its time was up, on a link that worked again.
+BOOST_AUTO_TEST_CASE(ACallWhoseAnswerWasLostWithALinkIsRepeatedOnTheNext) {
+  EntryFixture Fixture;
+  const auto Owner = Fixture.owner();
+  BOOST_REQUIRE(Owner < EntryCount);
+  auto &Core = *Fixture.Entries_[1 - Owner];
+  const auto Call = forwardQuery(Fixture, Core);
+  BOOST_REQUIRE(Call != 0);
+  const auto Repeated = [&](const EntryId &Peer) {
+    EntryOutbox Out;
+    Core.peerLinkOpened(Fixture.Now_, Peer, Out);
+    return std::any_of(Out.begin(), Out.end(), [&](const auto &Each) {
+      const auto *Sent = std::get_if<SendToPeer>(&Each);
+      const auto *Again = Sent == nullptr
+                              ? nullptr
+                              : std::get_if<ForwardRequest>(&Sent->Message_);
+      return Again != nullptr && Again->CallNumber_ == Call;
+    });
+  };
+  Fixture.advance(Millis{2300});
+  BOOST_TEST(!Repeated({"stranger"}));
+  BOOST_TEST(Repeated(entryIdOf(Owner)));
+  BOOST_TEST(passesOn(Fixture, Core, entryIdOf(Owner), Call));
+  BOOST_TEST(!Repeated(entryIdOf(Owner)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
