--- a/core/ForwardedCalls.cpp
+++ b/core/ForwardedCalls.cpp
@@ -67,10 +67,11 @@
         Out);
 }
 
-auto ForwardedCalls::answered(TimePoint Now, const ForwardReply &Message,
-                              EntryOutbox &Out) -> std::optional<ShardNumber> {
+auto ForwardedCalls::answered(TimePoint Now, const EntryId &Peer,
+                              const ForwardReply &Message, EntryOutbox &Out)
+    -> std::optional<ShardNumber> {
   const auto Found = Forwarded_.find(Message.CallNumber_);
-  if (Found == Forwarded_.end())
+  if (Found == Forwarded_.end() || Found->second.Owner_ != Peer)
     return std::nullopt;
   const auto Call = std::move(Found->second.Call_);
   Forwarded_.erase(Found);
@@ -89,6 +90,15 @@
   return ForQueue ? std::optional(Call.Shard_) : std::nullopt;
 }
 
+auto ForwardedCalls::repeatTo(TimePoint Now, const EntryId &Peer,
+                              EntryOutbox &Out) -> void {
+  for (const auto &[Number, Each] : Forwarded_)
+    if (Each.Owner_ == Peer && isForQueue(Each.Call_.Request_) &&
+        Each.Call_.ExpiresAt_ > Now)
+      Out.push_back(
+          SendToPeer{Peer, ForwardRequest{Number, Each.Call_.Request_}});
+}
+
 auto ForwardedCalls::expire(TimePoint Now, const ShardOwnership &Ownership,
                             EntryOutbox &Out) -> void {
   for (auto Each = Forwarded_.begin(); Each != Forwarded_.end();) {
