Room for ended jobs follows from their measured size

Cause: the limit of core/EndedJobs was set from 319 bytes a task; an ended task takes 415, its history included. Ruled out: a limit within the promised time; 300 s at the target are 12,000 tasks.

--- a/core/EndedJobs.cpp
+++ b/core/EndedJobs.cpp
@@ -10,8 +10,9 @@
 constexpr Seconds LateSubmissionTime{300};
 /// How long a job is kept while there is room.
 constexpr Seconds KeepTime{24 * 3600};
-/// Number of ended tasks for which there is room. They take some 70 MB.
-constexpr std::size_t MaxTasks = 200000;
+/// Number of ended tasks for which there is room: about 21 MB, and as much
+/// again while a snapshot is made.
+constexpr std::size_t MaxTasks = 50000;
 
 } // namespace
 
--- a/test/performance/Capacity.cpp
+++ b/test/performance/Capacity.cpp
@@ -3,6 +3,7 @@
 /// for each kind of message, at several numbers of targets and tasks.
 
 #include "core/AgentCore.h"
+#include "core/EndedJobs.h"
 #include "core/EntryCore.h"
 #include "wire/Cbor.h"
 
@@ -178,6 +179,77 @@
               Tasks, Bytes, RecordBytes, OneApply, Count, OneEncode);
 }
 
+/// Adds a job whose tasks have all been bound and have finished.
+auto addEndedJob(ShardState &State, int Number, std::uint32_t Tasks) -> void {
+  Job Ended;
+  Ended.Id_ = {"c3590faf" + std::to_string(10000000 + Number)};
+  Ended.Declaration_.Queue_ = {"r-4bf5f9c"};
+  Ended.Declaration_.Steps_.front().TaskCount_ = Tasks;
+  Ended.Declaration_.Steps_.front().Image_ = "image-7f3a";
+  Ended.Tasks_.resize(Tasks);
+  const auto Id = Ended.Id_;
+  State.apply(LedgerRecord{JobAdded{std::move(Ended)}});
+  for (const auto Phase : {TaskState::Bound, TaskState::Finished})
+    for (std::uint32_t Index = 0; Index < Tasks; ++Index) {
+      TaskChanged Change;
+      Change.Task_ = {Id, Index};
+      Change.State_ = Phase;
+      Change.Attempt_ = 1;
+      Change.Agent_ = {"worker-alpha-12"};
+      Change.DataCentre_ = {"delta-north"};
+      Change.Worker_ = 1800000000000000;
+      Change.At_ = WallTime{Seconds{1800000000}};
+      Change.Started_ = true;
+      State.apply(LedgerRecord{Change});
+    }
+}
+
+/// Measures what ended jobs cost an owner, and the next one.
+auto measureEndedJobs(int Jobs) -> void {
+  constexpr std::uint32_t TasksPerJob = 20;
+  constexpr std::size_t SegmentSize = std::size_t{256} * 1024;
+  constexpr std::size_t JobsPerSegment = 100;
+  const auto Before = heapBytes();
+  ShardState State;
+  EndedJobs Ended;
+  for (int Number = 0; Number < Jobs; ++Number)
+    addEndedJob(State, Number, TasksPerJob);
+  for (const auto &[Id, Each] : State.jobs())
+    Ended.add(momentAt(0).Steady_, Id, Each.Tasks_.size());
+  const auto Bytes = heapBytes() - Before;
+  std::vector<LedgerRecord> Records;
+  const auto Snapshot = microsPerCall(
+      1, [&](int /*Index*/) { Records = State.snapshot(SegmentSize); });
+  std::vector<std::string> Segments;
+  std::size_t Stored = 0;
+  const auto Encode = microsPerCall(1, [&](int /*Index*/) {
+    for (std::size_t First = 0; First < Records.size();
+         First += JobsPerSegment) {
+      ShardSegment Segment;
+      const auto End = std::min(First + JobsPerSegment, Records.size());
+      for (auto Position = First; Position < End; ++Position)
+        Segment.Records_.push_back(Records[Position]);
+      Segments.push_back(encode(StoreValue{Segment}));
+      Stored += Segments.back().size();
+    }
+  });
+  ShardState Loaded;
+  const auto Load = microsPerCall(1, [&](int /*Index*/) {
+    for (const auto &Each : Segments) {
+      const auto Value = decodeStoreValue(Each);
+      for (const auto &Record : std::get<ShardSegment>(*Value).Records_)
+        Loaded.apply(Record);
+    }
+  });
+  constexpr double Million = 1e6;
+  constexpr double Thousand = 1e3;
+  std::printf("%6d ended jobs of %u tasks: memory %7.1f MB, snapshot %6.1f MB, "
+              "made in %7.1f ms, encoded in %8.1f ms, loaded in %8.1f ms\n",
+              Jobs, TasksPerJob, static_cast<double>(Bytes) / Million,
+              static_cast<double>(Stored) / Million, Snapshot / Thousand,
+              Encode / Thousand, Load / Thousand);
+}
+
 auto measureAgent(int Tasks) -> void {
   AgentIdentity Identity;
   Identity.Agent_ = {"agent"};
@@ -218,6 +290,8 @@
   measureCodec();
   for (const int Tasks : {100, 1000, 10000, 20000})
     measureLedger(Tasks);
+  for (const int Jobs : {1000, 10000, 50000})
+    measureEndedJobs(Jobs);
   for (const int Tasks : {5, 20, 80})
     measureAgent(Tasks);
   return 0;
