The servers' acceptor is final

clang-tidy reported that RESTinio's server destroys it as a class with virtual functions and without a virtual destructor. Callers see no change.

--- a/runtime/CallerAcceptor.h
+++ b/runtime/CallerAcceptor.h
@@ -134,7 +134,7 @@
 /// Lets RESTinio's server with these traits use CallerAcceptor.
 #define SKYLARK_USE_CALLER_ACCEPTOR(Traits)                                    \
   template <>                                                                  \
-  class restinio::impl::acceptor_t<Traits>                                     \
+  class restinio::impl::acceptor_t<Traits> final                               \
       : public skylark::CallerAcceptor<Traits> {                               \
   public:                                                                      \
     using CallerAcceptor::CallerAcceptor;                                      \
