--- a/test/processes/Faults.cpp
+++ b/test/processes/Faults.cpp
@@ -49,6 +49,7 @@
 
 auto Faults::kinds() -> std::vector<std::string> {
   std::vector<std::string> Names;
+  Names.reserve(table().size());
   for (const auto &Each : table())
     Names.emplace_back(Each.Name_);
   return Names;
@@ -120,6 +121,7 @@
 
 auto Faults::killAllWithWorkers() -> void {
   std::vector<int> All;
+  All.reserve(static_cast<std::size_t>(Site_.workerCount()));
   for (int Index = 0; Index < Site_.workerCount(); ++Index)
     All.push_back(Index);
   const milliseconds Down{between(500, 2500)};
--- a/test/processes/Promises.cpp
+++ b/test/processes/Promises.cpp
@@ -78,6 +78,7 @@
   std::mutex Mutex;
   std::vector<JobRecord> Open;
   std::vector<std::thread> Threads;
+  Threads.reserve(Queriers);
   for (int Index = 0; Index < Queriers; ++Index)
     Threads.emplace_back([&] {
       KeepAliveClient Client(Site_);
--- a/test/processes/Site.cpp
+++ b/test/processes/Site.cpp
@@ -108,6 +108,7 @@
       startProcess(Name);
     }
   std::vector<int> All;
+  All.reserve(static_cast<std::size_t>(Options_.Workers_));
   for (int Index = 0; Index < Options_.Workers_; ++Index)
     All.push_back(Index);
   startWorkers(All);
@@ -284,6 +285,7 @@
 
 auto Site::entryNames() const -> std::vector<std::string> {
   std::vector<std::string> Names;
+  Names.reserve(static_cast<std::size_t>(Options_.Entries_));
   for (int Index = 0; Index < Options_.Entries_; ++Index)
     Names.push_back("front-" + std::to_string(Index));
   return Names;
@@ -291,6 +293,7 @@
 
 auto Site::agentNames() const -> std::vector<std::string> {
   std::vector<std::string> Names;
+  Names.reserve(static_cast<std::size_t>(Options_.Workers_));
   for (int Index = 0; Index < Options_.Workers_; ++Index)
     Names.push_back("side-" + std::to_string(Index));
   return Names;
--- a/test/processes/Traffic.cpp
+++ b/test/processes/Traffic.cpp
@@ -223,7 +223,7 @@
 auto Traffic::call(KeepAliveClient &Client, int Entry,
                    const std::string &Method, const JobRecord &Job,
                    const std::string &Body) -> CallResult {
-  const auto Result =
+  auto Result =
       Client.call(Entry, Method, *Job.Queue_, Job.Id_, Body, CallTimeout);
   static const std::map<CallEnd, std::string> Names{
       {CallEnd::Answered, "calls answered"},
