A repeated submission is never denied for its first copy

What callers could see: 503, "never runs", for a job that ran. A request that was sent to the owner again on a new connection kept its number, so a refusal of the first copy (the ledger's queue was full) could be given to the caller while the second copy was recorded; and a copy of a job that was stored, or queued to be, was itself refused while the queue was full. Cause: the number of a forwarded call stood for two copies; ShardOwner::submit looked at the length of the queue before it looked for the job. Change: the repeat has a number of its own, and the answer to the first is dropped; a known job, and one whose submission is being committed, is answered whatever the length of the queue. Also from the review: a probe that waits behind bytes which a slow link still has to carry can't be answered; then the time-out for unacknowledged bytes judges the link, as it did before there were probes.

--- a/core/ForwardedCalls.cpp
+++ b/core/ForwardedCalls.cpp
@@ -92,11 +92,19 @@
 
 auto ForwardedCalls::repeatTo(TimePoint Now, const EntryId &Peer,
                               EntryOutbox &Out) -> void {
-  for (const auto &[Number, Each] : Forwarded_)
-    if (Each.Owner_ == Peer && isForQueue(Each.Call_.Request_) &&
-        Each.Call_.ExpiresAt_ > Now)
-      Out.push_back(
-          SendToPeer{Peer, ForwardRequest{Number, Each.Call_.Request_}});
+  std::vector<ShardCall> Open;
+  for (auto Each = Forwarded_.begin(); Each != Forwarded_.end();) {
+    auto &Call = Each->second.Call_;
+    const auto Repeats = Each->second.Owner_ == Peer &&
+                         isForQueue(Call.Request_) && Call.ExpiresAt_ > Now;
+    if (Repeats)
+      Open.push_back(std::move(Call));
+    Each = Repeats ? Forwarded_.erase(Each) : std::next(Each);
+  }
+  // Under a new number, so that a refusal of the first copy isn't taken for the
+  // outcome of the request.
+  for (auto &Each : Open)
+    forward(Now, Peer, std::move(Each), Out);
 }
 
 auto ForwardedCalls::expire(TimePoint Now, const ShardOwnership &Ownership,
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -462,11 +462,6 @@
     refuse(Token, Problem, Detail, Out);
     return;
   }
-  if (Ledger_.queued() >= MaxQueuedRecords ||
-      Ledger_.queuedSize() >= MaxQueuedSize) {
-    refuse(Token, ErrorKind::QueueFull, "ledger of the shard", Out);
-    return;
-  }
   const auto StateOnly = !Submission.Job_.empty();
   const auto Id =
       StateOnly ? Submission.Job_ : makeJobId(Submission, Generator);
@@ -475,6 +470,13 @@
         AnswerCaller{Token, jobAnswer(state(), *ExistingJob, StateOnly)});
     return;
   }
+  // Refusing a copy would deny a job whose earlier copy is being committed.
+  const auto IsFull = Ledger_.queued() >= MaxQueuedRecords ||
+                      Ledger_.queuedSize() >= MaxQueuedSize;
+  if (IsFull && Submitting_.count(Id) == 0) {
+    refuse(Token, ErrorKind::QueueFull, "ledger of the shard", Out);
+    return;
+  }
   Job New;
   New.Id_ = Id;
   New.Declaration_ = Declaration;
--- a/test/correctness/SilentLinkTest.cpp
+++ b/test/correctness/SilentLinkTest.cpp
@@ -127,6 +127,49 @@
   BOOST_TEST(Fixture.AcceptedClosed_ == 0);
 }
 
+// A probe waits behind what a slow link still has to carry.
+BOOST_AUTO_TEST_CASE(ASlowLinkThatMakesProgressStaysOpen) {
+  const auto Port = freePort();
+  asio::io_context ServerContext;
+  asio::io_context ClientContext;
+  int Closed = 0;
+  std::size_t Received = 0;
+  SessionNumber Session = 0;
+  LinkServer Server(ServerContext,
+                    {[](SessionNumber, const std::string &) {},
+                     [&](SessionNumber, const std::string &) { ++Received; },
+                     [](auto &&...) {}});
+  LinkClient Client(
+      ClientContext, "127.0.0.1:" + std::to_string(Port), "/peer/a",
+      [] { return SessionNumber{1}; },
+      {[&](SessionNumber Opened, const std::string &) { Session = Opened; },
+       [](SessionNumber, const std::string &) {},
+       [&](auto &&...) { ++Closed; }});
+  Server.listen("127.0.0.1", Port);
+  Client.start();
+  const auto RunBoth = [&](std::size_t Reads) {
+    ClientContext.run_for(Millis{20});
+    ClientContext.restart();
+    for (std::size_t Read = 0; Read < Reads; ++Read)
+      ServerContext.poll_one();
+    ServerContext.restart();
+  };
+  for (int Step = 0; Step < 50 && Session == 0; ++Step)
+    RunBoth(20);
+  BOOST_REQUIRE(Session != 0);
+  constexpr std::size_t Messages = 24;
+  for (std::size_t Each = 0; Each < Messages; ++Each)
+    Client.send(Session, std::string(std::size_t{1024} * 1024, 'x'));
+  for (int Step = 0; Step < 250; ++Step)
+    RunBoth(2);
+  BOOST_TEST(Received > 0U);
+  BOOST_TEST(Received < Messages);
+  BOOST_TEST(Closed == 0);
+  Client.stop();
+  Server.stop();
+  RunBoth(50);
+}
+
 // Each silent connection of a peer kept a descriptor.
 BOOST_AUTO_TEST_CASE(AnAcceptedLinkOnWhichNothingArrivesIsClosed) {
   ForwardedLinkFixture Fixture;
--- a/wire/Link.cpp
+++ b/wire/Link.cpp
@@ -9,7 +9,9 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -70,6 +72,20 @@
   Each.send(Connection, Bytes, websocketpp::frame::opcode::binary, Error);
 }
 
+/// Whether bytes wait to be sent or acknowledged. A probe behind them can't be
+/// answered yet; UnacknowledgedTimeout limits how long they make no progress.
+template <typename Endpoint>
+auto hasUnsentBytes(Endpoint &Each, const Handle &Connection) -> bool {
+  websocketpp::lib::error_code Error;
+  const auto Open = Each.get_con_from_hdl(Connection, Error);
+  if (Error)
+    return false;
+  int Unacknowledged = 0;
+  const auto Known = ::ioctl(Open->get_raw_socket().native_handle(), SIOCOUTQ,
+                             &Unacknowledged) == 0;
+  return Open->get_buffered_amount() > 0 || (Known && Unacknowledged > 0);
+}
+
 /// Starts closing a connection and doesn't wait for the other end, which may
 /// be unreachable.
 template <typename Endpoint>
@@ -344,6 +360,8 @@
   }
 
   auto checkLiveness(SessionNumber Session) -> void {
+    if (hasUnsentBytes(Client_, Handle_))
+      Liveness_.received();
     const auto Check = Liveness_.check();
     if (Check == LinkCheck::Dead) {
       dropConnection(Client_, Handle_);
