--- a/wire/Link.cpp
+++ b/wire/Link.cpp
@@ -29,6 +29,8 @@
 /// How long sent bytes may stay unacknowledged before the connection counts as
 /// lost. What arrives doesn't show that: entries send on a connection each.
 constexpr Millis UnacknowledgedTimeout{2000};
+/// Takes half a second on a link of 10 Mbit/s.
+constexpr std::size_t MinBacklogBytes = std::size_t{512} * 1024;
 constexpr Millis InitialReconnectDelay{100};
 constexpr Millis MaxReconnectDelay{2000};
 
@@ -72,10 +74,11 @@
   Each.send(Connection, Bytes, websocketpp::frame::opcode::binary, Error);
 }
 
-/// Whether bytes wait to be sent or acknowledged. A probe behind them can't be
-/// answered yet; UnacknowledgedTimeout limits how long they make no progress.
+/// Whether so many bytes wait to be sent or acknowledged that a probe behind
+/// them can't be answered soon. UnacknowledgedTimeout then limits how long they
+/// make no progress.
 template <typename Endpoint>
-auto hasUnsentBytes(Endpoint &Each, const Handle &Connection) -> bool {
+auto hasBacklog(Endpoint &Each, const Handle &Connection) -> bool {
   websocketpp::lib::error_code Error;
   const auto Open = Each.get_con_from_hdl(Connection, Error);
   if (Error)
@@ -83,7 +86,9 @@
   int Unacknowledged = 0;
   const auto Known = ::ioctl(Open->get_raw_socket().native_handle(), SIOCOUTQ,
                              &Unacknowledged) == 0;
-  return Open->get_buffered_amount() > 0 || (Known && Unacknowledged > 0);
+  return Open->get_buffered_amount() +
+             (Known ? static_cast<std::size_t>(Unacknowledged) : 0) >
+         MinBacklogBytes;
 }
 
 /// Starts closing a connection and doesn't wait for the other end, which may
@@ -360,7 +365,7 @@
   }
 
   auto checkLiveness(SessionNumber Session) -> void {
-    if (hasUnsentBytes(Client_, Handle_))
+    if (hasBacklog(Client_, Handle_))
       Liveness_.received();
     const auto Check = Liveness_.check();
     if (Check == LinkCheck::Dead) {
