Randomised runs: wrong wall clocks, accepted jobs stay known

The randomised runs had no such fault, and no check that accepted jobs stay known, so they couldn't find it.

Cause of the gap: all simulated processes shared one right time of day. Change: the kinds wall-clock-leap (an entry's wall clock is wrong by 25 h while it runs; leases and urgent jobs must not notice) and wall-clock-at-start (it is killed and starts again with a wrong clock); at the end every accepted job must be known to an owner; mutation 24 removes ended jobs by the time of day of their submission again. Ruled out: a change of the existing runs.

Not checked: accepted jobs at each takeover. A paused entry may log a takeover after its successor's, and its older ledger would count.

--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -34,6 +34,7 @@
   IgnoreKeyRevisions,
   WatchLargeSeries,
   WithholdConfigurations,
+  RemoveJobsByWallClock,
   Count
 };
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1952,6 +1952,11 @@
       MaxRemovalsPerPass);
   for (const auto &Each : Removed)
     Ledger_.append(JobRemoved{Each.Job_});
+  if (isMutationActive(Mutation::RemoveJobsByWallClock))
+    for (const auto &[Id, Each] : state().jobs())
+      if (state().progressOf(Id).isOver() &&
+          Each.SubmittedAt_ + Day < Now.Wall_)
+        Ledger_.append(JobRemoved{Id});
   if (Removed.empty())
     return;
   Context_.Counters_.JobsRemoved_ += Removed.size();
--- a/test/fuzz/PromptCancellations.cpp
+++ b/test/fuzz/PromptCancellations.cpp
@@ -24,6 +24,10 @@
   return {QueueHost, QueuePrefix + Id.Value_};
 }
 
+auto jobAt(const QueueAddress &Address) -> JobId {
+  return {Address.Path_.substr(std::string(QueuePrefix).size())};
+}
+
 } // namespace
 
 auto addQueue(Document &Configured) -> void {
@@ -69,7 +73,10 @@
   };
   const auto Answered = std::make_shared<bool>(false);
   sendRequest(Submission, "", true,
-              [this, Repeat, Answered](const CallerReply &Reply) {
+              [this, Repeat, Answered,
+               Id = jobAt(Submission.Address_)](const CallerReply &Reply) {
+                if (std::holds_alternative<JobStateReply>(Reply))
+                  AcceptedJobs_.add(Now_, Id);
                 if (std::exchange(*Answered, true))
                   return;
                 const auto *Error = std::get_if<ErrorReply>(&Reply);
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -20,7 +20,7 @@
                "damage-answers",    "failing-worker",   "take-out",
                "bring-back",        "apply-document",   "cancel-jobs",
                "change-series",     "workers-refuse",   "workers-break",
-               "store-resends"};
+               "store-resends",     "wall-clock-leap",  "wall-clock-at-start"};
 const std::array<const char *, 3> DataCentres{"hobart", "launceston", "burnie"};
 constexpr Millis TickInterval{50};
 constexpr Millis StoreTimeout{1000};
@@ -53,13 +53,13 @@
 /// The longest time after which entries repeat a configuration that was lost.
 constexpr Millis ResendTime{10000};
 
-/// Whether a fault of this kind changes only the configuration, or the work
-/// that callers want done.
+/// Whether a fault of this kind changes only the configuration, the work that
+/// callers want done, or the time of day.
 auto leavesProcessesAlone(FaultKind Kind) -> bool {
   return Kind == FaultKind::TakeOutDataCentre ||
          Kind == FaultKind::BringBackDataCentre ||
          Kind == FaultKind::ApplyDocument || Kind == FaultKind::CancelJobs ||
-         Kind == FaultKind::ChangeSeries;
+         Kind == FaultKind::ChangeSeries || Kind == FaultKind::WallClockLeap;
 }
 
 /// Time after a fault within which every registration, permit and lease that it
@@ -85,6 +85,11 @@
   return FaultNames[static_cast<std::size_t>(Kind)];
 }
 
+auto isInjectedByNameOnly(FaultKind Kind) -> bool {
+  return Kind == FaultKind::WallClockLeap ||
+         Kind == FaultKind::WallClockAtStart;
+}
+
 auto operator<<(std::ostream &Out, const Fault &Each) -> std::ostream & {
   return Out << faultName(Each.Kind_) << " at " << Each.StartMs_ << " ms for "
              << Each.DurationMs_ << " ms on " << Each.Selector_;
@@ -347,7 +352,9 @@
     if (!Each.Core_ || Each.Generation_ != Generation)
       return;
     EntryOutbox Out;
-    Action(*Each.Core_, localTime(Each.ClockRate_), Out);
+    auto Then = localTime(Each.ClockRate_);
+    Then.Wall_ += WallClocks_.offsetOf(Index);
+    Action(*Each.Core_, Then, Out);
     const auto Revision = Each.Core_->configuration().Head_.Revision_;
     if (Revision < Each.HighestRevision_)
       Checker_.addViolation("revision went down at " + Each.Id_.Value_);
@@ -588,6 +595,8 @@
     -> void {
   ++Coverage_.Replies_;
   Checker_.replyReceived(Answer.Token_, Answer.Reply_);
+  if (const auto *Known = std::get_if<JobReply>(&Answer.Reply_))
+    AcceptedJobs_.add(Now_, Known->Job_.Id_);
   const auto Found = PendingReplies_.find(Answer.Token_);
   if (Found == PendingReplies_.end()) {
     Checker_.addViolation("second answer to one caller");
@@ -1231,6 +1240,8 @@
     DisturbedUntil_ = std::max(DisturbedUntil_, Until + recoveryTime());
   const auto Entry = Each.Selector_ % Entries_.size();
   const auto Agent = Each.Selector_ % Agents_.size();
+  const auto Variant =
+      Each.Selector_ / static_cast<std::uint32_t>(Entries_.size());
   switch (Each.Kind_) {
   case FaultKind::KillEntry:
     if (Entries_[Entry]->Core_)
@@ -1240,6 +1251,20 @@
         startEntry(Entry);
     });
     break;
+  case FaultKind::WallClockLeap:
+    WallClocks_.leap(Entry, Variant);
+    scheduleAt(Until, [this, Entry] { WallClocks_.correct(Entry); });
+    break;
+  case FaultKind::WallClockAtStart:
+    if (Entries_[Entry]->Core_)
+      killEntry(Entry);
+    scheduleAt(Until, [this, Entry, Variant] {
+      if (Entries_[Entry]->Core_)
+        return;
+      WallClocks_.leap(Entry, Variant);
+      startEntry(Entry);
+    });
+    break;
   case FaultKind::FreezeEntry:
     Entries_[Entry]->FrozenUntil_ = Until;
     scheduleAt(Until, [this, Entry] { thawEntry(Entry); });
@@ -1389,6 +1414,18 @@
   }
 }
 
+auto Simulation::checkAcceptedJobs() -> void {
+  std::vector<const ShardState *> States;
+  for (const auto &Node : Entries_)
+    for (ShardNumber Shard = 0; Shard < shardCount(); ++Shard)
+      if (const auto *State = Node->Core_->shardState(Shard))
+        States.push_back(State);
+  const auto Promise = simulationDocument(0).Policy_.JobStatusTime_;
+  for (const auto &Id : AcceptedJobs_.findLost(Now_, States, Promise))
+    Checker_.addViolation("at the end accepted job " + Id.Value_ +
+                          " is not known to an owner");
+}
+
 auto Simulation::run() -> std::vector<std::string> {
   const auto ClockRate = [this] {
     return std::uniform_real_distribution<double>(0.992, 1.008)(Generator_);
@@ -1443,8 +1480,10 @@
       Now_ = Next.key().first;
       Next.mapped()();
     }
-    if (Checker_.violations().empty())
+    if (Checker_.violations().empty()) {
       checkFinalState();
+      checkAcceptedJobs();
+    }
   } catch (const InvariantViolation &Violation) {
     Checker_.addViolation(Violation.Text_);
   }
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -5,10 +5,12 @@
 
 #include "core/AgentCore.h"
 #include "core/EntryCore.h"
+#include "test/fuzz/AcceptedJobs.h"
 #include "test/fuzz/Checker.h"
 #include "test/fuzz/ConfigurationLag.h"
 #include "test/fuzz/FakeStore.h"
 #include "test/fuzz/FakeWorker.h"
+#include "test/fuzz/WallClocks.h"
 
 #include <array>
 #include <functional>
@@ -76,12 +78,22 @@
   /// HTTP client sends it again on a new one. Each copy is carried out, the
   /// first one possibly after the second was answered.
   StoreResends,
+  /// The wall clock of an entry leaps by more than a day, and back at the end
+  /// of the fault.
+  WallClockLeap,
+  /// An entry is killed, and its wall clock is wrong by more than a day when it
+  /// starts again.
+  WallClockAtStart,
   Count
 };
 
 /// The name of a fault kind in reports.
 auto faultName(FaultKind Kind) -> std::string;
 
+/// Whether faults of this kind are injected only if they are asked for, so that
+/// the runs with all kinds stay the same.
+auto isInjectedByNameOnly(FaultKind Kind) -> bool;
+
 /// One fault to inject.
 struct Fault {
   FaultKind Kind_ = FaultKind::KillEntry;
@@ -325,6 +337,8 @@
   auto describeTasks(const Job &Each) const -> std::string;
   /// Checks that all shards have an owner and that no batch work is left.
   auto checkFinalState() -> void;
+  /// Checks that the owners know all jobs that were accepted.
+  auto checkAcceptedJobs() -> void;
 
   /// Prints a line of the trace, if one was asked for.
   auto trace(const std::string &Process, const LogDecision &Decision) const
@@ -371,6 +385,8 @@
   /// leases.
   TrueTime DisturbedUntil_{0};
   ConfigurationLag ConfigurationLag_;
+  WallClocks WallClocks_;
+  AcceptedJobs AcceptedJobs_;
   /// When each data centre was last seen out of service.
   std::map<DataCentreName, TrueTime> LastOutAt_;
   /// Number of stops of each attempt that were lost.
--- a/test/fuzz/Soak.cpp
+++ b/test/fuzz/Soak.cpp
@@ -26,14 +26,18 @@
 /// Series of changes last from 5 s to 5 s plus this time.
 constexpr std::uint32_t SeriesDurationSpreadMs = 15000;
 
-/// The fault kinds with these names; all kinds if `Names` is empty.
+/// The fault kinds with these names; if `Names` is empty, all kinds but those
+/// that are injected by name only.
 auto selectKinds(const std::vector<std::string> &Names)
     -> std::vector<FaultKind> {
   std::vector<FaultKind> Kinds;
   for (int Index = 0; Index < static_cast<int>(FaultKind::Count); ++Index) {
     const auto Kind = static_cast<FaultKind>(Index);
-    if (Names.empty() ||
-        std::find(Names.begin(), Names.end(), faultName(Kind)) != Names.end())
+    const auto Selected = Names.empty()
+                              ? !isInjectedByNameOnly(Kind)
+                              : std::find(Names.begin(), Names.end(),
+                                          faultName(Kind)) != Names.end();
+    if (Selected)
       Kinds.push_back(Kind);
   }
   return Kinds;
