--- a/test/correctness/WallClockTest.cpp
+++ b/test/correctness/WallClockTest.cpp
@@ -151,4 +151,27 @@
   BOOST_TEST(toldState(Token, JobState::Cancelled));
 }
 
+BOOST_FIXTURE_TEST_CASE(ScheduledJobIsBoundWhenDueOnAClockADayBehind,
+                        EntryFixture) {
+  connectAgent(1);
+  advance(Millis{1200});
+  const auto Submit = [&](const std::string &Job) {
+    SubmitToQueue Request;
+    Request.Address_ = {"portal.example", "/jobs/" + Job};
+    Request.Declaration_.Steps_.front().Resources_ = {1000, 1000, 0};
+    Request.Declaration_.Occurrences_ = 1;
+    Request.Declaration_.FirstAt_ = Now_.Wall_ + Seconds{5};
+    sendRequest(0, Request);
+    advance(Seconds{2});
+    BOOST_TEST(!isBoundTo(Job, 1));
+  };
+  Submit("right");
+  advance(Seconds{6});
+  BOOST_TEST(isBoundTo("right", 1));
+  Submit("behind");
+  Now_.Wall_ -= 25 * Hour;
+  advance(Seconds{6});
+  BOOST_TEST(isBoundTo("behind", 1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
