--- a/entry/EntryProcess.cpp
+++ b/entry/EntryProcess.cpp
@@ -2,8 +2,8 @@
 
 #include "core/RequestKind.h"
 #include "entry/Metrics.h"
-#include "runtime/DescriptorLimit.h"
 #include "entry/PeerLinkMonitor.h"
+#include "runtime/DescriptorLimit.h"
 #include "runtime/HttpClient.h"
 #include "runtime/HttpServer.h"
 #include "runtime/Process.h"
