Soak of real processes: the forwarder reports how long it stood still

From 45.7 to 49.2 s, in the calm behind the traffic, all entries lost the store, all peers, all agents and all workers at the same moment, while each process went on logging. What they share is the soak's own process, which forwards all of it. Not traced: nothing told whether that process stood still. Ruled out: a pause of the whole machine, since the processes timed out at the right times.

--- a/test/processes/Forwarder.cpp
+++ b/test/processes/Forwarder.cpp
@@ -183,9 +183,24 @@
 }
 
 auto Forwarder::run() -> void {
+  watchStalls();
   Thread_ = std::thread([this] { Context_.run(); });
 }
 
+auto Forwarder::watchStalls() -> void {
+  constexpr std::chrono::milliseconds Interval{100};
+  const auto Due = SteadyClock::now() + Interval;
+  StallTimer_.expires_at(Due);
+  StallTimer_.async_wait([this, Due](const std::error_code &Error) {
+    if (Error)
+      return;
+    const auto Late = std::chrono::duration_cast<std::chrono::milliseconds>(
+        SteadyClock::now() - Due);
+    LongestStallMs_ = std::max<std::int64_t>(LongestStallMs_, Late.count());
+    watchStalls();
+  });
+}
+
 auto Forwarder::accept(Listener &From) -> void {
   From.Acceptor_.async_accept(
       [this, &From](const std::error_code &Error, Tcp::socket Socket) {
--- a/test/processes/Forwarder.h
+++ b/test/processes/Forwarder.h
@@ -5,8 +5,10 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -53,6 +55,11 @@
   auto listen(const std::string &From, const std::string &To, int Port,
               Pair Kind, int ReceiveBytes = 0) -> void;
   auto run() -> void;
+  /// Returns for how long the forwarder's thread has at most done nothing: what
+  /// it carries stood still meanwhile, whatever the processes did.
+  auto longestStall() const -> std::chrono::milliseconds {
+    return std::chrono::milliseconds{LongestStallMs_.load()};
+  }
 
   /// Silences open connections for good; new ones work.
   /// \returns how many.
@@ -77,6 +84,7 @@
     std::chrono::milliseconds Delay_{0};
   };
 
+  auto watchStalls() -> void;
   auto accept(Listener &From) -> void;
   auto accepted(const Listener &From, asio::ip::tcp::socket Socket) -> void;
   auto takes(const Selection &Chosen, Pair Kind, int SourceOctet) -> bool;
@@ -90,6 +98,8 @@
   std::set<std::shared_ptr<Connection>> Connections_;
   std::vector<Rule> Refusals_;
   std::vector<Rule> Delays_;
+  asio::steady_timer StallTimer_{Context_};
+  std::atomic<std::int64_t> LongestStallMs_{0};
   std::thread Thread_;
 };
 
--- a/test/processes/SoakProcesses.cpp
+++ b/test/processes/SoakProcesses.cpp
@@ -110,6 +110,8 @@
   Checks.checkEnd();
   Monitoring = false;
   Monitor.join();
+  Found.count("longest stall of the forwarder in ms",
+              static_cast<int>(System.forwarder().longestStall().count()));
   printSummary(Options, Found, Clients.jobs().size());
   return Found.total() == 0;
 }
