--- a/test/correctness/LinkTest.cpp
+++ b/test/correctness/LinkTest.cpp
@@ -3,21 +3,14 @@
 /// over real loopback sockets.
 
 #include "wire/Link.h"
+#include "test/correctness/FreePort.h"
 
-#include <asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace skylark;
 
 namespace {
 
-auto freePort() -> std::uint16_t {
-  asio::io_context Unused;
-  const asio::ip::tcp::acceptor Acceptor(Unused,
-                                         {asio::ip::address_v4::loopback(), 0});
-  return Acceptor.local_endpoint().port();
-}
-
 /// A client that sends a message at short intervals, and its server.
 class LinkFixture {
 public:
--- a/test/correctness/SilentLinkTest.cpp
+++ b/test/correctness/SilentLinkTest.cpp
@@ -2,6 +2,7 @@
 /// Tests that a connection between processes is replaced once the other end
 /// doesn't answer on it, over real loopback sockets with a forwarder between.
 
+#include "test/correctness/FreePort.h"
 #include "test/processes/Forwarder.h"
 #include "wire/Link.h"
 #include "wire/LinkLiveness.h"
@@ -12,13 +13,6 @@
 
 namespace {
 
-auto freePort() -> std::uint16_t {
-  asio::io_context Unused;
-  const asio::ip::tcp::acceptor Acceptor(Unused,
-                                         {asio::ip::address_v4::loopback(), 0});
-  return Acceptor.local_endpoint().port();
-}
-
 /// A client that only sends, like an entry to its peer, and its server.
 class ForwardedLinkFixture {
 public:
--- a/wire/LinkLiveness.h
+++ b/wire/LinkLiveness.h
@@ -13,7 +13,7 @@
 constexpr Millis LinkCheckInterval{500};
 
 enum class LinkCheck : std::uint8_t {
-  /// Something has arrived since the last check.
+  /// Something has arrived within the last two intervals.
   Alive,
   /// The other end is to be asked for an answer.
   Probe,
