--- a/review/standin-2/Deployment.h
+++ b/review/standin-2/Deployment.h
@@ -164,6 +164,9 @@
   int Entries_ = 3;
   /// The service of each worker.
   std::vector<std::string> Workers_;
+  /// The kinds of the first workers; the others are of kind "a".
+  std::vector<std::string> Kinds_;
+  Millis HeartbeatInterval_{1100};
   std::vector<Queue> Queues_;
 };
 
@@ -184,6 +187,9 @@
       Each.Service_ = Options_.Workers_[Index];
       // Racks of a service hold three workers, as in the sites.
       Each.Rack_ = "r-" + Each.Service_;
+      Each.HeartbeatInterval_ = Options_.HeartbeatInterval_;
+      if (Index < Options_.Kinds_.size())
+        Each.Kind_ = Options_.Kinds_[Index];
       Workers_.push_back(std::make_unique<Worker>(Log, Runs, Each));
     }
   }
--- a/review/standin-2/Main.cpp
+++ b/review/standin-2/Main.cpp
@@ -13,13 +13,16 @@
 auto emptyService() -> Case;
 auto crashedTwice() -> Case;
 auto overTarget() -> Case;
+auto lateHeartbeat() -> Case;
 
 namespace {
 
-const std::map<std::string, Case (*)()> Cases{{"undoable-jobs", undoableJobs},
-                                              {"empty-service", emptyService},
-                                              {"crashed-twice", crashedTwice},
-                                              {"over-target", overTarget}};
+const std::map<std::string, Case (*)()> Cases{
+    {"undoable-jobs", undoableJobs},
+    {"empty-service", emptyService},
+    {"crashed-twice", crashedTwice},
+    {"over-target", overTarget},
+    {"late-heartbeat", lateHeartbeat}};
 
 auto play(const std::string &Name, const std::string &Folder) -> Verdict {
   const auto Found = Cases.find(Name);
--- a/review/standin-2/Worker.h
+++ b/review/standin-2/Worker.h
@@ -18,6 +18,8 @@
   std::string How_;
   int Cpu_ = 0;
   int Memory_ = 0;
+  /// The kind of the worker at the start.
+  std::string Kind_;
 
   auto job() const -> std::string { return Task_.substr(0, Task_.find('.')); }
 };
@@ -61,6 +63,7 @@
   std::string Zone_;
   std::string Service_;
   std::string Rack_;
+  std::string Kind_ = "a";
   int Cpu_ = 32000;
   int Memory_ = 125000;
   Millis LongestHold_{10000};
@@ -82,15 +85,29 @@
   auto options() const -> const WorkerOptions & { return Options_; }
   auto alive() const -> bool { return Alive_; }
 
+  /// A heartbeat that has left the worker and not arrived yet.
+  struct Heartbeat {
+    std::string Path_;
+    std::string Body_;
+  };
+
   /// Begins a new life.
-  auto start() -> void {
+  auto start() -> void { start(Options_.Kind_, true); }
+
+  /// \param Kind the kind of the new life.
+  /// \param NewId whether it has another id than the one before.
+  auto start(const std::string &Kind, bool NewId) -> void {
     {
       const std::lock_guard<std::mutex> Lock(Mutex_);
       BornAt_ = Clock::now();
       Born_ = std::chrono::duration_cast<Millis>(
                   std::chrono::system_clock::now().time_since_epoch())
                   .count();
-      Id_ = "i-" + Options_.Name_ + "-" + std::to_string(++Lives_);
+      ++Lives_;
+      if (NewId)
+        Id_ = "i-" + Options_.Name_ + "-" + std::to_string(Lives_);
+      Options_.Kind_ = Kind;
+      Acknowledged_ = 0;
       Fence_ = 0;
       LeaseUntil_ = Millis{0};
       Sequence_ = 0;
@@ -100,8 +117,23 @@
       Alive_ = true;
     }
     Server_.start();
-    Log_.line(Options_.Name_ + ": up, born " + std::to_string(Born_));
+    Log_.line(Options_.Name_ + ": up, born " + std::to_string(Born_) +
+              ", kind " + Kind);
+  }
+
+  /// Makes the next heartbeat without delivering it.
+  auto makeHeartbeat() -> Heartbeat {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    return {"/Instances.Heartbeat/" + Id_, heartbeat().dump()};
   }
+  /// \returns whether the agent has acknowledged it.
+  auto deliver(const Heartbeat &Each) const -> bool {
+    return httpCall(Options_.Host_, Options_.ControlPort_, "POST", Each.Path_,
+                    Options_.Host_, Each.Body_, Millis{1000})
+               .Status_ == 200;
+  }
+  /// How many heartbeats of this life have been acknowledged.
+  auto acknowledged() const -> int { return Acknowledged_; }
 
   /// Ends with all that it runs, and tells nobody.
   auto crash() -> void {
@@ -195,9 +227,9 @@
     Run New;
     New.Number_ = Number;
     New.Spec_ = Json::parse(Call["spec"].get<std::string>());
-    New.Index_ =
-        Runs_.start({Task, Number, Options_.Name_, Millis{0}, "",
-                     New.Spec_.value("cpu", 0), New.Spec_.value("mem", 0)});
+    New.Index_ = Runs_.start({Task, Number, Options_.Name_, Millis{0}, "",
+                              New.Spec_.value("cpu", 0),
+                              New.Spec_.value("mem", 0), Options_.Kind_});
     Running_[Task] = std::move(New);
     return accept();
   }
@@ -301,18 +333,8 @@
 
   auto sendHeartbeats() -> void {
     for (;;) {
-      std::string Path;
-      std::string Body;
-      {
-        const std::lock_guard<std::mutex> Lock(Mutex_);
-        if (Alive_) {
-          Path = "/Instances.Heartbeat/" + Id_;
-          Body = heartbeat().dump();
-        }
-      }
-      if (!Path.empty())
-        httpCall(Options_.Host_, Options_.ControlPort_, "POST", Path,
-                 Options_.Host_, Body, Millis{1000});
+      if (Alive_ && deliver(makeHeartbeat()))
+        ++Acknowledged_;
       std::this_thread::sleep_for(Options_.HeartbeatInterval_);
     }
   }
@@ -328,7 +350,7 @@
     Body["cold_remaining_ms"] = 0;
     Body["capacity"] = {
         {"cpu", Options_.Cpu_}, {"mem_mb", Options_.Memory_}, {"gpu", 0}};
-    Body["labels"] = {"a", Options_.Rack_};
+    Body["labels"] = {Options_.Kind_, Options_.Rack_};
     Body["seq"] = ++Sequence_;
     return Body;
   }
@@ -342,6 +364,7 @@
   Clock::time_point BornAt_ = Clock::now();
   std::int64_t Born_ = 0;
   int Lives_ = 0;
+  std::atomic<int> Acknowledged_{0};
   std::string Id_;
   std::uint64_t Fence_ = 0;
   Millis LeaseUntil_{0};
--- a/review/standin-2/Workers.cpp
+++ b/review/standin-2/Workers.cpp
@@ -93,6 +93,48 @@
   return Broken.empty() ? Verdict::Held : Verdict::Broken;
 }
 
+auto playLateHeartbeat(Context &Case, const DeploymentOptions &Options)
+    -> Verdict {
+  constexpr Millis DownTime{500};
+  const std::vector<Millis> Delays{Millis{100}, Millis{100}, Millis{1500}};
+  constexpr Millis WatchTime{10000};
+  auto &Restarted = Case.System_.worker(0);
+  // What the worker sends in the last 4.5 s of its life is delayed.
+  const std::vector<Worker::Heartbeat> Late{Restarted.makeHeartbeat(),
+                                            Restarted.makeHeartbeat(),
+                                            Restarted.makeHeartbeat()};
+  Restarted.crash();
+  std::this_thread::sleep_for(DownTime);
+  Restarted.start("b", false);
+  while (Restarted.acknowledged() == 0)
+    std::this_thread::sleep_for(Millis{5});
+  Case.Log_.line("the new life of worker-0 is registered");
+  auto Each = makeJob(Options.Queues_.front(), 3,
+                      {{"ms", 500}, {"cpu", 500}, {"mem", 500}},
+                      {{"requirements", "a"}});
+  if (!submit(Case, Each))
+    return Verdict::NotRun;
+  if (Case.Trouble_)
+    for (std::size_t Index = 0; Index < Late.size(); ++Index) {
+      const auto &Beat = Late[Index];
+      std::this_thread::sleep_for(Delays[Index]);
+      const auto Acknowledged = Restarted.deliver(Beat);
+      Case.Log_.line("a late heartbeat of its old life arrives: " +
+                     std::string(Acknowledged ? "200" : "no answer") + ", " +
+                     Beat.Body_);
+    }
+  std::this_thread::sleep_for(WatchTime);
+  readState(Case, Each);
+  auto Broken = false;
+  for (const auto &Run : runsOf(Case, Each))
+    if (Run.Kind_ != "a") {
+      Broken = true;
+      Case.Log_.line("ROUTE: " + Run.Task_ + " has started on " + Run.Worker_ +
+                     " of kind " + Run.Kind_ + " without the label a");
+    }
+  return Broken ? Verdict::Broken : Verdict::Held;
+}
+
 } // namespace
 
 auto crashedTwice() -> Case {
@@ -105,6 +147,18 @@
   return Result;
 }
 
+auto lateHeartbeat() -> Case {
+  constexpr std::size_t Workers = 8;
+  Case Result;
+  Result.Options_.Workers_.assign(Workers, "rebates");
+  Result.Options_.Kinds_.assign(Workers, "b");
+  Result.Options_.Kinds_.front() = "a";
+  Result.Options_.HeartbeatInterval_ = Millis{1500};
+  Result.Options_.Queues_ = {{"claims", "rebates", 2, 4}};
+  Result.Play_ = playLateHeartbeat;
+  return Result;
+}
+
 auto overTarget() -> Case {
   Case Result;
   Result.Options_.Workers_ = {"rebates", "rebates", "rebates", "rebates"};
