--- a/review/8/run.sh
+++ /dev/null
@@ -1,7 +0,0 @@
-#!/usr/bin/env bash
-# Plays this case; see claim.txt. Exits with 1 if the rule was broken, 0 if it
-# held, and 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
-Folder=$(cd "$(dirname "$0")" && pwd)
-cd "$Folder/../.." || exit 2
-[ -x target/review-2/cases ] || exit 2
-exec timeout 115 target/review-2/cases crashed-twice "$Folder"
