HTTP calls know the connection that they use

libcurl chooses the connection of a call, and repeats a request on another one when a kept connection breaks. A caller could neither tell which connection an answer came on nor keep a copy from going out on a new one. Connections have numbers now; a call may refuse one before each copy is sent (HttpCall::Admit_).

Test: HttpClients/NoCopyIsSentOnAConnectionThatIsNotAdmitted.

--- a/runtime/HttpClient.cpp
+++ b/runtime/HttpClient.cpp
@@ -8,8 +8,13 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace skylark {
 namespace {
 
@@ -18,6 +23,35 @@
 /// A larger answer fails the call.
 constexpr std::size_t MaxAnswerBytes = std::size_t{16} * 1024 * 1024;
 
+/// The local ports of a pool's open connections, with the connections' numbers.
+using ConnectionNumbers = std::map<int, std::uint64_t>;
+
+/// Gives numbers to all connections of the process. All pools of a client are
+/// used on one thread, but a process may have several clients.
+auto nextConnectionNumber() -> std::uint64_t {
+  static std::atomic<std::uint64_t> Last{0};
+  return ++Last;
+}
+
+/// The local port of a socket; 0 if it has none.
+auto localPort(curl_socket_t SocketFd) -> int {
+  sockaddr_storage Local{};
+  socklen_t Size = sizeof(Local);
+  if (getsockname(SocketFd, reinterpret_cast<sockaddr *>(&Local), &Size) != 0)
+    return 0;
+  if (Local.ss_family == AF_INET)
+    return ntohs(reinterpret_cast<const sockaddr_in &>(Local).sin_port);
+  if (Local.ss_family == AF_INET6)
+    return ntohs(reinterpret_cast<const sockaddr_in6 &>(Local).sin6_port);
+  return 0;
+}
+
+/// Called by libcurl to close a connection. Its port may be used again at once.
+auto closeConnection(void *User, curl_socket_t SocketFd) -> int {
+  static_cast<ConnectionNumbers *>(User)->erase(localPort(SocketFd));
+  return close(SocketFd);
+}
+
 struct Transfer {
   CURL *Easy_ = nullptr;
   curl_slist *Headers_ = nullptr;
@@ -26,6 +60,7 @@
   /// When a part of the answer last arrived.
   TimePoint LastByteAt_{};
   std::function<void(HttpResult)> Done_;
+  ConnectionNumbers *Connections_ = nullptr;
 
   ~Transfer() {
     curl_slist_free_all(Headers_);
@@ -55,9 +90,19 @@
 }
 
 /// Called before each copy of the request is sent.
-auto countCopy(void *User, char * /*RemoteAddress*/, char * /*LocalAddress*/,
-               int /*RemotePort*/, int /*LocalPort*/) -> int {
-  ++static_cast<Transfer *>(User)->Result_.Copies_;
+auto admitCopy(void *User, char * /*RemoteAddress*/, char * /*LocalAddress*/,
+               int /*RemotePort*/, int LocalPort) -> int {
+  auto &Each = *static_cast<Transfer *>(User);
+  auto &Number = (*Each.Connections_)[LocalPort];
+  long Opened = 0;
+  curl_easy_getinfo(Each.Easy_, CURLINFO_NUM_CONNECTS, &Opened);
+  // The port may have been that of a connection which the other end has reset.
+  if (Number == 0 || Opened != 0)
+    Number = nextConnectionNumber();
+  Each.Result_.Connection_ = Number;
+  if (Each.Call_.Admit_ && !Each.Call_.Admit_(Number))
+    return CURL_PREREQFUNC_ABORT;
+  ++Each.Result_.Copies_;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -65,7 +110,8 @@
 /// sent before the connection for this one failed.
 auto neverSent(CURLcode Code, int Copies) -> bool {
   return Copies == 0 &&
-         (Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST);
+         (Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST ||
+          Code == CURLE_ABORTED_BY_CALLBACK);
 }
 
 /// An answer of which nothing has arrived for this long has been cut off.
@@ -140,8 +186,9 @@
     bool WritePending_ = false;
   };
 
-  static auto prepare(Transfer &Each) -> void {
+  auto prepare(Transfer &Each) -> void {
     auto *Easy = Each.Easy_;
+    Each.Connections_ = &Connections_;
     const auto &Call = Each.Call_;
     curl_easy_setopt(Easy, CURLOPT_URL, Call.Url_.c_str());
     curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Call.Method_.c_str());
@@ -159,8 +206,10 @@
     curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Each);
     curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, writeHeader);
     curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Each);
-    curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, countCopy);
+    curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, admitCopy);
     curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &Each);
+    curl_easy_setopt(Easy, CURLOPT_CLOSESOCKETFUNCTION, closeConnection);
+    curl_easy_setopt(Easy, CURLOPT_CLOSESOCKETDATA, &Connections_);
     if (Call.Method_ == "POST" || Call.Method_ == "PUT") {
       curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Call.Body_.data());
       curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -275,6 +324,7 @@
   std::function<void(const ConnectionPool &)> Unanswered_;
   asio::steady_timer Timer_;
   CURLM *Multi_;
+  ConnectionNumbers Connections_;
   std::map<CURL *, std::unique_ptr<Transfer>> Transfers_;
   std::map<curl_socket_t, std::shared_ptr<Socket>> Sockets_;
 };
--- a/runtime/HttpClient.h
+++ b/runtime/HttpClient.h
@@ -25,6 +25,10 @@
   /// resends a request if the connection breaks before any answer, so a request
   /// that must not run twice needs a connection of its own.
   bool DedicatedConnection_ = false;
+  /// Decides whether a copy of the request may be sent on a connection, given
+  /// its number; may be empty. A connection on which it may not is closed, and
+  /// the call fails.
+  std::function<bool(std::uint64_t)> Admit_;
 };
 
 struct HttpResult {
@@ -36,6 +40,9 @@
   /// any answer, libcurl sends it again, and each copy may have been carried
   /// out; the answer is that to the last one.
   int Copies_ = 0;
+  /// The number of the connection that was chosen for the last copy; 0 if there
+  /// was none. No two connections of a process have the same number.
+  std::uint64_t Connection_ = 0;
   std::uint16_t Status_ = 0;
   std::string Body_;
   /// Header lines of the answer, without line ends.
--- a/test/correctness/HttpClientTest.cpp
+++ b/test/correctness/HttpClientTest.cpp
@@ -341,4 +341,37 @@
   BOOST_TEST(Result.Body_.size() == StallingServer::PartSize);
 }
 
+// A kept connection shows which process of a server answers; a new one doesn't.
+BOOST_AUTO_TEST_CASE(NoCopyIsSentOnAConnectionThatIsNotAdmitted) {
+  asio::io_context Traffic;
+  BreakingServer Server(Traffic, 2, false);
+  HttpClient Client(Traffic);
+  const auto Result = [&](std::function<bool(std::uint64_t)> Admit) {
+    HttpCall Call;
+    Call.Url_ = Server.url();
+    Call.Admit_ = std::move(Admit);
+    std::optional<HttpResult> Answer;
+    Client.call(Call, [&](HttpResult Each) { Answer = std::move(Each); });
+    Traffic.restart();
+    while (!Answer && Traffic.run_one_for(Seconds{5}) != 0)
+      ;
+    BOOST_REQUIRE(Answer.has_value());
+    return *Answer;
+  };
+  const auto Kept = Result({}).Connection_;
+  const auto OnlyKept = [Kept](std::uint64_t Number) { return Number == Kept; };
+  const auto Second = Result(OnlyKept);
+  BOOST_TEST(Second.Complete_);
+  BOOST_TEST(Second.Connection_ == Kept);
+  const auto Broken = Result(OnlyKept);
+  BOOST_TEST(!Broken.Complete_);
+  BOOST_TEST(!Broken.NeverSent_);
+  BOOST_TEST(Broken.Copies_ == 1);
+  const auto Refused = Result(OnlyKept);
+  BOOST_TEST(Refused.NeverSent_);
+  BOOST_TEST(Refused.Connection_ != Kept);
+  BOOST_TEST(Refused.Copies_ == 0);
+  BOOST_TEST(Server.requests() == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
