--- a/test/process/AgentPair.h
+++ b/test/process/AgentPair.h
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <set>
 
 namespace skylark::ProcessTest {
@@ -51,19 +52,19 @@
       : Context_(Context), Http_(Context),
         Client_(Context, Http_, {WorkerAddress, {}, newIncarnation()},
                 handlers()),
-        Core_(identity()), ToOwner_(std::move(ToOwner)),
+        Core_(std::in_place, identity()), ToOwner_(std::move(ToOwner)),
         Ticks_(Context, Millis{50}, [this] {
-          run([&](AgentOutbox &Out) { Core_.tick(currentMoment(), Out); });
+          run([&](AgentOutbox &Out) { Core_->tick(currentMoment(), Out); });
         }) {
     run([&](AgentOutbox &Out) {
-      Core_.openSession(currentMoment(), OwnerSession, Out);
+      Core_->openSession(currentMoment(), OwnerSession, Out);
     });
   }
 
   auto send(const EntryMessage &Message) -> void {
     asio::post(Context_, [this, Message] {
       run([&](AgentOutbox &Out) {
-        Core_.receive(currentMoment(), OwnerSession, Message, Out);
+        Core_->receive(currentMoment(), OwnerSession, Message, Out);
       });
     });
   }
@@ -82,13 +83,13 @@
     WorkerLinkHandlers Handlers;
     Handlers.InventoryReceived_ = [this](const WorkerInventory &Received) {
       run([&](AgentOutbox &Out) {
-        Core_.inventoryReceived(currentMoment(), Received, Out);
+        Core_->inventoryReceived(currentMoment(), Received, Out);
       });
     };
     Handlers.StartAnswered_ = [this](const TaskId &Task, AttemptNumber Attempt,
                                      StartOutcome Outcome) {
       run([&](AgentOutbox &Out) {
-        Core_.startAnswered(currentMoment(), Task, Attempt, Outcome, Out);
+        Core_->startAnswered(currentMoment(), Task, Attempt, Outcome, Out);
       });
     };
     return Handlers;
@@ -111,6 +112,14 @@
     Client_.execute(Forget);
   }
   auto execute(const PollWorker &Poll) -> void { Client_.execute(Poll); }
+  auto execute(const RestartAgent & /*Restart*/) -> void {
+    asio::post(Context_, [this] {
+      Core_.emplace(identity());
+      run([&](AgentOutbox &Out) {
+        Core_->openSession(currentMoment(), OwnerSession, Out);
+      });
+    });
+  }
   template <typename Other> auto execute(const Other & /*Output*/) -> void {}
 
   static constexpr SessionNumber OwnerSession = 1;
@@ -118,7 +127,7 @@
   asio::io_context &Context_;
   HttpClient Http_;
   Platform::WorkerClient Client_;
-  AgentCore Core_;
+  std::optional<AgentCore> Core_;
   Receiver ToOwner_;
   Periodic Ticks_;
 };
--- a/test/standin/FaultyWorker.cpp
+++ b/test/standin/FaultyWorker.cpp
@@ -16,6 +16,8 @@
 constexpr Millis WorkDuration{200};
 constexpr Millis StopDuration{50};
 constexpr Millis LongestLease{10000};
+/// More than any agent asks for; less than the clocks of two lives differ.
+constexpr Millis LongestGrant{300000};
 constexpr Millis StepInterval{5};
 constexpr int ShortestLatenessMs = 100;
 constexpr int LongestLatenessMs = 900;
@@ -81,8 +83,32 @@
 }
 
 auto FaultyWorker::clock() const -> Millis {
-  return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() -
-                                            StartedAt_);
+  return FirstClock_ + std::chrono::duration_cast<Millis>(
+                           std::chrono::steady_clock::now() - StartedAt_);
+}
+
+auto FaultyWorker::restart() -> void {
+  advance();
+  for (const auto &[Task, Each] : Running_)
+    Runs_.ended(Task, describe(Each.Number_));
+  Running_.clear();
+  HighestEnded_.clear();
+  Ended_.clear();
+  LastEnd_ = 0;
+  Acknowledged_ = 0;
+  PollCount_ = 0;
+  Fence_ = 0;
+  LeaseUntil_ = Millis{0};
+  OpenPolls_.clear();
+  for (const auto &Each : Connections_)
+    if (const auto Open = Each.lock()) {
+      std::error_code Ignored;
+      Open->Socket_.close(Ignored);
+    }
+  Connections_.clear();
+  FirstClock_ -= 2 * LongestGrant;
+  StartedAt_ = std::chrono::steady_clock::now();
+  ++Born_;
 }
 
 auto FaultyWorker::chance(int From, int To) -> int {
@@ -95,7 +121,9 @@
   Acceptor_.async_accept([this](std::error_code Error, Tcp::socket Socket) {
     if (Error)
       return;
-    read(std::make_shared<Connection>(std::move(Socket)));
+    const auto Accepted = std::make_shared<Connection>(std::move(Socket));
+    Connections_.push_back(Accepted);
+    read(Accepted);
     accept();
   });
 }
@@ -167,6 +195,9 @@
 auto FaultyWorker::handle(const ConnectionPointer &From,
                           const std::string &Path, const std::string &Body)
     -> void {
+  // The call was read before the restart that has closed its connection.
+  if (!From->Socket_.is_open())
+    return;
   OrderCount_ += Path == "/hold" ? 0 : 1;
   const auto Call = Json::parse(Body);
   switch (chooseFate(Path)) {
@@ -226,6 +257,9 @@
 
 auto FaultyWorker::extendLease(const Json &Call) -> void {
   const Millis Until{Call.value("deadline_ms", std::int64_t{0})};
+  if (Until > clock() + LongestGrant)
+    Runs_.violate(Name_ + " at " + std::to_string(clock().count()) +
+                  " was given a lease until " + std::to_string(Until.count()));
   LeaseUntil_ = std::max(LeaseUntil_, std::min(Until, clock() + LongestLease));
 }
 
@@ -263,6 +297,11 @@
 auto FaultyWorker::hold(const Json &Poll, const Responder &Respond) -> void {
   extendLease(Poll);
   const auto Through = Poll.value("acked_through", std::uint64_t{0});
+  ++PollCount_;
+  if (Through > LastEnd_)
+    Runs_.violate(Name_ + " was told to forget end " + std::to_string(Through) +
+                  " and has listed " + std::to_string(LastEnd_));
+  Acknowledged_ = std::max(Acknowledged_, Through);
   while (!Ended_.empty() && Ended_.front().Number_ <= Through) {
     const auto &Known = Ended_.front();
     if (Known.How_ == "done")
--- a/test/standin/FaultyWorker.h
+++ b/test/standin/FaultyWorker.h
@@ -54,8 +54,13 @@
     Finished_[Task] = Run;
   }
 
+  auto violate(std::string Violation) -> void {
+    Violations_.push_back(std::move(Violation));
+  }
+
   auto startCount() const -> int { return StartCount_; }
-  /// Each start of a task that was running, or whose finish was acknowledged.
+  /// Each start of a task that was running, or whose finish was acknowledged;
+  /// and each number or time that a worker was told but can't have given.
   auto violations() const -> const std::vector<std::string> & {
     return Violations_;
   }
@@ -86,6 +91,13 @@
   auto script(std::deque<CallFate> Next) -> void { Script_ = std::move(Next); }
   /// How many calls to start and stop runs have arrived.
   auto orderCount() const -> int { return OrderCount_; }
+  /// Ends all runs and connections, and starts again under the same id: what it
+  /// knew is gone, and its numbers and its clock begin anew.
+  auto restart() -> void;
+  /// How many ends the present life has been told to forget.
+  auto acknowledgedEnds() const -> std::uint64_t { return Acknowledged_; }
+  /// How many polls the present life has carried out.
+  auto pollCount() const -> int { return PollCount_; }
   /// How many calls have yet to take effect.
   auto lateCount() const -> int { return LateCount_; }
 
@@ -150,6 +162,12 @@
   std::deque<CallFate> Script_;
   int OrderCount_ = 0;
   int LateCount_ = 0;
+  std::vector<std::weak_ptr<Connection>> Connections_;
+  int PollCount_ = 0;
+  std::uint64_t Acknowledged_ = 0;
+  /// What the clock of the present life showed at its start. It is far behind
+  /// that of the life before.
+  Millis FirstClock_{std::chrono::hours{100}};
   std::chrono::steady_clock::time_point StartedAt_;
   std::int64_t Born_ = 0;
   std::uint64_t Fence_ = 0;
