Take a failed placement for others only where their workers were tried

Best-effort jobs of one image were held up alike, except for one task of each job after 2.5 s, and short tasks waited behind a long-running one that only leaves headroom.

Cause: a binding pass took a demand that found no worker to fit nowhere, whichever workers had been tried and whichever limit had kept it away.

Change: PlacementFailures records what was tried. A failed demand covers another only if the workers tried include all that the other may use: the same service or any, the same label or none, a standing as bad, and no best-effort task for others. With room left, its own limit must hold for the other too. A sample of the workers covers only the same service and label. A label or max_per_server no longer makes a failure count for its step alone where size is the reason.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1034,19 +1034,20 @@
 }
 
 auto ShardOwner::chooseWorker(Moment Now, const Job &Job, const TaskId &Task,
-                              Random &Generator, TaskWait &Failure,
+                              Random &Generator, PlacementFailure &Failure,
                               EntryOutbox &Out) -> Target * {
   const auto &All = Context_.Targets_.all();
-  Failure = TaskWait::Worker;
+  Failure = {};
   if (All.empty())
     return nullptr;
   auto *Chosen = chooseStanding(Now, Job, Task, false, Generator, Failure, Out);
   if (Chosen != nullptr || Outliers_.empty() ||
       !acceptsStanding(Now, Job, Task, OutlierDetector::Standing::Ejected))
     return Chosen;
-  auto LastResortFailure = Failure;
-  return chooseStanding(Now, Job, Task, true, Generator, LastResortFailure,
-                        Out);
+  const auto Reason = Failure.Reason_;
+  Chosen = chooseStanding(Now, Job, Task, true, Generator, Failure, Out);
+  Failure.Reason_ = Reason;
+  return Chosen;
 }
 
 auto ShardOwner::acceptsStanding(Moment Now, const Job &Job, const TaskId &Task,
@@ -1064,6 +1065,19 @@
   return MayFail && Waited >= LastResortDelay;
 }
 
+auto ShardOwner::demandOf(Moment Now, const Job &Job, const TaskId &Task,
+                          bool AcceptsAny) const -> PlacementDemand {
+  using Standing = OutlierDetector::Standing;
+  auto Worst = Standing::Ejected;
+  // Without outliers, no worker is anything but sound.
+  if (!Outliers_.empty())
+    while (!acceptsStanding(Now, Job, Task, Worst))
+      Worst =
+          Worst == Standing::Ejected ? Standing::Probation : Standing::Sound;
+  return {stepKeyOf(Task), Job.Declaration_.Service_, &Job.stepOf(Task),
+          AcceptsAny, Worst};
+}
+
 auto ShardOwner::standsFor(Moment Now, const Target &Candidate, const Job &Job,
                            const TaskId &Task, bool LastResort) const -> bool {
   const WorkerKey Worker{Candidate.agent(), Candidate.Hello_.Worker_};
@@ -1076,7 +1090,7 @@
 
 auto ShardOwner::chooseStanding(Moment Now, const Job &Job, const TaskId &Task,
                                 bool LastResort, Random &Generator,
-                                TaskWait &Failure, EntryOutbox &Out)
+                                PlacementFailure &Failure, EntryOutbox &Out)
     -> Target * {
   const auto &All = Context_.Targets_.all();
   const auto &Step = Job.stepOf(Task);
@@ -1103,12 +1117,18 @@
   const auto Chosen = choosePlacement(Step, Places);
   if (Chosen < Candidates.size())
     return Candidates[Chosen];
-  if (!Places.empty())
-    Failure = TaskWait::Room;
+  if (!Places.empty()) {
+    Failure.Reason_ = TaskWait::Room;
+    Failure.HasCandidate_ = true;
+  }
+  if (Candidates.size() == MaxCandidates)
+    Failure.IsSample_ = true;
   for (auto &Each : Places) {
+    if (Each.Free_.holds(Step.reserved()))
+      Failure.HasRoom_ = true;
     Each.AcceptsAnyWorker_ = true;
     if (hasUnusedProcessors(Step, Each) && canPlace(Step, Each))
-      Failure = TaskWait::Interference;
+      Failure.Reason_ = TaskWait::Interference;
   }
   return nullptr;
 }
@@ -1158,48 +1178,28 @@
   const auto Need = Job.stepOf(Rank.Task_).reserved();
   if (!withinQuota(Job.Declaration_, Need))
     return false;
-  // If a smaller demand found no worker in this pass, this one won't either.
-  const auto CannotFit = std::any_of(
-      Pass.UnplaceableResources_.begin(), Pass.UnplaceableResources_.end(),
-      [&](const Resources &Smaller) { return Need.holds(Smaller); });
   const auto &Step = Job.stepOf(Rank.Task_);
   const auto Waits = [&](TaskWait Reason) {
     if (!Step.LongRunning_)
       Waits_.enter(Now.Steady_, Rank.Task_, Reason);
     return false;
   };
-  if (CannotFit)
-    return Waits(TaskWait::Room);
   const auto AcceptsAny = recordWait(Now, Step, Rank.Task_);
-  if (!AcceptsAny && Pass.UnplaceableStep_ == stepKeyOf(Rank.Task_))
-    return Waits(Pass.LastFailure_);
-  const auto UnplaceableImage = Pass.UnplaceableImages_.find(Step.Image_);
-  if (Step.BestEffort_ && !AcceptsAny &&
-      UnplaceableImage != Pass.UnplaceableImages_.end())
-    return Waits(UnplaceableImage->second);
-  auto Failure = TaskWait::Worker;
+  const auto Demand = demandOf(Now, Job, Rank.Task_, AcceptsAny);
+  if (const auto Known = Pass.Failures_.find(Demand))
+    return Waits(*Known);
+  PlacementFailure Failure;
   auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Failure, Out);
   if (isSuspect(Status)) {
     --Pass.TrialsLeft_;
     // Other tasks may find a worker that isn't used for a trial.
     if (Chosen == nullptr)
-      return Waits(Failure);
+      return Waits(Failure.Reason_);
   }
   if (Chosen == nullptr) {
     ++Pass.FailedPlacements_;
-    Pass.UnplaceableStep_ = stepKeyOf(Rank.Task_);
-    Pass.LastFailure_ = Failure;
-    if (Step.BestEffort_ && !AcceptsAny)
-      Pass.UnplaceableImages_.emplace(Step.Image_, Failure);
-    // If a step with placement limits of its own fits no worker, other steps
-    // may still fit.
-    // So they may if it accepts fewer workers than they do.
-    else if (Step.MaxPerWorker_ == 0 && Step.RequiredLabel_.empty() &&
-             (Outliers_.empty() ||
-              acceptsStanding(Now, Job, Rank.Task_,
-                              OutlierDetector::Standing::Ejected)))
-      Pass.UnplaceableResources_.push_back(Need);
-    return Waits(Failure);
+    Pass.Failures_.record(Demand, Failure);
+    return Waits(Failure.Reason_);
   }
   Waits(TaskWait::Commit);
   Outliers_.bound(Now.Steady_, {Chosen->agent(), Chosen->Hello_.Worker_});
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -12,6 +12,7 @@
 #include "core/OutlierDetector.h"
 #include "core/OwnershipProof.h"
 #include "core/Placement.h"
+#include "core/PlacementFailures.h"
 #include "core/RefusalPause.h"
 #include "core/RequestDispatcher.h"
 #include "core/ShardUsage.h"
@@ -223,19 +224,10 @@
                       Right.WorkPerValue_, Right.Rank_);
     }
   };
-  /// What one binding pass could not place, so that it skips other tasks with
-  /// the same demands.
+  /// The state of one binding pass.
   struct BindPass {
     int FailedPlacements_ = 0;
-    /// Resource demands of tasks that no worker could take.
-    std::vector<Resources> UnplaceableResources_;
-    /// The step of the last task that no worker could take; the step's other
-    /// tasks are skipped.
-    StepKey UnplaceableStep_;
-    /// Best-effort images that no worker can take without harmful interference.
-    std::map<std::string, TaskWait> UnplaceableImages_;
-    /// Why the last task that no worker could take was not placed.
-    TaskWait LastFailure_ = TaskWait::Turn;
+    PlacementFailures Failures_;
     /// Number of suspects that may still be bound.
     int TrialsLeft_ = 0;
   };
@@ -331,8 +323,8 @@
   /// \param[out] Failure why none was found.
   /// \returns null if no worker can take the task.
   auto chooseWorker(Moment Now, const Job &Job, const TaskId &Task,
-                    Random &Generator, TaskWait &Failure, EntryOutbox &Out)
-      -> Target *;
+                    Random &Generator, PlacementFailure &Failure,
+                    EntryOutbox &Out) -> Target *;
   auto mayHost(Moment Now, const Target &Candidate, const Job &Job,
                const StepDeclaration &Step) const -> bool;
   /// Whether the task may run on a worker in this standing: on one that isn't
@@ -340,14 +332,17 @@
   /// on an ejected one only as the last resort, after it has waited.
   auto acceptsStanding(Moment Now, const Job &Job, const TaskId &Task,
                        OutlierDetector::Standing Standing) const -> bool;
+  /// Returns what decides on which workers the task may run.
+  auto demandOf(Moment Now, const Job &Job, const TaskId &Task,
+                bool AcceptsAny) const -> PlacementDemand;
   /// Whether the candidate's standing allows the task there.
   /// \param LastResort whether the task finds no other worker.
   auto standsFor(Moment Now, const Target &Candidate, const Job &Job,
                  const TaskId &Task, bool LastResort) const -> bool;
   /// Chooses among the workers whose standing allows it.
   auto chooseStanding(Moment Now, const Job &Job, const TaskId &Task,
-                      bool LastResort, Random &Generator, TaskWait &Failure,
-                      EntryOutbox &Out) -> Target *;
+                      bool LastResort, Random &Generator,
+                      PlacementFailure &Failure, EntryOutbox &Out) -> Target *;
   /// Returns the properties of one candidate on which the choice of a worker
   /// depends.
   auto candidateView(Moment Now, const Target &Candidate, const Job &Job,
--- a/test/correctness/FleetFixture.h
+++ b/test/correctness/FleetFixture.h
@@ -50,8 +50,18 @@
   /// Submits a job. \returns a token for errorOf().
   auto submit(const std::string &Job, JobDeclaration Declaration)
       -> CallerToken {
+    return submitTo("/jobs/" + Job, std::move(Declaration));
+  }
+  /// Submits a job to a service without workers.
+  auto submitOrphan(const std::string &Job, StepDeclaration Step) -> void {
+    JobDeclaration Declaration;
+    Declaration.Steps_ = {std::move(Step)};
+    submitTo("/orphans/" + Job, std::move(Declaration));
+  }
+  auto submitTo(const std::string &Path, JobDeclaration Declaration)
+      -> CallerToken {
     SubmitToQueue Request;
-    Request.Address_ = {"portal.example", "/jobs/" + Job};
+    Request.Address_ = {"portal.example", Path};
     Request.Declaration_ = std::move(Declaration);
     runEntry([&](EntryCore &Core, EntryOutbox &Out) {
       Core.callerAsked(Now_, ++LastToken_, Request, Out);
@@ -178,7 +188,11 @@
     Queue.Host_ = "portal.example";
     Queue.PathPrefix_ = "/jobs/";
     Queue.Service_ = {"portal"};
-    Configured.Queues_ = {Queue};
+    QueueDeclaration Orphans = Queue;
+    Orphans.Name_ = {"orphans"};
+    Orphans.PathPrefix_ = "/orphans/";
+    Orphans.Service_ = {"orphans"};
+    Configured.Queues_ = {Queue, Orphans};
     EnvironmentHead Head;
     Head.Revision_ = 1;
     Head.DocumentDigest_ = digestText(Configured.Text_);
--- a/test/correctness/FleetTest.cpp
+++ b/test/correctness/FleetTest.cpp
@@ -235,4 +235,67 @@
   BOOST_TEST((Fixture.state("short") == JobState::Completed));
 }
 
+namespace {
+
+/// A step that runs for longer than that of a short job, and so comes before it
+/// in the binding order.
+auto unlabelledStep(std::uint32_t Tasks) -> StepDeclaration {
+  StepDeclaration Step;
+  Step.TaskCount_ = Tasks;
+  Step.Resources_ = {100, 100, 0};
+  Step.RunTime_ = 2 * ShortRunTime;
+  return Step;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AJobIsBoundBesideAServiceWithoutWorkers) {
+  FleetFixture Fixture(4);
+  Fixture.submitOrphan("waiting", unlabelledStep(1));
+  Fixture.advance(Millis{1000});
+  Fixture.submitShort("short", 4);
+  Fixture.advance(2 * ShortRunTime + Millis{1000});
+  BOOST_TEST((Fixture.state("short") == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(ABestEffortJobIsBoundBesideAServiceWithoutWorkers) {
+  FleetFixture Fixture(4);
+  auto Step = unlabelledStep(1);
+  Step.Resources_ = {BestEffortMilliCores, 2000, 0};
+  Step.RunTime_ = BestEffortRunTime;
+  Step.BestEffort_ = true;
+  Step.Image_ = "batch";
+  Fixture.submitOrphan("waiting", Step);
+  // Raises the mean work of the queue, so that the first job has more value.
+  Step.TaskCount_ = 8;
+  Fixture.submitOrphan("larger", Step);
+  Fixture.advance(Millis{1000});
+  Fixture.submitBestEffort("batch", 4);
+  Fixture.advance(BestEffortRunTime + Millis{1000});
+  BOOST_TEST((Fixture.state("batch") == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(AShortJobUsesTheRoomThatALongRunningTaskLeavesFree) {
+  FleetFixture Fixture(1);
+  Fixture.submitShort("before", 10);
+  Fixture.advance(2 * ShortRunTime);
+  StepDeclaration Lasting;
+  Lasting.LongRunning_ = true;
+  Lasting.Resources_ = {WorkerMilliCores - 4000, 100, 0};
+  Fixture.submit("lasting", Lasting);
+  Fixture.advance(Millis{5000});
+  BOOST_REQUIRE(Fixture.servingTasks() == 1);
+  Fixture.submitShort("peak", 2);
+  Fixture.advance(2 * ShortRunTime);
+  Lasting.Resources_ = {4000, 100, 0};
+  Fixture.submit("waiting", Lasting);
+  Fixture.advance(Millis{500});
+  StepDeclaration Short;
+  Short.Resources_ = {4000, 1000, 0};
+  Short.RunTime_ = ShortRunTime;
+  Fixture.submit("short", Short);
+  Fixture.advance(2 * ShortRunTime);
+  BOOST_TEST((Fixture.state("short") == JobState::Completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
