Give every due step its turn behind the limits of a binding pass

Cause: a pass looked at the first 4,000 due tasks (MaxTasksPerPass) and ranked the first 4,000 due steps (MaxStepsPerPass), counted from the same end of the order each time. Tasks that can't be placed stay there.

Change: behind 4,000 tasks a pass goes on with the remaining steps, each up to its first task that finds no worker, within the limits of bindings and failed placements as before. Half of the 4,000 ranked steps are the first ones; the others take turns, which move on when a pass has reached the end of its order.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -17,10 +17,13 @@
 /// Maximum number of tasks bound in one pass, so that one shard can't delay the
 /// others.
 constexpr int MaxBindsPerPass = 64;
-/// Maximum number of due tasks considered in one binding pass.
+/// Number of due tasks that are all considered in one binding pass; of each
+/// step behind them, only the tasks up to the first that finds no worker.
 constexpr std::size_t MaxTasksPerPass = 4000;
 /// Maximum number of steps with due tasks that are ranked for a binding pass.
 constexpr std::size_t MaxStepsPerPass = 4000;
+/// Number of these that are the first ones in each pass. The others take turns.
+constexpr std::size_t FirstStepsPerPass = MaxStepsPerPass / 2;
 /// Interval of the checks of bound tasks and of the binding passes that no
 /// commit has triggered.
 constexpr Millis PassInterval{150};
@@ -780,6 +783,7 @@
   Proposed_.clear();
   UnplacedSince_.clear();
   TriedSteps_.clear();
+  NextTurn_.reset();
   Closing_.clear();
   Proof_.clear();
   Submitting_.clear();
@@ -935,6 +939,11 @@
 
 // Binding.
 
+auto ShardOwner::BindPass::isOver() const -> bool {
+  return Binds_ >= MaxBindsPerPass ||
+         FailedPlacements_ >= 2 * MaxFailedPlacements;
+}
+
 auto ShardOwner::mayHost(Moment Now, const Target &Candidate, const Job &Job,
                          const StepDeclaration &Step) const -> bool {
   const auto &Offered = Candidate.Hello_.Services_;
@@ -1168,21 +1177,21 @@
 }
 
 auto ShardOwner::tryBind(Moment Now, const PendingRank &Rank, BindPass &Pass,
-                         Random &Generator, EntryOutbox &Out) -> bool {
+                         Random &Generator, EntryOutbox &Out) -> BindResult {
   const auto &Job = *state().findJob(Rank.Task_.Job_);
   const auto &Status = Job.task(Rank.Task_);
   if (settlePending(Now, Rank.Task_, Out))
-    return false;
+    return BindResult::TaskSkipped;
   if (isSuspect(Status) && Pass.TrialsLeft_ <= 0)
-    return false;
+    return BindResult::TaskSkipped;
   const auto Need = Job.stepOf(Rank.Task_).reserved();
   if (!withinQuota(Job.Declaration_, Need))
-    return false;
+    return BindResult::StepSkipped;
   const auto &Step = Job.stepOf(Rank.Task_);
   const auto Waits = [&](TaskWait Reason) {
     if (!Step.LongRunning_)
       Waits_.enter(Now.Steady_, Rank.Task_, Reason);
-    return false;
+    return BindResult::StepSkipped;
   };
   const auto AcceptsAny = recordWait(Now, Step, Rank.Task_);
   const auto Demand = demandOf(Now, Job, Rank.Task_, AcceptsAny);
@@ -1193,8 +1202,10 @@
   if (isSuspect(Status)) {
     --Pass.TrialsLeft_;
     // Other tasks may find a worker that isn't used for a trial.
-    if (Chosen == nullptr)
-      return Waits(Failure.Reason_);
+    if (Chosen == nullptr) {
+      Waits(Failure.Reason_);
+      return BindResult::TaskSkipped;
+    }
   }
   if (Chosen == nullptr) {
     ++Pass.FailedPlacements_;
@@ -1217,7 +1228,7 @@
     Crashes_.startTrial({Change.Agent_, Change.Worker_}, Rank.Task_,
                         Now.Steady_);
   propose(Rank.Task_, std::move(Change));
-  return true;
+  return BindResult::Bound;
 }
 
 auto ShardOwner::recordIfOver(Moment Now, const Job &Job, EntryOutbox &Out)
@@ -1253,21 +1264,25 @@
          !CancelledIds_.contains(Task.Job_) && Failing_.count(Task.Job_) == 0;
 }
 
-auto ShardOwner::dueStepsInOrder(Moment Now) const -> std::vector<RankedTask> {
-  std::vector<RankedTask> Steps;
+auto ShardOwner::rankSteps(Moment Now, PendingPosition First,
+                           PendingPosition Last, std::size_t MaxSteps,
+                           std::vector<RankedTask> &Steps) const
+    -> PendingPosition {
   std::map<JobId, double> WorkPerValueByJob;
-  for (auto Next = Pending_.begin();
-       Next != Pending_.end() && Steps.size() < MaxStepsPerPass;) {
+  auto Next = First;
+  // The last position may be within a step.
+  while (Next != Pending_.end() && (Last == Pending_.end() || *Next < *Last) &&
+         Steps.size() < MaxSteps) {
     const auto End = endOfStep(Next);
-    const auto First = std::find_if(
+    const auto Due = std::find_if(
         Next, End, [&](const auto &Each) { return isDue(Now, Each.Task_); });
     Next = End;
-    if (First == End)
+    if (Due == End)
       continue;
-    const auto &Job = *state().findJob(First->Task_.Job_);
-    RankedTask Ranked{First->PriorityClass_,
-                      feasibilityOf(Job, First->Task_, Now.Wall_), 0, *First};
-    if (Job.stepOf(First->Task_).BestEffort_) {
+    const auto &Job = *state().findJob(Due->Task_.Job_);
+    RankedTask Ranked{Due->PriorityClass_,
+                      feasibilityOf(Job, Due->Task_, Now.Wall_), 0, *Due};
+    if (Job.stepOf(Due->Task_).BestEffort_) {
       const auto [WorkPerValue, Inserted] =
           WorkPerValueByJob.try_emplace(Job.Id_, 0.0);
       if (Inserted)
@@ -1278,8 +1293,25 @@
     }
     Steps.push_back(std::move(Ranked));
   }
+  return Next;
+}
+
+auto ShardOwner::dueStepsInOrder(Moment Now) const -> DueSteps {
+  DueSteps Due;
+  auto &Steps = Due.Steps_;
+  const auto End = Pending_.end();
+  const auto Others =
+      rankSteps(Now, Pending_.begin(), End, FirstStepsPerPass, Steps);
+  const auto Turn = NextTurn_ && Others != End && *Others < *NextTurn_
+                        ? Pending_.lower_bound(*NextTurn_)
+                        : Others;
+  auto Next = rankSteps(Now, Turn, End, MaxStepsPerPass, Steps);
+  if (Next == End)
+    Next = rankSteps(Now, Others, Turn, MaxStepsPerPass, Steps);
+  if (Next != End && Steps.size() == MaxStepsPerPass)
+    Due.NextTurn_ = *Next;
   std::sort(Steps.begin(), Steps.end());
-  return Steps;
+  return Due;
 }
 
 auto ShardOwner::endOfStep(PendingPosition First) const -> PendingPosition {
@@ -1288,24 +1320,26 @@
   return Pending_.upper_bound(Last);
 }
 
-auto ShardOwner::bindOrder(Moment Now) const -> std::vector<RankedTask> {
+auto ShardOwner::bindOrder(Moment Now,
+                           const std::vector<RankedTask> &Steps) const
+    -> BindOrder {
   // The limit applies to the ranked steps. Applied to the pending tasks, which
   // are sorted by their latest start, it would hide everything behind a backlog
   // of late tasks.
-  std::vector<RankedTask> Order;
-  for (const auto &Step : dueStepsInOrder(Now)) {
-    if (Order.size() >= MaxTasksPerPass)
-      break;
+  BindOrder Order;
+  for (const auto &Step : Steps) {
     const auto First = Pending_.find(Step.Rank_);
     const auto End = endOfStep(First);
-    for (auto Each = First; Each != End && Order.size() < MaxTasksPerPass;
-         ++Each) {
+    for (auto Each = First; Each != End; ++Each) {
+      if (Order.Tasks_.size() >= MaxTasksPerPass)
+        return Order;
       if (!isDue(Now, Each->Task_))
         continue;
       auto Ranked = Step;
       Ranked.Rank_ = *Each;
-      Order.push_back(std::move(Ranked));
+      Order.Tasks_.push_back(std::move(Ranked));
     }
+    ++Order.Steps_;
   }
   return Order;
 }
@@ -1335,33 +1369,56 @@
   return std::max(1, Workers / WorkersPerTrial) - Trials;
 }
 
+auto ShardOwner::bindInTurn(Moment Now, const PendingRank &Rank, BindPass &Pass,
+                            Random &Generator, EntryOutbox &Out) -> BindResult {
+  // Another task of the job may have been given up in this pass.
+  if (Failing_.count(Rank.Task_.Job_) != 0)
+    return BindResult::StepSkipped;
+  const auto Step = stepKeyOf(Rank.Task_);
+  const auto IsBehindLimit = Pass.FailedPlacements_ >= MaxFailedPlacements;
+  if (IsBehindLimit && TriedSteps_.count(Step) != 0)
+    return BindResult::StepSkipped;
+  const auto FailedBefore = Pass.FailedPlacements_;
+  NotBefore_.erase(Rank.Task_);
+  const auto Result = tryBind(Now, Rank, Pass, Generator, Out);
+  if (Result == BindResult::Bound)
+    ++Pass.Binds_;
+  else if (IsBehindLimit && Pass.FailedPlacements_ > FailedBefore)
+    TriedSteps_.insert(Step);
+  return Result;
+}
+
+auto ShardOwner::bindStep(Moment Now, const PendingRank &FirstTask,
+                          BindPass &Pass, Random &Generator, EntryOutbox &Out)
+    -> void {
+  const auto First = Pending_.find(FirstTask);
+  const auto End = endOfStep(First);
+  for (auto Each = First; Each != End && !Pass.isOver(); ++Each)
+    if (isDue(Now, Each->Task_) &&
+        bindInTurn(Now, *Each, Pass, Generator, Out) == BindResult::StepSkipped)
+      return;
+}
+
 auto ShardOwner::bindPending(Moment Now, Random &Generator, EntryOutbox &Out)
     -> void {
-  int Binds = 0;
   BindPass Pass;
   Pass.TrialsLeft_ = countTrialsLeft(Now);
-  const auto Order = bindOrder(Now);
-  recordShortDemand(Now, Order);
-  for (const auto &Ranked : Order) {
-    if (Binds >= MaxBindsPerPass ||
-        Pass.FailedPlacements_ >= 2 * MaxFailedPlacements)
+  const auto Due = dueStepsInOrder(Now);
+  const auto Order = bindOrder(Now, Due.Steps_);
+  recordShortDemand(Now, Order.Tasks_);
+  for (const auto &Ranked : Order.Tasks_) {
+    if (Pass.isOver())
       return;
-    const auto &Task = Ranked.Rank_.Task_;
-    // Another task of the job may have been given up in this pass.
-    if (Failing_.count(Task.Job_) != 0)
-      continue;
-    const auto IsBehindLimit = Pass.FailedPlacements_ >= MaxFailedPlacements;
-    if (IsBehindLimit && TriedSteps_.count(stepKeyOf(Task)) != 0)
-      continue;
-    const auto FailedBefore = Pass.FailedPlacements_;
-    NotBefore_.erase(Task);
-    if (tryBind(Now, Ranked.Rank_, Pass, Generator, Out))
-      ++Binds;
-    else if (IsBehindLimit && Pass.FailedPlacements_ > FailedBefore)
-      TriedSteps_.insert(stepKeyOf(Task));
-  }
-  // Each step has had its turn.
+    bindInTurn(Now, Ranked.Rank_, Pass, Generator, Out);
+  }
+  for (auto Step = Order.Steps_; Step < Due.Steps_.size(); ++Step) {
+    if (Pass.isOver())
+      return;
+    bindStep(Now, Due.Steps_[Step].Rank_, Pass, Generator, Out);
+  }
+  // Each of these steps has had its turn.
   TriedSteps_.clear();
+  NextTurn_ = Due.NextTurn_;
 }
 
 auto ShardOwner::sendBind(Moment Now, const TaskId &Id, Target &To,
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -230,6 +230,32 @@
     PlacementFailures Failures_;
     /// Number of suspects that may still be bound.
     int TrialsLeft_ = 0;
+    int Binds_ = 0;
+
+    /// Whether the limits of the pass's work are reached.
+    auto isOver() const -> bool;
+  };
+  /// What became of a task in a binding pass.
+  enum class BindResult : std::uint8_t {
+    Bound,
+    /// The task can't be bound now; others of its step may be.
+    TaskSkipped,
+    /// No task of the step can be bound in this pass, but for one whose own
+    /// failures or wait make it accept more workers.
+    StepSkipped
+  };
+  /// Steps with tasks that may be bound now.
+  struct DueSteps {
+    /// In the order in which to bind them, each with the first of its tasks.
+    std::vector<RankedTask> Steps_;
+    /// Where the turn of the steps that were left out begins; nothing if there
+    /// are none.
+    std::optional<PendingRank> NextTurn_;
+  };
+  /// The first tasks of a pass, and the number of steps that these are of.
+  struct BindOrder {
+    std::vector<RankedTask> Tasks_;
+    std::size_t Steps_ = 0;
   };
 
   auto checkKey(Moment Now, const IdempotencyKey &Key) const -> ErrorKind;
@@ -302,12 +328,19 @@
   /// Returns the position behind the last pending task of a task's step. The
   /// tasks of one step of an occurrence are adjacent.
   auto endOfStep(PendingPosition First) const -> PendingPosition;
-  /// Returns the steps with tasks that may be bound now, in the order in which
-  /// to bind them, each with the first of these tasks.
-  auto dueStepsInOrder(Moment Now) const -> std::vector<RankedTask>;
-  /// Returns the tasks that may be bound now, in the order in which to bind
-  /// them.
-  auto bindOrder(Moment Now) const -> std::vector<RankedTask>;
+  /// Ranks the steps between two positions that have tasks which may be bound
+  /// now, up to a number of steps in all.
+  /// \returns the position behind the last one considered.
+  auto rankSteps(Moment Now, PendingPosition First, PendingPosition Last,
+                 std::size_t MaxSteps, std::vector<RankedTask> &Steps) const
+      -> PendingPosition;
+  /// Returns the first steps with tasks that may be bound now and, in turn,
+  /// some of the others.
+  auto dueStepsInOrder(Moment Now) const -> DueSteps;
+  /// Returns the first tasks of these steps that may be bound now, in the order
+  /// in which to bind them.
+  auto bindOrder(Moment Now, const std::vector<RankedTask> &Steps) const
+      -> BindOrder;
   /// Records the processors that short tasks hold or wait for.
   auto recordShortDemand(Moment Now, const std::vector<RankedTask> &Waiting)
       -> void;
@@ -315,10 +348,17 @@
   /// passed, and neither a change of the task nor the end of its job is
   /// awaiting commit.
   auto isDue(Moment Now, const TaskId &Task) const -> bool;
-  /// Proposes to bind one task. \returns false if the team's quota is exhausted
-  /// or no worker can take the task.
+  /// Proposes to bind one task, unless the team's quota is exhausted or no
+  /// worker can take the task.
   auto tryBind(Moment Now, const PendingRank &Rank, BindPass &Pass,
-               Random &Generator, EntryOutbox &Out) -> bool;
+               Random &Generator, EntryOutbox &Out) -> BindResult;
+  /// Tries to bind one task, unless it is behind the limit of failed placements
+  /// and its step was tried there before.
+  auto bindInTurn(Moment Now, const PendingRank &Rank, BindPass &Pass,
+                  Random &Generator, EntryOutbox &Out) -> BindResult;
+  /// Binds the tasks of one step up to the first that finds no worker.
+  auto bindStep(Moment Now, const PendingRank &FirstTask, BindPass &Pass,
+                Random &Generator, EntryOutbox &Out) -> void;
   /// Chooses a worker for the task.
   /// \param[out] Failure why none was found.
   /// \returns null if no worker can take the task.
@@ -502,6 +542,9 @@
   /// Steps that binding passes have tried in vain behind their limit of failed
   /// placements, since a pass last reached the end of the order.
   std::set<StepKey> TriedSteps_;
+  /// Where the steps begin that the next pass ranks besides the first ones;
+  /// nothing if it ranks all.
+  std::optional<PendingRank> NextTurn_;
   /// Resources held by tasks that are bound or proposed to be bound.
   ShardUsage Usage_;
   CrashBlame Crashes_;
--- a/test/correctness/FleetTest.cpp
+++ b/test/correctness/FleetTest.cpp
@@ -247,8 +247,38 @@
   return Step;
 }
 
+/// A step whose label no worker has.
+auto undoableStep(std::uint32_t Tasks) -> StepDeclaration {
+  auto Step = unlabelledStep(Tasks);
+  Step.RequiredLabel_ = "absent";
+  return Step;
+}
+
 } // namespace
 
+BOOST_AUTO_TEST_CASE(AJobIsBoundBehindManyTasksThatCanNeverBeDone) {
+  FleetFixture Fixture(4);
+  for (int Job = 0; Job < 117; ++Job)
+    Fixture.submit("undoable-" + std::to_string(Job), undoableStep(36));
+  Fixture.advance(Millis{8000});
+  Fixture.submitShort("short", 4);
+  Fixture.advance(2 * ShortRunTime + Millis{1000});
+  BOOST_TEST((Fixture.state("short") == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(AJobIsBoundBehindManyStepsThatCanNeverBeDone) {
+  FleetFixture Fixture(4);
+  for (int Job = 0; Job < 4100; ++Job) {
+    Fixture.submit("undoable-" + std::to_string(Job), undoableStep(1));
+    if (Job % 100 == 0)
+      Fixture.advance(Millis{200});
+  }
+  Fixture.advance(Millis{4000});
+  Fixture.submitShort("short", 4);
+  Fixture.advance(Millis{3000} + ShortRunTime);
+  BOOST_TEST((Fixture.state("short") == JobState::Completed));
+}
+
 BOOST_AUTO_TEST_CASE(AJobIsBoundBesideAServiceWithoutWorkers) {
   FleetFixture Fixture(4);
   Fixture.submitOrphan("waiting", unlabelledStep(1));
