--- a/test/correctness/OperatorKeysTest.cpp
+++ b/test/correctness/OperatorKeysTest.cpp
@@ -275,6 +275,23 @@
   BOOST_TEST(Service_ == "s2");
 }
 
+// The pause after a read was as long as the read, which a freeze lengthens.
+BOOST_FIXTURE_TEST_CASE(AReadThatTookLongDelaysTheNextOneByABoundedTime,
+                        LargeSeriesFixture) {
+  Http_.IsHeld_ = [](const std::string &Url) {
+    return Url.find("/kv-key?key=op/config") != std::string::npos;
+  };
+  BOOST_REQUIRE(read());
+  BOOST_REQUIRE(Http_.Held_.size() == 1U);
+  elapse(Seconds{4});
+  Http_.release(0);
+  Http_.IsHeld_ = {};
+  putConfiguration("s2", Size);
+  elapse(Millis{500});
+  BOOST_REQUIRE(read());
+  BOOST_TEST(Service_ == "s2");
+}
+
 BOOST_FIXTURE_TEST_CASE(TheTimeLimitOfALargeConfigurationFitsItsSize,
                         LargeSeriesFixture) {
   BOOST_REQUIRE(read());
--- a/test/fuzz/OperatorKeys.cpp
+++ b/test/fuzz/OperatorKeys.cpp
@@ -20,6 +20,8 @@
 /// How much longer it may take after a disruption in which calls failed:
 /// a call that is still waiting, the backoff and the pauses between listings.
 constexpr Micros Recovery{Millis{3500}};
+/// The time after a freeze from which on the entry must be up to date.
+constexpr Micros StableWindow{Seconds{3}};
 constexpr std::size_t LargeConfiguration = 240000;
 constexpr std::size_t SlowLink = 1250;
 constexpr std::size_t QuickLink = 125000;
@@ -105,7 +107,10 @@
     for (; Now_ < RunDuration && Violations_.empty(); Now_ += Step) {
       disturb();
       operate();
+      Http_.ClientIsFrozen_ = isFrozen();
       Http_.advance(Now_);
+      if (Http_.ClientIsFrozen_)
+        continue;
       const auto Present = moment();
       View_.tick(Present);
       EntryOutbox Out;
@@ -156,6 +161,13 @@
     }
   }
 
+  auto isFrozen() const -> bool {
+    return std::any_of(Plan_.Freezes_.begin(), Plan_.Freezes_.end(),
+                       [&](const TimedFreeze &Each) {
+                         return Each.Start_ <= Now_ && Now_ < Each.End_;
+                       });
+  }
+
   auto operate() -> void {
     if (Now_ >= NextOtherWriteAt_) {
       Http_.put("other", "");
@@ -206,17 +218,33 @@
     const auto Listing = Millis{Plan_.ConfigurationSize_ * 4 / 3 / 250};
     return ConfigApply + 2 * Transfer + (IsMissed ? Listing : Millis{0});
   }
+  /// When calls no longer fail by a disruption, and the entry notices it.
+  auto endOf(const TimedDisruption &Disruption) const -> Micros {
+    auto End = Disruption.End_;
+    for (const auto &Each : Plan_.Freezes_)
+      if (Each.Start_ < End + Recovery && End < Each.End_)
+        End = Each.End_;
+    return End;
+  }
   auto dueAt(Micros At, bool IsConfiguration) const -> Micros {
     const auto Limit = applyLimit(At, IsConfiguration);
     auto Due = At + Limit;
     auto IsMoved = true;
-    while (std::exchange(IsMoved, false))
-      for (const auto &Each : Plan_.Disruptions_)
+    while (std::exchange(IsMoved, false)) {
+      for (const auto &Each : Plan_.Disruptions_) {
+        const auto End = endOf(Each);
         if (delaysChanges(Each.Kind_) && Each.Start_ < Due &&
-            Each.End_ + Recovery + Limit > Due && At < Each.End_ + Recovery) {
-          Due = Each.End_ + Recovery + Limit;
+            End + Recovery + Limit > Due && At < End + Recovery) {
+          Due = End + Recovery + Limit;
           IsMoved = true;
         }
+      }
+      for (const auto &Each : Plan_.Freezes_)
+        if (Each.Start_ < Due && Each.End_ + StableWindow > Due) {
+          Due = Each.End_ + StableWindow;
+          IsMoved = true;
+        }
+    }
     return Due;
   }
 
@@ -287,6 +315,23 @@
   std::vector<std::string> Violations_;
 };
 
+/// Draws freezes, by a generator of their own, so that a seed keeps the rest of
+/// its plan.
+auto drawFreezes(OperatorKeysPlan &Plan) -> void {
+  std::mt19937_64 Generator(Plan.Seed_ * 15485863 + 11);
+  const auto Draw = [&](std::uint32_t Max) {
+    return std::uniform_int_distribution<std::uint32_t>(0, Max)(Generator);
+  };
+  if (Draw(1) == 0)
+    return;
+  for (const auto &Each : Plan.Disruptions_) {
+    if (Each.Kind_ != StoreDisruption::ChangeSeries)
+      continue;
+    const auto Start = Each.Start_ + Millis{500 + Draw(1500)};
+    Plan.Freezes_.push_back({Start, Start + Millis{1000 + Draw(3000)}});
+  }
+}
+
 } // namespace
 
 auto planOperatorKeys(std::uint64_t Seed) -> OperatorKeysPlan {
@@ -308,6 +353,7 @@
                                          : 500 + Draw(2000)};
     Plan.Disruptions_.push_back(Each);
   }
+  drawFreezes(Plan);
   return Plan;
 }
 
@@ -323,6 +369,9 @@
     Out << ", " << Names[static_cast<std::size_t>(Each.Kind_)] << " from "
         << Each.Start_.count() / 1000 << " to " << Each.End_.count() / 1000
         << " ms";
+  for (const auto &Each : Plan.Freezes_)
+    Out << ", frozen from " << Each.Start_.count() / 1000 << " to "
+        << Each.End_.count() / 1000 << " ms";
   return Out.str();
 }
 
--- a/test/fuzz/OperatorKeys.h
+++ b/test/fuzz/OperatorKeys.h
@@ -37,6 +37,11 @@
   Micros End_{};
 };
 
+struct TimedFreeze {
+  Micros Start_{};
+  Micros End_{};
+};
+
 /// What happens in a run; the same seed gives the same plan.
 struct OperatorKeysPlan {
   std::uint64_t Seed_ = 0;
@@ -44,6 +49,8 @@
   std::size_t ConfigurationSize_ = 0;
   std::size_t LinkBytesPerMillisecond_ = 0;
   std::vector<TimedDisruption> Disruptions_;
+  /// When the entry is frozen.
+  std::vector<TimedFreeze> Freezes_;
 };
 
 auto planOperatorKeys(std::uint64_t Seed) -> OperatorKeysPlan;
--- a/test/fuzz/VirtualHttpStore.cpp
+++ b/test/fuzz/VirtualHttpStore.cpp
@@ -4,6 +4,7 @@
 #include <websocketpp/base64/base64.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace skylark::Fuzz {
 namespace {
@@ -50,11 +51,20 @@
                 draw(AnswersAreLate_ ? LateDelayMicros : UsualDelayMicros)};
 }
 
+auto VirtualHttpStore::handOver(HttpResult Answer,
+                                std::function<void(HttpResult)> Done) -> void {
+  if (ClientIsFrozen_)
+    Untaken_.push_back(
+        [Answer = std::move(Answer), Done = std::move(Done)] { Done(Answer); });
+  else
+    Done(std::move(Answer));
+}
+
 auto VirtualHttpStore::call(HttpCall Call, std::function<void(HttpResult)> Done)
     -> void {
   const auto Deadline = Now_ + Call.Timeout_;
   if (AnswersAreLost_ && draw(99) < LostPercent) {
-    schedule(Deadline, [Done = std::move(Done)] { Done({}); });
+    schedule(Deadline, [this, Done = std::move(Done)] { handOver({}, Done); });
     return;
   }
   schedule(Now_ + delay(),
@@ -72,6 +82,10 @@
     Action();
   }
   Now_ = Now;
+  if (ClientIsFrozen_)
+    return;
+  for (const auto &Each : std::exchange(Untaken_, {}))
+    Each();
 }
 
 auto VirtualHttpStore::execute(const HttpCall &Call, Micros Deadline,
@@ -91,7 +105,9 @@
   const auto Arrival = End + delay();
   if (Arrival <= Deadline) {
     LinkFreeAt_ = End;
-    schedule(Arrival, [Answer = std::move(Answer), Done] { Done(Answer); });
+    schedule(Arrival, [this, Answer = std::move(Answer), Done] {
+      handOver(Answer, Done);
+    });
     return;
   }
   HttpResult Partial;
@@ -102,7 +118,9 @@
     Partial.Body_ = Answer.Body_.substr(0, Arrived);
     LinkFreeAt_ = std::min(End, Deadline);
   }
-  schedule(Deadline, [Partial = std::move(Partial), Done] { Done(Partial); });
+  schedule(Deadline, [this, Partial = std::move(Partial), Done] {
+    handOver(Partial, Done);
+  });
 }
 
 auto VirtualHttpStore::text(const Version &Each) -> std::string {
--- a/test/fuzz/VirtualHttpStore.h
+++ b/test/fuzz/VirtualHttpStore.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <vector>
 
 namespace skylark::Fuzz {
 
@@ -37,6 +38,8 @@
   bool RangesAreStale_ = false;
   bool AnswersAreLost_ = false;
   bool CallsAreRefused_ = false;
+  /// Whether the client is frozen: it takes its answers once it has thawed.
+  bool ClientIsFrozen_ = false;
 
 private:
   struct Version {
@@ -60,6 +63,9 @@
     Actions_.emplace(At, std::move(Action));
   }
   auto delay() -> Micros;
+  /// Hands an answer to the client, or keeps it while the client is frozen.
+  auto handOver(HttpResult Answer, std::function<void(HttpResult)> Done)
+      -> void;
   auto execute(const HttpCall &Call, Micros Deadline,
                const std::function<void(HttpResult)> &Done) -> void;
   /// Sends an answer over the link.
@@ -77,6 +83,8 @@
   std::mt19937_64 Generator_;
   Micros Now_{};
   std::multimap<Micros, std::function<void()>> Actions_;
+  /// Answers that arrived while the client was frozen.
+  std::vector<std::function<void()>> Untaken_;
   Micros LinkFreeAt_{};
   std::uint64_t Revision_ = 100;
   std::uint64_t OldestRevision_ = 0;
