Describe no life of a worker by what another has announced

Callers saw: a worker that starts again while its agent gets ready may run a task whose labels it lacks, until its next heartbeat. Cause: the agent compared a list with the list before, and an announcement with the announcement before, but neither with the other. Ready after the list of one life and the announcement of another, it named the one and described it by the labels and the capacity of the other. Changed: either of them that names another life than what is known restarts the state machine.

--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -217,6 +217,19 @@
     sendHello(Each.first, Out);
 }
 
+auto AgentCore::isOfAnotherLife(Incarnation Worker) const -> bool {
+  return (AnnouncedIncarnation_ != 0 && Worker != AnnouncedIncarnation_) ||
+         (InventoryReceived_ && Worker != Tasks_.worker());
+}
+
+auto AgentCore::restart(const std::string &Detail, AgentOutbox &Out) const
+    -> void {
+  Out.push_back(LogDecision{"worker-replaced", Identity_.Agent_.Value_,
+                            CurrentConfiguration_.Head_.Revision_,
+                            ErrorKind::WorkerGone, Detail});
+  Out.push_back(RestartAgent{});
+}
+
 auto AgentCore::inventoryReceived(Moment Now, const WorkerInventory &Inventory,
                                   AgentOutbox &Out) -> void {
   if (!Inventory.Complete_ && isMutationActive(Mutation::TakeListForWhole)) {
@@ -225,6 +238,10 @@
     return;
   }
   UnansweredPolls_ = 0;
+  if (isOfAnotherLife(Inventory.Worker_)) {
+    restart("", Out);
+    return;
+  }
   if (!InventoryReceived_) {
     Tasks_.adopt(Now.Steady_,
                  isMutationActive(Mutation::ForgetRunningTasks)
@@ -234,14 +251,6 @@
     InventoryReceived_ = true;
     becomeReady(Out);
   }
-  // The worker was replaced by a new instance while the agent kept running.
-  if (Inventory.Worker_ != Tasks_.worker()) {
-    Out.push_back(LogDecision{"worker-replaced", Identity_.Agent_.Value_,
-                              CurrentConfiguration_.Head_.Revision_,
-                              ErrorKind::WorkerGone, ""});
-    Out.push_back(RestartAgent{});
-    return;
-  }
   LastInventoryAt_ = Now.Steady_;
   if (Tasks_.update(Now.Steady_, Inventory, Out))
     startQueued(Now, Out);
@@ -256,13 +265,8 @@
 auto AgentCore::announcementReceived(Moment Now,
                                      const WorkerAnnouncement &Announcement,
                                      AgentOutbox &Out) -> void {
-  const auto Replaced = AnnouncedIncarnation_ != 0 &&
-                        Announcement.Worker_ != AnnouncedIncarnation_;
-  if (Replaced) {
-    Out.push_back(LogDecision{"worker-replaced", Identity_.Agent_.Value_,
-                              CurrentConfiguration_.Head_.Revision_,
-                              ErrorKind::WorkerGone, "announced"});
-    Out.push_back(RestartAgent{});
+  if (isOfAnotherLife(Announcement.Worker_)) {
+    restart("announced", Out);
     return;
   }
   if (Announcement.Exited_) {
--- a/core/AgentCore.h
+++ b/core/AgentCore.h
@@ -91,6 +91,12 @@
   /// sent late, by an earlier incarnation with the same id.
   auto workerDeregistered(Moment Now, AgentOutbox &Out) -> void;
   auto becomeReady(AgentOutbox &Out) -> void;
+  /// Whether the worker has been replaced, while the agent kept running, by the
+  /// incarnation that a list or an announcement names. The agent must not state
+  /// what one incarnation has announced of another that has listed its tasks.
+  auto isOfAnotherLife(Incarnation Worker) const -> bool;
+  /// Has the state machine start again for the worker's new incarnation.
+  auto restart(const std::string &Detail, AgentOutbox &Out) const -> void;
   /// Starts queued tasks. Where nothing may start here, returns them to their
   /// owners instead, and stops the running tasks if they may not run to their
   /// end.
