Randomised runs of the client of workers that start again under their ids

Callers saw: nothing yet; the runs test the worker client's changes. No randomised run contained that client: their fake worker forgets ends by task, not by number, and has one life and one clock. `--late-across-lives` adds late calls that reach the next life; off by default. Not shown to trip: the rule that all tasks finish.

--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -35,6 +35,9 @@
   WatchLargeSeries,
   WithholdConfigurations,
   RemoveJobsByWallClock,
+  OrderOnAnyConnection,
+  TrustAnnouncedLives,
+  AcknowledgeInProbes,
   Count
 };
 
--- a/test/fuzz/Soak.cpp
+++ b/test/fuzz/Soak.cpp
@@ -2,16 +2,20 @@
 /// Simulates the state machines of entries and agents under random faults, one
 /// run for each seed, and reports violations and coverage. With --mutation it
 /// breaks one mechanism on purpose and checks that the runs detect it. The mode
-/// --operator-keys runs the client of the platform's store instead.
+/// --operator-keys runs the client of the platform's store instead, and the
+/// mode
+/// --worker-lives that of its workers.
 
 #include "core/Mutation.h"
 #include "test/fuzz/OperatorKeys.h"
 #include "test/fuzz/Simulation.h"
+#include "test/fuzz/WorkerLives.h"
 
 #include <cxxopts.hpp>
 
 #include <algorithm>
 #include <atomic>
+#include <functional>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -98,29 +102,49 @@
     std::cout << "  violation with these faults: " << Each << '\n';
 }
 
-/// The name that selects the runs of the store's client as a kind.
+/// The names that select the runs of the platform's clients as kinds.
 constexpr auto OperatorKeysKind = "operator-keys";
+constexpr auto WorkerLivesKind = "worker-lives";
 
-/// Runs the client of the platform's store. \returns the exit status.
-auto soakOperatorKeys(std::uint64_t FirstSeed, int RunCount, int MutationNumber)
-    -> int {
+/// What a run of a client of the platform has shown.
+struct ClientRun {
+  std::vector<std::string> Violations_;
+  std::string Plan_;
+  int Starts_ = 0;
+  int Lives_ = 0;
+};
+
+struct ClientSoak {
+  std::uint64_t FirstSeed_ = 0;
+  int RunCount_ = 0;
+  int MutationNumber_ = 0;
+};
+
+/// Runs a client of the platform once for each seed.
+/// \param Name what the report calls the runs.
+/// \returns the exit status.
+auto soakClient(const std::string &Name, const ClientSoak &Soak,
+                const std::function<ClientRun(std::uint64_t)> &RunSeed) -> int {
   std::atomic<int> NextRun{0};
   std::atomic<int> FailedRuns{0};
   std::mutex Mutex;
+  int Starts = 0;
+  int Lives = 0;
   const auto RunSeeds = [&] {
-    for (int Index = NextRun++; Index < RunCount; Index = NextRun++) {
-      if (MutationNumber != 0 && FailedRuns != 0)
+    for (int Index = NextRun++; Index < Soak.RunCount_; Index = NextRun++) {
+      if (Soak.MutationNumber_ != 0 && FailedRuns != 0)
         return;
-      const auto Plan =
-          planOperatorKeys(FirstSeed + static_cast<std::uint64_t>(Index));
-      const auto Violations = runOperatorKeys(Plan);
-      if (Violations.empty())
-        continue;
+      const auto Seed = Soak.FirstSeed_ + static_cast<std::uint64_t>(Index);
+      const auto Run = RunSeed(Seed);
       const std::lock_guard<std::mutex> Guard(Mutex);
+      Starts += Run.Starts_;
+      Lives += Run.Lives_;
+      if (Run.Violations_.empty())
+        continue;
       ++FailedRuns;
-      std::cout << (MutationNumber == 0 ? "" : "mutation found, ") << "seed "
-                << Plan.Seed_ << " failed: " << Violations.front() << "\n  "
-                << describe(Plan) << '\n';
+      std::cout << (Soak.MutationNumber_ == 0 ? "" : "mutation found, ")
+                << "seed " << Seed << " failed: " << Run.Violations_.front()
+                << "\n  " << Run.Plan_ << '\n';
     }
   };
   std::vector<std::thread> Threads;
@@ -128,16 +152,32 @@
     Threads.emplace_back(RunSeeds);
   for (auto &Each : Threads)
     Each.join();
-  if (MutationNumber != 0 && FailedRuns == 0)
-    std::cout << "mutation " << MutationNumber << " NOT found in " << RunCount
-              << " runs\n";
-  if (MutationNumber != 0)
+  if (Soak.MutationNumber_ != 0 && FailedRuns == 0)
+    std::cout << "mutation " << Soak.MutationNumber_ << " NOT found in "
+              << Soak.RunCount_ << " runs\n";
+  if (Soak.MutationNumber_ != 0)
     return FailedRuns != 0 ? 0 : 1;
-  std::cout << "operator's keys: runs " << RunCount << " from seed "
-            << FirstSeed << ", broken " << FailedRuns << '\n';
+  std::cout << Name << ": runs " << Soak.RunCount_ << " from seed "
+            << Soak.FirstSeed_ << ", broken " << FailedRuns;
+  if (Lives != 0)
+    std::cout << "; workers' crashes " << Lives << ", task starts " << Starts;
+  std::cout << '\n';
   return FailedRuns == 0 ? 0 : 1;
 }
 
+auto runOperatorKeysSeed(std::uint64_t Seed) -> ClientRun {
+  const auto Plan = planOperatorKeys(Seed);
+  return {runOperatorKeys(Plan), describe(Plan)};
+}
+
+auto runWorkerLivesSeed(std::uint64_t Seed, bool LateAcrossLives) -> ClientRun {
+  auto Plan = planWorkerLives(Seed);
+  Plan.LateAcrossLives_ = LateAcrossLives;
+  auto Result = runWorkerLives(Plan);
+  return {std::move(Result.Violations_), describe(Plan), Result.Starts_,
+          Result.Lives_};
+}
+
 } // namespace
 
 auto main(int Count, char **Arguments) -> int {
@@ -164,6 +204,11 @@
       cxxopts::value<int>()->default_value("0"))(
       "operator-keys", "run the client of the platform's store, under "
                        "disruptions of its own; as does the kind of that name")(
+      "worker-lives", "run the client of the platform's workers, which crash "
+                      "and start again under their ids; as does the kind of "
+                      "that name")(
+      "late-across-lives", "in the runs of worker-lives, late calls to one "
+                           "life may be carried out by the next")(
       "trace", "print what the processes log in a failed run, reduced to the "
                "necessary faults")("h,help", "print this text");
   const auto Parsed = Options.parse(Count, Arguments);
@@ -178,9 +223,17 @@
   setMutation(static_cast<Mutation>(MutationNumber));
   const auto FirstSeed = Parsed["seed"].as<std::uint64_t>();
   const auto RunCount = Parsed["runs"].as<int>();
-  if (Parsed.count("operator-keys") != 0 ||
-      KindNames == std::vector<std::string>{OperatorKeysKind})
-    return soakOperatorKeys(FirstSeed, RunCount, MutationNumber);
+  const auto IsSelected = [&](const std::string &Kind) {
+    return Parsed.count(Kind) != 0 ||
+           KindNames == std::vector<std::string>{Kind};
+  };
+  const ClientSoak Soak{FirstSeed, RunCount, MutationNumber};
+  if (IsSelected(OperatorKeysKind))
+    return soakClient("operator's keys", Soak, runOperatorKeysSeed);
+  if (IsSelected(WorkerLivesKind))
+    return soakClient("workers' lives", Soak, [&](std::uint64_t Seed) {
+      return runWorkerLivesSeed(Seed, Parsed.count("late-across-lives") != 0);
+    });
   const auto Kinds = selectKinds(KindNames);
   if (Kinds.empty()) {
     std::cerr << "--kinds names no known kind of fault\n";
