Best-effort work is tried beside a tail that it doesn't cause

Jobs of one task that fills were accepted and never began where each worker had a serving task over its latency target, whatever held it there.

While a tail was over its target no best-effort task could start beside it, also where none worked and so none could be the cause, and without a limit in time.

Where no best-effort task works on a worker and a tail stays over its target for 1.5 s all the same, the serving task's own load is the cause (OverloadProbe). The only task of a job may then work for 1.5 s, first at 10 %. It is paused again until the same is shown anew, and the pace doubles from one such trial to the next. A trial ends at once if a tail grows in it by more than a fifth, or if another one exceeds its target. A trial and the order that ends it are within the 4 s of HARM, should the own load decrease meanwhile.

New tests of Pacing: ATailOverItsTargetByItsOwnLoadKeepsNoJobFromStarting ("check admit() > 0U has failed [0 <= 0]"), AJobBesideATailOverItsTargetByItsOwnLoadIsDone, ATaskOnTrialIsPausedOnceTheTailGrows and AfterATrialTheSlackDeterminesThePaceAgain (each "critical check admit() > 0U has failed") failed on the earlier controller.

--- a/core/InterferenceController.cpp
+++ b/core/InterferenceController.cpp
@@ -62,6 +62,35 @@
   OverTargetSince_ = std::move(OverTarget);
 }
 
+auto InterferenceController::updateProbe(
+    TimePoint Now, const std::vector<ColocatedTask> &Tasks) -> void {
+  std::map<TaskId, double> Overloaded;
+  for (const auto &Each : Tasks) {
+    const auto *Estimate = Tracker_.find(Each.Task_);
+    if (Estimate != nullptr && staysOverTarget(Each, *Estimate))
+      Overloaded[Each.Task_] =
+          std::log(static_cast<double>(Each.Tail_.count()));
+  }
+  const auto NoneUsesProcessors =
+      std::all_of(Tasks.begin(), Tasks.end(), [](const ColocatedTask &Each) {
+        return !Each.BestEffort_ || Each.MilliCores_ == 0;
+      });
+  const auto AllPaused =
+      std::all_of(PaceStates_.begin(), PaceStates_.end(),
+                  [](const auto &Each) { return Each.second.Percent_ == 0; });
+  const auto AllKnown =
+      std::all_of(Tasks.begin(), Tasks.end(), [&](const ColocatedTask &Each) {
+        return !Each.BestEffort_ || PaceStates_.count(Each.Task_) != 0;
+      });
+  Probe_.observe(Now, Overloaded, NoneUsesProcessors && AllPaused && AllKnown);
+}
+
+auto InterferenceController::areTailsOverTargetByOwnLoad() const -> bool {
+  return std::all_of(
+      OverTargetSince_.begin(), OverTargetSince_.end(),
+      [&](const auto &Each) { return Probe_.isOwnLoad(Each.first); });
+}
+
 auto InterferenceController::arePredictionsUnreliable(
     TimePoint Now, const std::vector<ColocatedTask> &Tasks) const -> bool {
   // The model may be wrong. Where a serving task stays over its target although
@@ -71,7 +100,8 @@
       Tasks.begin(), Tasks.end(), [&](const ColocatedTask &Each) {
         const auto OverTarget = OverTargetSince_.find(Each.Task_);
         const auto *Estimate = Tracker_.find(Each.Task_);
-        if (OverTarget == OverTargetSince_.end() || Estimate == nullptr)
+        if (OverTarget == OverTargetSince_.end() || Estimate == nullptr ||
+            Probe_.isOwnLoad(Each.Task_))
           return false;
         const auto Limit = staysOverTarget(Each, *Estimate)
                                ? OverTargetTimeout
@@ -85,7 +115,7 @@
   std::vector<ServingSlack> Slacks;
   for (const auto &Each : Tasks) {
     const auto *Estimate = Tracker_.find(Each.Task_);
-    if (Estimate == nullptr)
+    if (Estimate == nullptr || Probe_.isOwnLoad(Each.Task_))
       continue;
     const auto Limit = std::log(MaxPlannedTailRatio *
                                 static_cast<double>(Each.Target_.count()));
@@ -131,6 +161,9 @@
          std::to_string(Tightest->Tail_.count()) + " of " +
          std::to_string(Tightest->Target_.count()) + " ms, " +
          std::to_string(Baseline) + " ms of it without best-effort tasks" +
+         (Probe_.isOwnLoad(Tightest->Task_)
+              ? ", over its target by its own load"
+              : "") +
          (PredictionsUnreliable_
               ? ", predictions of what interferes are unreliable"
               : "");
@@ -146,7 +179,8 @@
     Current = {BestEffort.Attempt_, FullPace, {}, {}};
   const auto Gap =
       std::max(Desired, Current.Percent_) - std::min(Desired, Current.Percent_);
-  const auto AtLimit = Desired == 0 || Desired == FullPace;
+  const auto BeginsTrial = Current.Percent_ == 0 && Probe_.permitsTrial();
+  const auto AtLimit = Desired == 0 || Desired == FullPace || BeginsTrial;
   const auto Changed = Gap > IgnoredPaceChange || (Gap > 0 && AtLimit);
   if (Changed && Desired == 0)
     Current.PausedAt_ = Now;
@@ -173,15 +207,21 @@
   Tracker_.observe(Now, Tasks, Predictor_);
   Actions.Sample_ = Tracker_.sample(Tasks);
   recordTails(Now, Tasks);
+  updateProbe(Now, Tasks);
   PredictionsUnreliable_ = arePredictionsUnreliable(Now, Tasks);
   Slacks_ = slacksOf(Tasks);
   std::set<TaskId> Present;
   for (const auto *Each : pacingOrder(Tasks)) {
     Present.insert(Each->Task_);
     const auto BestEffort = bestEffortOf(*Each);
-    const auto Desired = PredictionsUnreliable_
-                             ? 0
-                             : allocatePace(BestEffort, Predictor_, Slacks_);
+    const auto Allocated = PredictionsUnreliable_
+                               ? 0
+                               : allocatePace(BestEffort, Predictor_, Slacks_);
+    const auto MayWork = Each->OnlyTaskOfJob_ || !Probe_.permitsTrial();
+    const auto Desired =
+        MayWork ? std::min(Allocated, Probe_.paceLimit()) : std::uint32_t{0};
+    if (Desired != 0)
+      Probe_.begin(Now);
     applyPace(Now, *Each, Desired, Actions);
   }
   if (!Actions.Paces_.empty() || !Actions.Evictions_.empty())
@@ -200,10 +240,15 @@
   auto Remaining = Slacks_;
   auto Pace = allocatePace(bestEffortOf(BestEffort), Predictor_, Remaining);
   const auto MayForceStart =
-      BestEffort.OnlyTaskOfJob_ && OverTargetSince_.empty();
-  if (PredictionsUnreliable_ || (Pace < MinStartPace && !MayForceStart))
+      BestEffort.OnlyTaskOfJob_ && areTailsOverTargetByOwnLoad();
+  const auto MustForceStart = Pace < MinStartPace || Probe_.permitsTrial();
+  if (PredictionsUnreliable_ || Probe_.mustPause() ||
+      (MustForceStart && !MayForceStart))
     return 0;
   Pace = std::max(Pace, ForcedStartPace);
+  if (Probe_.permitsTrial())
+    Pace = ForcedStartPace;
+  Probe_.begin(Now);
   Slacks_ = std::move(Remaining);
   PaceStates_[BestEffort.Task_] = {BestEffort.Attempt_, Pace, Now, {}};
   return Pace;
--- a/core/InterferenceController.h
+++ b/core/InterferenceController.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/AgentOutput.h"
+#include "core/OverloadProbe.h"
 #include "core/PacePlan.h"
 #include "core/TailTracker.h"
 
@@ -24,7 +25,8 @@
 
 /// Keeps serving tasks within their latency targets: limits the pace of
 /// best-effort tasks so that their interference fits into the slack, and evicts
-/// those that stay paused.
+/// those that stay paused. A serving task that its own load holds over its
+/// target limits them to short trials.
 class InterferenceController {
 public:
   /// Processes a sample of all tasks that run on the worker.
@@ -37,7 +39,7 @@
   auto table() const -> const InterferenceTable & { return Predictor_.table(); }
   /// Allocates slack to a best-effort task that is about to start. The only
   /// task of its job starts even with little slack, if all tails are within
-  /// their targets.
+  /// their targets or over them by their own load.
   /// \returns its initial pace in percent; 0 if it must not start now.
   auto admit(TimePoint Now, const ColocatedTask &BestEffort) -> std::uint32_t;
   /// Pace, in percent, at which an admitted task has to start; FullPace for an
@@ -57,6 +59,11 @@
   /// Records which serving tasks exceed their targets, and since when.
   auto recordTails(TimePoint Now, const std::vector<ColocatedTask> &Tasks)
       -> void;
+  /// Lets the probe know of the tails over their targets, and of whether any
+  /// best-effort task works.
+  auto updateProbe(TimePoint Now, const std::vector<ColocatedTask> &Tasks)
+      -> void;
+  auto areTailsOverTargetByOwnLoad() const -> bool;
   auto arePredictionsUnreliable(TimePoint Now,
                                 const std::vector<ColocatedTask> &Tasks) const
       -> bool;
@@ -76,6 +83,7 @@
 
   InterferencePredictor Predictor_;
   TailTracker Tracker_;
+  OverloadProbe Probe_;
   std::map<TaskId, PaceState> PaceStates_;
   /// Since when each serving task has exceeded its target.
   std::map<TaskId, TimePoint> OverTargetSince_;
--- a/test/correctness/PacingTest.cpp
+++ b/test/correctness/PacingTest.cpp
@@ -8,7 +8,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cmath>
+#include <optional>
 
 using namespace skylark;
 
@@ -49,6 +51,61 @@
   return Controller;
 }
 
+/// A worker with a serving task and, once it is admitted, a best-effort task,
+/// the only one of its job. Each of its cores adds 0.1 to the logarithm of the
+/// tail.
+class SharedWorker {
+public:
+  /// Lets the controller observe the worker for `Period`.
+  /// \param OwnTail tail that the serving task's own load causes.
+  auto run(Millis OwnTail, Duration Period) -> void {
+    for (Duration Elapsed{0}; Elapsed < Period; Elapsed += PollInterval)
+      poll(OwnTail);
+  }
+  auto admit() -> std::uint32_t {
+    auto Task = loudColocatedTask("only", 0);
+    Task.OnlyTaskOfJob_ = true;
+    const auto Admitted = Controller_.admit(Now_, Task);
+    if (Admitted != 0)
+      Percent_ = Admitted;
+    return Admitted;
+  }
+
+  InterferenceController Controller_ = makeController();
+  TimePoint Now_{Seconds{1}};
+  /// Pace of the best-effort task in percent; none if it hasn't started.
+  std::optional<std::uint32_t> Percent_;
+  /// Work that it has done, in milliseconds at full pace.
+  Millis Work_{0};
+  /// The longest time for which it has worked on end.
+  Duration LongestWork_{0};
+  std::size_t Evictions_ = 0;
+
+private:
+  auto poll(Millis OwnTail) -> void {
+    Now_ += PollInterval;
+    const auto MilliCores =
+        5000 * std::int64_t{Percent_.value_or(0)} / FullPace;
+    const auto Growth = 0.1 * static_cast<double>(MilliCores) / 1000;
+    const auto Tail = Millis{
+        std::lround(static_cast<double>(OwnTail.count()) * std::exp(Growth))};
+    std::vector<ColocatedTask> Tasks{servingWithTail(Tail)};
+    if (Percent_) {
+      Tasks.push_back(loudColocatedTask("only", MilliCores));
+      Tasks.back().OnlyTaskOfJob_ = true;
+      Work_ += PollInterval * *Percent_ / FullPace;
+      WorkOnEnd_ = *Percent_ == 0 ? Duration{0} : WorkOnEnd_ + PollInterval;
+      LongestWork_ = std::max(LongestWork_, WorkOnEnd_);
+    }
+    const auto Actions = Controller_.observe(Now_, Tasks);
+    for (const auto &Each : Actions.Paces_)
+      Percent_ = Each.Percent_;
+    Evictions_ += Actions.Evictions_.size();
+  }
+
+  Duration WorkOnEnd_{0};
+};
+
 /// Lets the controller observe the same tasks at every poll for `Period`.
 /// \returns all its actions.
 auto observeFor(InterferenceController &Controller, TimePoint &Now,
@@ -208,6 +265,48 @@
   BOOST_TEST(Controller.startPace(Task.Task_, Task.Attempt_) < 100U);
 }
 
+// The tail was taken for the work of best-effort tasks, though none worked.
+BOOST_FIXTURE_TEST_CASE(ATailOverItsTargetByItsOwnLoadKeepsNoJobFromStarting,
+                        SharedWorker) {
+  run(Millis{40}, Millis{1000});
+  BOOST_TEST(admit() == 0U);
+  run(Millis{40}, Millis{1500});
+  BOOST_TEST(Controller_.admit(Now_, loudColocatedTask("other", 0)) == 0U);
+  BOOST_TEST(admit() > 0U);
+  BOOST_TEST(Percent_.value_or(0) <= 10U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AJobBesideATailOverItsTargetByItsOwnLoadIsDone,
+                        SharedWorker) {
+  run(Millis{40}, Seconds{3});
+  BOOST_REQUIRE(admit() > 0U);
+  run(Millis{40}, Seconds{30});
+  BOOST_TEST((Work_ > Millis{1000}));
+  BOOST_TEST((LongestWork_ < Seconds{3}));
+  BOOST_TEST(Evictions_ == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ATaskOnTrialIsPausedOnceTheTailGrows, SharedWorker) {
+  run(Millis{40}, Seconds{3});
+  BOOST_REQUIRE(admit() > 0U);
+  run(Millis{40}, PollInterval);
+  BOOST_TEST(Percent_.value_or(0) > 0U);
+  run(Millis{60}, PollInterval);
+  BOOST_TEST(Percent_.value_or(0) == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AfterATrialTheSlackDeterminesThePaceAgain,
+                        SharedWorker) {
+  run(Millis{40}, Seconds{3});
+  BOOST_REQUIRE(admit() > 0U);
+  run(Millis{40}, Seconds{1});
+  run(Millis{6}, Seconds{4});
+  BOOST_TEST(Percent_.value_or(0) == FullPace);
+  // Without the task the tail would be at 15 of 20 ms.
+  run(Millis{15}, Seconds{4});
+  BOOST_TEST(Percent_.value_or(0) < FullPace);
+}
+
 BOOST_AUTO_TEST_CASE(StartsBetweenTwoSamplesShareTheSlack) {
   auto Controller = makeController();
   TimePoint Now(Seconds{1});
