Tests of a worker's heartbeats in a file of their own

Its worker and its client of it move to WorkerClientFixture.h, the four tests of heartbeats and deregistrations to WorkerHeartbeatTest.cpp. No test or check changes.

--- a/test/correctness/WorkerClientTest.cpp
+++ b/test/correctness/WorkerClientTest.cpp
@@ -2,20 +2,12 @@
 /// Tests what the client of a worker of the users' platform makes of the
 /// worker's answers.
 
-#include "platform/WorkerClient.h"
-#include "test/correctness/FreePort.h"
-
-#include <boost/test/unit_test.hpp>
-#include <nlohmann/json.hpp>
-
-#include <set>
+#include "test/correctness/WorkerClientFixture.h"
 
 using namespace skylark;
 
 namespace {
 
-using Json = nlohmann::json;
-
 /// Answers each poll as a worker that has `EndCount` ended attempts and lists
 /// 500 of them at a time.
 class EndedAttempts : public HttpCaller {
@@ -48,159 +40,6 @@
   std::uint64_t AcknowledgedThrough_ = 0;
 };
 
-/// A worker whose calls the test answers, but for probes, which are answered at
-/// once. Each open call has a connection of its own, and each connection ends
-/// with the life of the worker that accepted it.
-class HeldCalls : public HttpCaller {
-public:
-  auto call(HttpCall Call, std::function<void(HttpResult)> Done)
-      -> void override {
-    const auto Connection = takeConnection();
-    HttpResult Result;
-    Result.Connection_ = Connection;
-    if (Call.Admit_ && !Call.Admit_(Connection)) {
-      Result.NeverSent_ = true;
-      Done(std::move(Result));
-      return;
-    }
-    Result.Copies_ = 1;
-    const auto IsProbe = !Call.Admit_;
-    if (IsProbe)
-      Probes_.push_back(Json::parse(Call.Body_));
-    Calls_.push_back({std::move(Call), std::move(Result), std::move(Done)});
-    if (!IsProbe || HoldsProbes_)
-      return;
-    auto Probe = std::move(Calls_.back());
-    Calls_.pop_back();
-    finish(Probe, 200, list());
-  }
-
-  auto count() const -> std::size_t { return Calls_.size(); }
-  auto probes() const -> const std::vector<Json> & { return Probes_; }
-  auto path(std::size_t Index) const -> std::string {
-    const auto &Url = Calls_.at(Index).Call_.Url_;
-    return Url.substr(Url.rfind('/'));
-  }
-  auto body(std::size_t Index) const -> Json {
-    return Json::parse(Calls_.at(Index).Call_.Body_);
-  }
-  auto token(std::size_t Index) const -> Incarnation {
-    return body(Index).at("fence").get<Incarnation>();
-  }
-  /// The id of the worker that a call names; empty if it names none.
-  auto expectedId(std::size_t Index) const -> std::string {
-    const std::string Name = "Expected-Instance: ";
-    for (const auto &Line : Calls_.at(Index).Call_.Headers_)
-      if (Line.compare(0, Name.size(), Name) == 0)
-        return Line.substr(Name.size());
-    return {};
-  }
-  auto answer(std::size_t Index, std::uint16_t Status, const Json &Body)
-      -> void {
-    auto Each = Calls_.at(Index);
-    finish(Each, Status, Body);
-  }
-  /// The connection ends without an answer.
-  auto lose(std::size_t Index) -> void {
-    auto Each = Calls_.at(Index);
-    Each.Done_(std::move(Each.Result_));
-  }
-  /// Starts the worker again under its id. The open calls are lost.
-  auto restart() -> void {
-    ++Born_;
-    Idle_.clear();
-  }
-  /// An empty list of attempts.
-  auto list() const -> Json {
-    return {{"born", Born_},
-            {"clock_ms", 1000},
-            {"running", Json::array()},
-            {"finished", Json::array()}};
-  }
-
-  Incarnation Born_ = 0;
-  bool HoldsProbes_ = false;
-
-private:
-  struct HeldCall {
-    HttpCall Call_;
-    HttpResult Result_;
-    std::function<void(HttpResult)> Done_;
-  };
-
-  auto takeConnection() -> std::uint64_t {
-    if (Idle_.empty())
-      return ++LastConnection_;
-    const auto First = *Idle_.begin();
-    Idle_.erase(Idle_.begin());
-    return First;
-  }
-  auto finish(HeldCall &Each, std::uint16_t Status, const Json &Body) -> void {
-    Idle_.insert(Each.Result_.Connection_);
-    Each.Result_.Complete_ = true;
-    Each.Result_.Status_ = Status;
-    Each.Result_.Body_ = Body.dump();
-    Each.Done_(std::move(Each.Result_));
-  }
-
-  std::vector<HeldCall> Calls_;
-  std::vector<Json> Probes_;
-  std::set<std::uint64_t> Idle_;
-  std::uint64_t LastConnection_ = 0;
-};
-
-struct OrderFixture {
-  auto start() -> void {
-    StartOnWorker Start;
-    Start.Bind_.Worker_ = Calls_.Born_;
-    Start.Bind_.Task_ = {{"j"}, 0};
-    Start.Bind_.Attempt_ = 1;
-    Start.LeaseUntil_ = Seconds{10};
-    Client_.execute(Start);
-  }
-  auto stop() -> void { Client_.execute(StopOnWorker{{{"j"}, 0}, 1}); }
-  auto poll(std::uint64_t Fence) -> void {
-    PollWorker Poll;
-    Poll.Fence_ = Fence;
-    Client_.execute(Poll);
-  }
-
-  asio::io_context Traffic_;
-  HeldCalls Calls_;
-  std::vector<StartOutcome> Outcomes_;
-  int StopsAnswered_ = 0;
-  std::vector<WorkerInventory> Inventories_;
-  std::vector<WorkerAnnouncement> Announced_;
-  std::uint16_t HeartbeatPort_ = freePort();
-  WorkerLinkHandlers Handlers_ = [this] {
-    WorkerLinkHandlers Handlers;
-    Handlers.StartAnswered_ = [this](const TaskId &, AttemptNumber,
-                                     StartOutcome Outcome) {
-      Outcomes_.push_back(Outcome);
-    };
-    Handlers.StopAnswered_ = [this](const TaskId &, AttemptNumber) {
-      ++StopsAnswered_;
-    };
-    Handlers.InventoryReceived_ = [this](WorkerInventory Received) {
-      Inventories_.push_back(std::move(Received));
-    };
-    Handlers.AnnouncementReceived_ = [this](WorkerAnnouncement Received) {
-      Announced_.push_back(std::move(Received));
-    };
-    return Handlers;
-  }();
-  Platform::WorkerClient Client_{
-      Traffic_,
-      Calls_,
-      {"127.0.0.1:1", {"127.0.0.1", HeartbeatPort_}, 100},
-      Handlers_};
-};
-
-const Json EmptyList{{"born", 0},
-                     {"clock_ms", 1000},
-                     {"running", Json::array()},
-                     {"finished", Json::array()}};
-
 struct ClientFixture {
   auto poll() -> const WorkerInventory & {
     Client_.execute(PollWorker{});
@@ -224,39 +63,6 @@
   Platform::WorkerClient Client_{Traffic_, Worker_, {}, Handlers_};
 };
 
-/// Sends heartbeats as the worker does.
-struct HeartbeatFixture : OrderFixture {
-  HeartbeatFixture() { Client_.listen(); }
-
-  auto beat(Incarnation Born, std::uint64_t Sequence,
-            const std::vector<std::string> &Labels,
-            const std::string &Id = "i-1") -> void {
-    send("/Instances.Heartbeat/" + Id,
-         {{"service", "s"},
-          {"state", "ready"},
-          {"slots", 8},
-          {"capacity", {{"cpu", 1000}, {"mem_mb", 1000}}},
-          {"labels", Labels},
-          {"born", Born},
-          {"seq", Sequence}});
-  }
-  auto send(const std::string &Path, const Json &Body) -> void {
-    HttpCall Call;
-    Call.Method_ = "POST";
-    Call.Url_ = "http://127.0.0.1:" + std::to_string(HeartbeatPort_) + Path;
-    Call.Body_ = Body.dump();
-    auto Answered = false;
-    Http_.call(std::move(Call), [&](const HttpResult &) { Answered = true; });
-    const auto Deadline = std::chrono::steady_clock::now() + Seconds{10};
-    while (!Answered) {
-      BOOST_REQUIRE(std::chrono::steady_clock::now() < Deadline);
-      Traffic_.run_one_for(Millis{20});
-    }
-  }
-
-  HttpClient Http_{Traffic_};
-};
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(WorkerClients)
@@ -552,33 +358,6 @@
   BOOST_TEST(Calls_.count() == 2U);
 }
 
-// Tasks started without the label that they require.
-BOOST_FIXTURE_TEST_CASE(ALateHeartbeatOfAnEarlierLifeDescribesNothing,
-                        HeartbeatFixture) {
-  Calls_.Born_ = 2;
-  poll(0);
-  Calls_.answer(0, 200, Calls_.list());
-  beat(2, 1, {"a"});
-  BOOST_TEST(Announced_.size() == 1U);
-  beat(1, 40, {"b"});
-  beat(2, 2, {"a"});
-  BOOST_REQUIRE(Announced_.size() == 2U);
-  for (const auto &Each : Announced_)
-    BOOST_TEST(Each.Worker_ == 2U);
-}
-
-BOOST_FIXTURE_TEST_CASE(AHeartbeatOfANewLifeIsDeliveredOnceThatHasAnswered,
-                        HeartbeatFixture) {
-  Calls_.Born_ = 1;
-  poll(0);
-  Calls_.answer(0, 200, Calls_.list());
-  beat(1, 7, {"a"});
-  Calls_.restart();
-  beat(2, 1, {"b"});
-  BOOST_REQUIRE(Announced_.size() == 2U);
-  BOOST_TEST(Announced_[1].Worker_ == 2U);
-}
-
 // Each poll with a number that was answered before could still reach the next
 // life late.
 BOOST_FIXTURE_TEST_CASE(AnAcknowledgementIsNotRepeatedOnceItWasAnswered,
@@ -627,37 +406,4 @@
   BOOST_TEST(Calls_.path(2) == "/run-stop");
 }
 
-// The id of a worker that had left was named in every call to the next one.
-BOOST_FIXTURE_TEST_CASE(ALateHeartbeatOfAnotherWorkerDoesNotChangeTheId,
-                        HeartbeatFixture) {
-  Calls_.Born_ = 2;
-  poll(0);
-  Calls_.answer(0, 200, Calls_.list());
-  beat(2, 1, {"a"});
-  Calls_.HoldsProbes_ = true;
-  beat(1, 40, {"b"}, "i-0");
-  BOOST_REQUIRE(Calls_.count() == 2U);
-  BOOST_TEST(Calls_.expectedId(1) == "i-0");
-  Calls_.answer(1, 421, Json::object());
-  BOOST_REQUIRE(Calls_.count() == 3U);
-  BOOST_TEST(Calls_.expectedId(2) == "i-1");
-  Calls_.answer(2, 200, Calls_.list());
-  stop();
-  BOOST_TEST(Calls_.expectedId(3) == "i-1");
-}
-
-// It ended the tasks of the worker that was there.
-BOOST_FIXTURE_TEST_CASE(ALateDeregistrationOfAnEarlierLifeEndsNothing,
-                        HeartbeatFixture) {
-  Calls_.Born_ = 2;
-  poll(0);
-  Calls_.answer(0, 200, Calls_.list());
-  beat(2, 1, {"a"});
-  send("/Instances.Deregister/i-1", Json{{"born", 1}});
-  BOOST_TEST(Announced_.size() == 1U);
-  send("/Instances.Deregister/i-1", Json{{"born", 2}});
-  BOOST_REQUIRE(Announced_.size() == 2U);
-  BOOST_TEST(Announced_[1].Exited_);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
