Count trials of suspects among the workers that they may use

What callers saw: where all workers of one service had crashed soon after starts, a job of another service whose worker crashed never ran again (LOST), with sound, idle workers beside it.

Cause: a pass has a limited number of trials for suspects. tryBind() took one for a suspect that found no worker, and countTrialsLeft() counted the workers of the whole fleet. Suspects keep their place in the order, so those of a service without workers took all trials of each pass.

Change: core/TrialBudget counts the workers and the trials by service and label, and only a suspect that is bound uses one up. A suspect without a worker is a failed placement like any other.

--- a/core/Mutation.h
+++ b/core/Mutation.h
@@ -39,6 +39,7 @@
   TrustAnnouncedLives,
   AcknowledgeInProbes,
   IgnoreServiceOfFailure,
+  SpendTrialsOfFleet,
   Count
 };
 
--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -34,8 +34,6 @@
 /// Maximum number of workers considered for one task.
 constexpr std::size_t MaxCandidates = 24;
 constexpr std::uint32_t MaxTasksQueuedAtAgent = 4;
-/// One of this many workers may be used for the trial of a suspect at once.
-constexpr int WorkersPerTrial = 2;
 constexpr Millis ResendInterval{2000};
 /// Maximum number of stops sent at a time, so that a large job can't delay
 /// other work.
@@ -143,6 +141,11 @@
   return possibleBlame(Task) >= Blame::Suspect;
 }
 
+auto requirementOf(const Job &Job, const StepDeclaration &Step)
+    -> WorkerRequirement {
+  return {Job.Declaration_.Service_, Step.RequiredLabel_};
+}
+
 auto makeChange(const TaskStatus &Task, TaskState State, ErrorKind Reason,
                 Moment Now) -> TaskChanged {
   TaskChanged Change;
@@ -946,16 +949,7 @@
 
 auto ShardOwner::mayHost(Moment Now, const Target &Candidate, const Job &Job,
                          const StepDeclaration &Step) const -> bool {
-  const auto &Offered = Candidate.Hello_.Services_;
-  const auto &Labels = Candidate.Hello_.Labels_;
-  const auto &Service = Job.Declaration_.Service_;
-  const auto Serves =
-      Service.empty() ||
-      std::find(Offered.begin(), Offered.end(), Service) != Offered.end();
-  const auto HasLabel = Step.RequiredLabel_.empty() ||
-                        std::find(Labels.begin(), Labels.end(),
-                                  Step.RequiredLabel_) != Labels.end();
-  return Serves && HasLabel &&
+  return requirementOf(Job, Step).isMetBy(Candidate.Hello_) &&
          acceptsNewWork(Candidate, Context_.Configuration_, Now.Steady_) &&
          !(Step.BestEffort_ && Now.Steady_ < Candidate.NoBestEffortUntil_) &&
          Candidate.Load_.TasksQueued_ < MaxTasksQueuedAtAgent;
@@ -1182,12 +1176,15 @@
   const auto &Status = Job.task(Rank.Task_);
   if (settlePending(Now, Rank.Task_, Out))
     return BindResult::TaskSkipped;
-  if (isSuspect(Status) && Pass.TrialsLeft_ <= 0)
+  const auto &Step = Job.stepOf(Rank.Task_);
+  if (isSuspect(Status) &&
+      !Pass.Trials_.mayTry(requirementOf(Job, Step), [&](const auto &Each) {
+        return countTrials(Now, Each);
+      }))
     return BindResult::TaskSkipped;
-  const auto Need = Job.stepOf(Rank.Task_).reserved();
+  const auto Need = Step.reserved();
   if (!withinQuota(Job.Declaration_, Need))
     return BindResult::StepSkipped;
-  const auto &Step = Job.stepOf(Rank.Task_);
   const auto Waits = [&](TaskWait Reason) {
     if (!Step.LongRunning_)
       Waits_.enter(Now.Steady_, Rank.Task_, Reason);
@@ -1199,14 +1196,6 @@
     return Waits(*Known);
   PlacementFailure Failure;
   auto *Chosen = chooseWorker(Now, Job, Rank.Task_, Generator, Failure, Out);
-  if (isSuspect(Status)) {
-    --Pass.TrialsLeft_;
-    // Other tasks may find a worker that isn't used for a trial.
-    if (Chosen == nullptr) {
-      Waits(Failure.Reason_);
-      return BindResult::TaskSkipped;
-    }
-  }
   if (Chosen == nullptr) {
     ++Pass.FailedPlacements_;
     Pass.Failures_.record(Demand, Failure);
@@ -1224,9 +1213,11 @@
   // The task counts towards the quota and the worker's capacity at once, before
   // its commit, so that the rest of the pass doesn't exceed them.
   Usage_.hold(Job, Rank.Task_, Chosen->agent());
-  if (isSuspect(Status))
+  if (isSuspect(Status)) {
     Crashes_.startTrial({Change.Agent_, Change.Worker_}, Rank.Task_,
                         Now.Steady_);
+    Pass.Trials_.bound(Chosen->Hello_);
+  }
   propose(Rank.Task_, std::move(Change));
   return BindResult::Bound;
 }
@@ -1357,16 +1348,18 @@
   ShortDemand_.record(Now.Steady_, MilliCores);
 }
 
-auto ShardOwner::countTrialsLeft(Moment Now) const -> int {
-  int Workers = 0;
-  int Trials = 0;
+auto ShardOwner::countTrials(Moment Now,
+                             const WorkerRequirement &Requirement) const
+    -> TrialBudget::WorkerCount {
+  TrialBudget::WorkerCount Count;
   for (const auto *Each : Context_.Targets_.all()) {
-    if (!acceptsNewWork(*Each, Context_.Configuration_, Now.Steady_))
+    if (!Requirement.isMetBy(Each->Hello_) ||
+        !acceptsNewWork(*Each, Context_.Configuration_, Now.Steady_))
       continue;
-    ++Workers;
-    Trials += Crashes_.isTrialAt(Each->agent(), Now.Steady_) ? 1 : 0;
+    ++Count.Workers_;
+    Count.Trials_ += Crashes_.isTrialAt(Each->agent(), Now.Steady_) ? 1 : 0;
   }
-  return std::max(1, Workers / WorkersPerTrial) - Trials;
+  return Count;
 }
 
 auto ShardOwner::bindInTurn(Moment Now, const PendingRank &Rank, BindPass &Pass,
@@ -1402,7 +1395,6 @@
 auto ShardOwner::bindPending(Moment Now, Random &Generator, EntryOutbox &Out)
     -> void {
   BindPass Pass;
-  Pass.TrialsLeft_ = countTrialsLeft(Now);
   const auto Due = dueStepsInOrder(Now);
   const auto Order = bindOrder(Now, Due.Steps_);
   recordShortDemand(Now, Order.Tasks_);
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -18,6 +18,7 @@
 #include "core/ShardUsage.h"
 #include "core/ShortTaskDemand.h"
 #include "core/StopSchedule.h"
+#include "core/TrialBudget.h"
 #include "core/WaitingCallers.h"
 #include "core/WaitingQueries.h"
 
@@ -228,8 +229,7 @@
   struct BindPass {
     int FailedPlacements_ = 0;
     PlacementFailures Failures_;
-    /// Number of suspects that may still be bound.
-    int TrialsLeft_ = 0;
+    TrialBudget Trials_;
     int Binds_ = 0;
 
     /// Whether the limits of the pass's work are reached.
@@ -320,9 +320,9 @@
   auto rankOf(const Job &Job, const TaskId &Task) const -> PendingRank;
   /// How often a task of the job may fail.
   auto failureLimitOf(const Job &Job) const -> std::uint32_t;
-  /// Returns how many more suspects may be tried now, so that enough workers
-  /// remain for other tasks.
-  auto countTrialsLeft(Moment Now) const -> int;
+  /// Counts the workers that a requirement admits, and the trials there.
+  auto countTrials(Moment Now, const WorkerRequirement &Requirement) const
+      -> TrialBudget::WorkerCount;
   auto bindPending(Moment Now, Random &Generator, EntryOutbox &Out) -> void;
   using PendingPosition = std::set<PendingRank>::const_iterator;
   /// Returns the position behind the last pending task of a task's step. The
--- a/test/correctness/FleetFixture.h
+++ b/test/correctness/FleetFixture.h
@@ -21,7 +21,10 @@
 /// worker share the processors that its serving tasks don't reserve.
 class FleetFixture {
 public:
-  explicit FleetFixture(std::size_t Workers) : Workers_(Workers) {
+  /// \param Others number of further workers, which serve the service
+  /// "others" and no other.
+  explicit FleetFixture(std::size_t Workers, std::size_t Others = 0)
+      : Workers_(Workers + Others) {
     EntryIdentity Identity;
     Identity.Entry_ = {"entry"};
     Identity.Incarnation_ = 1;
@@ -33,7 +36,7 @@
     Entry_ = std::make_unique<EntryCore>(Identity);
     writeConfiguration();
     advance(Millis{4000});
-    for (std::size_t Index = 0; Index < Workers; ++Index) {
+    for (std::size_t Index = 0; Index < Workers_.size(); ++Index) {
       Hello Message;
       Message.Agent_ = {"agent-" + std::to_string(Index)};
       Message.Incarnation_ = 1;
@@ -41,7 +44,7 @@
       Message.DataCentre_ = {"hobart"};
       Message.Rack_ = "rack-" + std::to_string(Index / 8);
       Message.Capacity_ = {WorkerMilliCores, 125000, 0};
-      Message.Services_ = {{"portal"}};
+      Message.Services_ = {{Index < Workers ? "portal" : "others"}};
       Inbox_.push_back({Index, Message});
     }
     advance(Millis{1500});
@@ -58,6 +61,31 @@
     Declaration.Steps_ = {std::move(Step)};
     submitTo("/orphans/" + Job, std::move(Declaration));
   }
+  /// Submits a job to the service "others".
+  auto submitOther(const std::string &Job, StepDeclaration Step) -> void {
+    JobDeclaration Declaration;
+    Declaration.Steps_ = {std::move(Step)};
+    submitTo("/others/" + Job, std::move(Declaration));
+  }
+  /// Ends a worker and its agent for good.
+  auto lose(std::size_t Index) -> void {
+    Workers_[Index] = {};
+    Workers_[Index].IsLost_ = true;
+    runEntry([&](EntryCore &Core, EntryOutbox &Out) {
+      Core.agentDisconnected(Now_, Index + 1, Out);
+    });
+  }
+  /// Ends the workers, from the one with index `First` on, that run short tasks
+  /// now. \returns how many there were.
+  auto loseWorkersOfShortTasks(std::size_t First = 0) -> std::size_t {
+    std::size_t Count = 0;
+    for (auto Index = First; Index < Workers_.size(); ++Index)
+      if (!Workers_[Index].Short_.empty()) {
+        lose(Index);
+        ++Count;
+      }
+    return Count;
+  }
   auto submitTo(const std::string &Path, JobDeclaration Declaration)
       -> CallerToken {
     SubmitToQueue Request;
@@ -128,10 +156,12 @@
 
   /// The state of the job that its caller is told.
   auto state(const std::string &Job) -> JobState {
+    return stateAt("/jobs/" + Job);
+  }
+  auto stateAt(const std::string &Path) -> JobState {
     const auto Token = ++LastToken_;
     runEntry([&](EntryCore &Core, EntryOutbox &Out) {
-      Core.callerAsked(Now_, Token,
-                       ReadQueue{{"portal.example", "/jobs/" + Job}}, Out);
+      Core.callerAsked(Now_, Token, ReadQueue{{"portal.example", Path}}, Out);
     });
     const auto Found = Replies_.find(Token);
     if (Found == Replies_.end())
@@ -168,6 +198,7 @@
     std::vector<RunningTask> Short_;
     std::size_t ServingTasks_ = 0;
     std::int64_t ServingMilliCores_ = 0;
+    bool IsLost_ = false;
   };
 
   static auto policy() -> PolicySettings {
@@ -188,11 +219,14 @@
     Queue.Host_ = "portal.example";
     Queue.PathPrefix_ = "/jobs/";
     Queue.Service_ = {"portal"};
-    QueueDeclaration Orphans = Queue;
-    Orphans.Name_ = {"orphans"};
-    Orphans.PathPrefix_ = "/orphans/";
-    Orphans.Service_ = {"orphans"};
-    Configured.Queues_ = {Queue, Orphans};
+    const auto QueueOf = [&](const char *Service) {
+      auto Each = Queue;
+      Each.Name_ = {Service};
+      Each.PathPrefix_ = std::string("/") + Service + "/";
+      Each.Service_ = {Service};
+      return Each;
+    };
+    Configured.Queues_ = {Queue, QueueOf("orphans"), QueueOf("others")};
     EnvironmentHead Head;
     Head.Revision_ = 1;
     Head.DocumentDigest_ = digestText(Configured.Text_);
@@ -210,6 +244,8 @@
   }
   auto sendHeartbeat(std::size_t Index) -> void {
     const auto &Each = Workers_[Index];
+    if (Each.IsLost_)
+      return;
     Heartbeat Message;
     Message.Sequence_ = static_cast<std::uint64_t>(Ticks_);
     Message.Revision_ = 1;
--- a/test/fuzz/Simulation.cpp
+++ b/test/fuzz/Simulation.cpp
@@ -158,7 +158,9 @@
 
 Simulation::Simulation(SimulationConfig Config)
     : Config_(std::move(Config)), Generator_(Config_.Seed_),
-      Checker_(!Config_.Faults_.empty() || Config_.CrashingTasks_) {
+      Checker_(!Config_.Faults_.empty() || Config_.CrashingTasks_),
+      Services_(Config_.LostService_,
+                static_cast<std::size_t>(Config_.Agents_)) {
   setAssertHandler(throwInvariantViolation);
   // Lower than that of a real store, so that few records reach it.
   Store_.MaxValueSize_ = 1024;
@@ -231,6 +233,8 @@
   Identity.Capacity_ = describeWorker(Index);
   Identity.Limits_ = {4, 16};
   Identity.Services_ = {{"check"}, {"lodge"}};
+  if (Services_.enabled())
+    Identity.Services_.push_back(Services_.serviceOf(Index));
   Node.Incarnation_ = Identity.Incarnation_;
   Node.Core_ = std::make_unique<AgentCore>(Identity);
   Node.Fence_ = 0;
@@ -284,6 +288,8 @@
 }
 
 auto Simulation::startInstance(std::size_t Index) -> void {
+  if (Services_.isLost(Index))
+    return;
   auto &Node = *Agents_[Index];
   WorkerConfig Config;
   Config.Name_ = "worker-" + std::to_string(Index) + "." +
@@ -313,6 +319,23 @@
                 });
 }
 
+auto Simulation::killInstance(std::size_t Index) -> void {
+  auto &Node = *Agents_[Index];
+  if (Node.Core_)
+    killAgent(Index);
+  if (Node.Worker_)
+    Node.Worker_->terminate();
+  Node.Worker_.reset();
+  ++Node.WorkerGeneration_;
+}
+
+auto Simulation::loseSmallerService() -> void {
+  Services_.loseSmaller();
+  for (std::size_t Agent = 0; Agent < Agents_.size(); ++Agent)
+    if (Services_.isLost(Agent))
+      killInstance(Agent);
+}
+
 auto Simulation::killEntry(std::size_t Index) -> void {
   auto &Node = *Entries_[Index];
   ++Node.Generation_;
@@ -984,6 +1007,10 @@
     Job.RerunWhenLost_ = true;
     Job.Payload_ = CrashingPayload;
   }
+  if (Services_.enabled() && chance(0.3))
+    UnequalServices::moveToSmaller(Job, chance(0.2));
+  else if (Services_.enabled())
+    UnequalServices::moveToLarger(Job);
   sendRequest(Request, "", true, [this](const CallerReply &Reply) {
     const auto *Submitted = std::get_if<JobReply>(&Reply);
     if (Submitted == nullptr)
@@ -1311,12 +1338,7 @@
     });
     break;
   case FaultKind::KillInstance:
-    if (Agents_[Agent]->Core_)
-      killAgent(Agent);
-    if (Agents_[Agent]->Worker_)
-      Agents_[Agent]->Worker_->terminate();
-    Agents_[Agent]->Worker_.reset();
-    ++Agents_[Agent]->WorkerGeneration_;
+    killInstance(Agent);
     scheduleAfter(FaultDuration, [this, Agent] {
       if (!Agents_[Agent]->Worker_)
         startInstance(Agent);
@@ -1424,6 +1446,8 @@
         continue;
       for (const auto &[Id, Job] : State->jobs()) {
         const auto Tally = tallyTasks(Job);
+        if (Services_.isLost(Job.Declaration_))
+          continue;
         const auto Batch = !Job.isWatcher();
         if (Batch && Tally.Pending_ + Tally.Bound_ > 0)
           Checker_.addViolation("at the end job " + Id.Value_ +
@@ -1484,6 +1508,8 @@
     scheduleAfter(Millis{2500}, [this] { generateLoad(); });
     if (Config_.PromptCancellations_)
       scheduleAfter(Millis{2500}, [this] { generatePromptCancellations(); });
+    if (Services_.enabled())
+      scheduleAt(Micros(Config_.Busy_) / 2, [this] { loseSmallerService(); });
     auto LastFaultEnd = Config_.Busy_;
     for (const auto &Each : Config_.Faults_) {
       scheduleAt(Micros(Millis{Each.StartMs_}),
--- a/test/fuzz/Simulation.h
+++ b/test/fuzz/Simulation.h
@@ -10,6 +10,7 @@
 #include "test/fuzz/ConfigurationLag.h"
 #include "test/fuzz/FakeStore.h"
 #include "test/fuzz/FakeWorker.h"
+#include "test/fuzz/UnequalServices.h"
 #include "test/fuzz/WallClocks.h"
 
 #include <array>
@@ -124,6 +125,9 @@
   bool MinimalWorkers_ = false;
   /// Whether a job for a service without workers comes before each urgent job.
   bool HopelessJobs_ = false;
+  /// Whether jobs are of two services, of which the smaller one loses all its
+  /// workers in the middle of the run.
+  bool LostService_ = false;
   /// Whether workers announce capacities that shrink and grow while they run.
   bool ChangingCapacity_ = false;
   /// Whether some tasks crash each worker that starts them.
@@ -191,6 +195,10 @@
   /// The worker crashes and is replaced some seconds later; its agent lives on
   /// until then.
   auto crashWorker(std::size_t Index) -> void;
+  /// Ends a worker and its agent.
+  auto killInstance(std::size_t Index) -> void;
+  /// Ends the workers of the smaller service for good.
+  auto loseSmallerService() -> void;
   auto killEntry(std::size_t Index) -> void;
   auto killAgent(std::size_t Index) -> void;
   /// The present time on a clock that runs at `ClockRate` times the true rate.
@@ -391,6 +399,7 @@
   ConfigurationLag ConfigurationLag_;
   WallClocks WallClocks_;
   AcceptedJobs AcceptedJobs_;
+  UnequalServices Services_;
   /// When each data centre was last seen out of service.
   std::map<DataCentreName, TrueTime> LastOutAt_;
   /// Number of stops of each attempt that were lost.
--- a/test/fuzz/Soak.cpp
+++ b/test/fuzz/Soak.cpp
@@ -196,6 +196,7 @@
       cxxopts::value<std::vector<std::string>>())(
       "minimal-workers", "workers list only task ids and attempts; one shard")(
       "hopeless-jobs", "a job without a worker comes before each urgent one")(
+      "lost-service", "one of two services loses all its workers for good")(
       "changing-capacity", "workers' capacities shrink and grow")(
       "crashing-tasks", "some tasks crash each worker that starts them")(
       "prompt-cancellations",
@@ -254,6 +255,7 @@
                                Parsed["faults"].as<int>(), Kinds);
       Config.MinimalWorkers_ = Parsed.count("minimal-workers") != 0;
       Config.HopelessJobs_ = Parsed.count("hopeless-jobs") != 0;
+      Config.LostService_ = Parsed.count("lost-service") != 0;
       Config.ChangingCapacity_ = Parsed.count("changing-capacity") != 0;
       Config.CrashingTasks_ = Parsed.count("crashing-tasks") != 0;
       Config.PromptCancellations_ = Parsed.count("prompt-cancellations") != 0;
