Look up whether any worker offers what a task requires

Cause: a demand without any worker was searched for in the whole fleet and counted as one of the 48 failed placements of a pass.

Change: TargetTable counts the targets that meet each combination of service and label. A demand that none meets isn't searched for and is no failed placement; the 48 count only searches.

Evidence: Fleet/AJobIsBoundBehindManyThatAskForLabelsOfTheirOwn failed before: of four short jobs in turn the second and the third weren't completed within 3.65 s; it passes now.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1177,8 +1177,9 @@
   if (settlePending(Now, Rank.Task_, Out))
     return BindResult::TaskSkipped;
   const auto &Step = Job.stepOf(Rank.Task_);
+  const auto Requirement = requirementOf(Job, Step);
   if (isSuspect(Status) &&
-      !Pass.Trials_.mayTry(requirementOf(Job, Step), [&](const auto &Each) {
+      !Pass.Trials_.mayTry(Requirement, [&](const auto &Each) {
         return countTrials(Now, Each);
       }))
     return BindResult::TaskSkipped;
@@ -1191,6 +1192,9 @@
     return BindResult::StepSkipped;
   };
   const auto AcceptsAny = recordWait(Now, Step, Rank.Task_);
+  // Costs no search, so it doesn't count as a failed placement.
+  if (!Context_.Targets_.offers(Requirement))
+    return Waits(TaskWait::Worker);
   const auto Demand = demandOf(Now, Job, Rank.Task_, AcceptsAny);
   if (const auto Known = Pass.Failures_.find(Demand))
     return Waits(*Known);
--- a/core/TargetTable.cpp
+++ b/core/TargetTable.cpp
@@ -47,6 +47,8 @@
   Agents_[Message.Agent_] = Session;
   for (const auto &Service : Message.Services_)
     Services_[Service].push_back(New.get());
+  for (const auto &Each : requirementsMetBy(Message))
+    ++Offers_[Each];
   All_.push_back(New.get());
   Targets_[Session] = std::move(New);
   return Replaced;
@@ -59,6 +61,11 @@
   const auto *Removed = Found->second.get();
   for (const auto &Service : Removed->Hello_.Services_)
     eraseTarget(Services_[Service], Removed);
+  for (const auto &Each : requirementsMetBy(Removed->Hello_)) {
+    const auto Offered = Offers_.find(Each);
+    if (--Offered->second == 0)
+      Offers_.erase(Offered);
+  }
   eraseTarget(All_, Removed);
   Agents_.erase(Removed->agent());
   Targets_.erase(Found);
--- a/core/TargetTable.h
+++ b/core/TargetTable.h
@@ -2,7 +2,7 @@
 /// Defines an entry's table of the targets that have registered with it.
 #pragma once
 
-#include "core/Messages.h"
+#include "core/WorkerRequirement.h"
 
 #include <map>
 #include <memory>
@@ -89,6 +89,11 @@
   /// Targets of a service; empty if there are none.
   auto ofService(const ServiceName &Service) const
       -> const std::vector<Target *> &;
+  /// Whether a target is registered that meets the requirement, whatever state
+  /// it is in. The cost doesn't grow with the number of targets.
+  auto offers(const WorkerRequirement &Requirement) const -> bool {
+    return Offers_.count(Requirement) != 0;
+  }
   auto all() const -> const std::vector<Target *> & { return All_; }
   auto size() const -> std::size_t { return All_.size(); }
 
@@ -97,6 +102,8 @@
   std::unordered_map<AgentId, SessionNumber> Agents_;
   std::unordered_map<ServiceName, std::vector<Target *>> Services_;
   std::vector<Target *> All_;
+  /// How many targets meet each requirement that one of them meets.
+  std::map<WorkerRequirement, std::size_t> Offers_;
 };
 
 } // namespace skylark
--- a/core/WorkerRequirement.cpp
+++ b/core/WorkerRequirement.cpp
@@ -13,4 +13,17 @@
           std::find(Labels.begin(), Labels.end(), Label_) != Labels.end());
 }
 
+auto requirementsMetBy(const Hello &Worker) -> std::vector<WorkerRequirement> {
+  auto Services = Worker.Services_;
+  Services.emplace_back();
+  auto Labels = Worker.Labels_;
+  Labels.emplace_back();
+  std::vector<WorkerRequirement> Met;
+  Met.reserve(Services.size() * Labels.size());
+  for (const auto &Service : Services)
+    for (const auto &Label : Labels)
+      Met.push_back({Service, Label});
+  return Met;
+}
+
 } // namespace skylark
--- a/core/WorkerRequirement.h
+++ b/core/WorkerRequirement.h
@@ -5,6 +5,7 @@
 #include "core/Messages.h"
 
 #include <tuple>
+#include <vector>
 
 namespace skylark {
 
@@ -25,4 +26,8 @@
   }
 };
 
+/// Returns all requirements that the worker meets: each combination of one of
+/// its services, or any, with one of its labels, or none.
+auto requirementsMetBy(const Hello &Worker) -> std::vector<WorkerRequirement>;
+
 } // namespace skylark
--- a/test/correctness/FleetTest.cpp
+++ b/test/correctness/FleetTest.cpp
@@ -248,9 +248,10 @@
 }
 
 /// A step whose label no worker has.
-auto undoableStep(std::uint32_t Tasks) -> StepDeclaration {
+auto undoableStep(std::uint32_t Tasks, const std::string &Label = "absent")
+    -> StepDeclaration {
   auto Step = unlabelledStep(Tasks);
-  Step.RequiredLabel_ = "absent";
+  Step.RequiredLabel_ = Label;
   return Step;
 }
 
@@ -279,6 +280,28 @@
   BOOST_TEST((Fixture.state("short") == JobState::Completed));
 }
 
+// Each of the jobs used up a failed placement, so that the one behind them
+// waited for many passes.
+BOOST_AUTO_TEST_CASE(AJobIsBoundBehindManyThatAskForLabelsOfTheirOwn) {
+  FleetFixture Fixture(4);
+  for (int Job = 0; Job < 4100; ++Job) {
+    const auto Name = "undoable-" + std::to_string(Job);
+    auto Step = undoableStep(1, Name);
+    // Comes before short jobs, however late it is.
+    Step.LongRunning_ = true;
+    Fixture.submit(Name, Step);
+    if (Job % 100 == 0)
+      Fixture.advance(Millis{200});
+  }
+  Fixture.advance(Millis{4000});
+  for (int Job = 0; Job < 4; ++Job) {
+    const auto Name = "short-" + std::to_string(Job);
+    Fixture.submitShort(Name, 4);
+    Fixture.advance(Millis{3000} + ShortRunTime);
+    BOOST_TEST((Fixture.state(Name) == JobState::Completed), Name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AJobIsBoundBesideAServiceWithoutWorkers) {
   FleetFixture Fixture(4);
   Fixture.submitOrphan("waiting", unlabelledStep(1));
