Keep room for short tasks only on workers that may run them

What callers saw: a long-running task that needs nearly all of a worker waited for 4 s beside idle workers of its service, while short tasks of another service were waiting or running.

Cause: recordShortDemand() added the short tasks of all services, also of those without workers, and each worker of the fleet kept an equal share of them free (a tenth of its processors at most) until LongRunningPlacementTimeout.

Change: core/ShortTaskHeadroom keeps the demand by service. A worker keeps its share for the services that it serves; the limit of a tenth holds for their sum. With one service nothing changes.

Evidence: Fleet/ALongRunningTaskLeavesNoRoomForAServiceWithoutWorkers and Fleet/ALongRunningTaskLeavesNoRoomForTheTasksOfOtherWorkers failed before (0 of 1 task ran after 1 s) and pass.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -1010,8 +1010,7 @@
   const auto &Status = Job.task(Task);
   PlacementCandidate Place;
   Place.Capacity_ = Candidate.Capacity_;
-  Place.HeadroomMilliCores_ = ShortDemand_.headroomAt(
-      Place.Capacity_.MilliCores_, Context_.Targets_.size());
+  Place.HeadroomMilliCores_ = Headroom_.at(Candidate, Context_.Targets_);
   Place.Rack_ = Candidate.Hello_.Rack_;
   // Tasks of other shards are visible only in the free resources that the agent
   // reports. If there is no other shard, this owner's own account is complete
@@ -1345,11 +1344,12 @@
   auto MilliCores = Usage_.shortTaskMilliCores();
   for (const auto &Ranked : Waiting) {
     const auto &Task = Ranked.Rank_.Task_;
-    const auto &Step = state().findJob(Task.Job_)->stepOf(Task);
+    const auto &Job = *state().findJob(Task.Job_);
+    const auto &Step = Job.stepOf(Task);
     if (isShortTask(Step))
-      MilliCores += Step.Resources_.MilliCores_;
+      MilliCores[Job.Declaration_.Service_] += Step.Resources_.MilliCores_;
   }
-  ShortDemand_.record(Now.Steady_, MilliCores);
+  Headroom_.record(Now.Steady_, MilliCores);
 }
 
 auto ShardOwner::countTrials(Moment Now,
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -16,7 +16,7 @@
 #include "core/RefusalPause.h"
 #include "core/RequestDispatcher.h"
 #include "core/ShardUsage.h"
-#include "core/ShortTaskDemand.h"
+#include "core/ShortTaskHeadroom.h"
 #include "core/StopSchedule.h"
 #include "core/TrialBudget.h"
 #include "core/WaitingCallers.h"
@@ -555,7 +555,7 @@
   std::set<WorkerKey> Returned_;
   JobWaits Waits_;
   MeanWork MeanWork_;
-  ShortTaskDemand ShortDemand_;
+  ShortTaskHeadroom Headroom_;
   std::map<IdempotencyKey, PendingClaim> PendingClaims_;
   /// Keys whose callers were answered "not run" while the claim was being
   /// written.
--- a/core/ShardUsage.cpp
+++ b/core/ShardUsage.cpp
@@ -41,7 +41,8 @@
   Held.Image_ = Step.Image_;
   Held.ShortTask_ = isShortTask(Step);
   if (Held.ShortTask_)
-    ShortTaskMilliCores_ += Held.Allocated_.MilliCores_;
+    ShortTaskMilliCores_[Job.Declaration_.Service_] +=
+        Held.Allocated_.MilliCores_;
   PerTeam_[Job.Declaration_.Team_] += Held.Allocated_;
   auto &Usage = PerWorker_[Agent];
   Usage.Allocated_ += Held.Allocated_;
@@ -65,7 +66,8 @@
   const auto Held = Found->second;
   HeldTasks_.erase(Found);
   if (Held.ShortTask_)
-    ShortTaskMilliCores_ -= Held.Allocated_.MilliCores_;
+    ShortTaskMilliCores_[Job.Declaration_.Service_] -=
+        Held.Allocated_.MilliCores_;
   PerTeam_[Job.Declaration_.Team_] -= Held.Allocated_;
   auto &Usage = PerWorker_[Held.Agent_];
   Usage.Allocated_ -= Held.Allocated_;
--- a/core/ShardUsage.h
+++ b/core/ShardUsage.h
@@ -58,8 +58,9 @@
   auto ofTeam(const TeamName &Team) const -> Resources;
   /// Whether `Task` is, or would be, the only accounted task of its job.
   auto isOnlyTaskOfJob(const TaskId &Task) const -> bool;
-  /// Processors, in thousandths, that short tasks reserve.
-  auto shortTaskMilliCores() const -> std::int64_t {
+  /// Processors, in thousandths, that short tasks reserve, by service.
+  auto shortTaskMilliCores() const
+      -> const std::map<ServiceName, std::int64_t> & {
     return ShortTaskMilliCores_;
   }
 
@@ -77,7 +78,7 @@
   std::map<TaskId, HeldTask> HeldTasks_;
   std::map<AgentId, WorkerUsage> PerWorker_;
   std::map<TeamName, Resources> PerTeam_;
-  std::int64_t ShortTaskMilliCores_ = 0;
+  std::map<ServiceName, std::int64_t> ShortTaskMilliCores_;
 };
 
 } // namespace skylark
--- a/core/ShortTaskDemand.cpp
+++ b/core/ShortTaskDemand.cpp
@@ -25,8 +25,12 @@
                                  std::size_t Workers) const -> std::int64_t {
   const auto Share =
       Peak_ / static_cast<double>(std::max<std::size_t>(Workers, 1));
-  return static_cast<std::int64_t>(
-      std::min(Share, MaxHeadroomShare * static_cast<double>(Capacity)));
+  return std::min(static_cast<std::int64_t>(Share), maxHeadroomAt(Capacity));
+}
+
+auto ShortTaskDemand::maxHeadroomAt(std::int64_t Capacity) -> std::int64_t {
+  return static_cast<std::int64_t>(MaxHeadroomShare *
+                                   static_cast<double>(Capacity));
 }
 
 } // namespace skylark
--- a/core/ShortTaskDemand.h
+++ b/core/ShortTaskDemand.h
@@ -23,6 +23,9 @@
   auto headroomAt(std::int64_t Capacity, std::size_t Workers) const
       -> std::int64_t;
 
+  /// The most processors, in thousandths, that a worker keeps free.
+  static auto maxHeadroomAt(std::int64_t Capacity) -> std::int64_t;
+
 private:
   /// In thousandths of a processor.
   double Peak_ = 0;
--- a/test/correctness/FleetTest.cpp
+++ b/test/correctness/FleetTest.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <numeric>
 
 using namespace skylark;
@@ -351,4 +352,43 @@
   BOOST_TEST((Fixture.state("short") == JobState::Completed));
 }
 
+namespace {
+
+/// Submits a task that needs nearly all of a worker, beside short tasks of
+/// another service; returns how many such tasks run 1 s later.
+auto countLargeTasks(FleetFixture &Fixture,
+                     const std::function<void(StepDeclaration)> &SubmitOther)
+    -> std::size_t {
+  StepDeclaration Short;
+  Short.TaskCount_ = 200;
+  Short.Resources_ = {1800, 1000, 0};
+  SubmitOther(Short);
+  Fixture.advance(Millis{500});
+  StepDeclaration Large;
+  Large.LongRunning_ = true;
+  Large.Resources_ = {WorkerMilliCores - 1000, 100, 0};
+  Fixture.submit("large", Large);
+  Fixture.advance(Millis{1000});
+  return Fixture.servingTasks();
+}
+
+} // namespace
+
+// Every worker kept processors free for the short tasks of all services, and a
+// task that needed them waited for 4 s.
+BOOST_AUTO_TEST_CASE(ALongRunningTaskLeavesNoRoomForAServiceWithoutWorkers) {
+  FleetFixture Fixture(4);
+  const auto Count = countLargeTasks(Fixture, [&](const auto &Step) {
+    Fixture.submitOrphan("waiting", Step);
+  });
+  BOOST_TEST(Count == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ALongRunningTaskLeavesNoRoomForTheTasksOfOtherWorkers) {
+  FleetFixture Fixture(4, 2);
+  const auto Count = countLargeTasks(
+      Fixture, [&](const auto &Step) { Fixture.submitOther("waiting", Step); });
+  BOOST_TEST(Count == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
