Compare only workers with room when a task is placed

What callers saw: on a large fleet with few workers that had room, a large task waited for several passes until one of them was among the 24 workers that a search considers.

Cause: the limit of 24 counted every worker that may host the task.

Change: workers without room are passed over, up to 400 of them, and don't count towards the 24. A search that has seen all workers is no sample any more, so that its failure stands for more tasks.

--- a/core/ShardOwner.cpp
+++ b/core/ShardOwner.cpp
@@ -31,8 +31,10 @@
 /// earlier passes have tried behind this limit, and further failed placements
 /// after which it ends.
 constexpr int MaxFailedPlacements = 48;
-/// Maximum number of workers considered for one task.
+/// Maximum number of workers with room that are compared for one task.
 constexpr std::size_t MaxCandidates = 24;
+/// Maximum number of workers without room that are passed over in the search.
+constexpr std::size_t MaxFullWorkers = 400;
 constexpr std::uint32_t MaxTasksQueuedAtAgent = 4;
 constexpr Millis ResendInterval{2000};
 /// Maximum number of stops sent at a time, so that a large job can't delay
@@ -1004,6 +1006,17 @@
   }
 }
 
+auto ShardOwner::freeOn(const Target &Worker) const -> Resources {
+  // Tasks of other shards are visible only in the free resources that the agent
+  // reports. If there is no other shard, this owner's own account is complete
+  // and, unlike the reports, not delayed.
+  if (!Context_.OnlyShard_)
+    return Worker.free();
+  const auto *Usage = Usage_.at(Worker.agent());
+  return Usage == nullptr ? Worker.Capacity_
+                          : Worker.Capacity_ - Usage->Allocated_;
+}
+
 auto ShardOwner::candidateView(Moment Now, const Target &Candidate,
                                const Job &Job, const TaskId &Task) const
     -> PlacementCandidate {
@@ -1012,10 +1025,7 @@
   Place.Capacity_ = Candidate.Capacity_;
   Place.HeadroomMilliCores_ = Headroom_.at(Candidate, Context_.Targets_);
   Place.Rack_ = Candidate.Hello_.Rack_;
-  // Tasks of other shards are visible only in the free resources that the agent
-  // reports. If there is no other shard, this owner's own account is complete
-  // and, unlike the reports, not delayed.
-  Place.Free_ = Context_.OnlyShard_ ? Place.Capacity_ : Candidate.free();
+  Place.Free_ = freeOn(Candidate);
   Place.FailedHere_ =
       Status.Failures_ > 0 && Status.Agent_ == Candidate.agent();
   const auto *Usage = Usage_.at(Candidate.agent());
@@ -1024,8 +1034,6 @@
   if (isSuspect(Status))
     for (const auto &Each : Usage->TasksOfStep_)
       Place.TasksAtRisk_ += Each.second;
-  if (Context_.OnlyShard_)
-    Place.Free_ -= Usage->Allocated_;
   Place.BestEffortMilliCores_ = Usage->BestEffortMilliCores_;
   Place.ServingMilliCores_ = Usage->ServingMilliCores_;
   const auto FoundStep = Usage->TasksOfStep_.find(stepKeyOf(Task));
@@ -1101,8 +1109,12 @@
   std::vector<Target *> Candidates;
   const auto FirstIndex =
       std::uniform_int_distribution<std::size_t>(0, All.size() - 1)(Generator);
-  for (std::size_t Offset = 0;
-       Offset < All.size() && Candidates.size() < MaxCandidates; ++Offset) {
+  std::size_t FullWorkers = 0;
+  const auto IsSampleFull = [&] {
+    return Candidates.size() == MaxCandidates || FullWorkers == MaxFullWorkers;
+  };
+  for (std::size_t Offset = 0; Offset < All.size() && !IsSampleFull();
+       ++Offset) {
     auto *Each = All[(FirstIndex + Offset) % All.size()];
     if (!mayHost(Now, *Each, Job, Step) ||
         !standsFor(Now, *Each, Job, Task, LastResort) ||
@@ -1112,6 +1124,10 @@
     sendOwnershipClaim(Now, *Each, Out);
     if (Each->GrantedShards_.count(Shard_) == 0)
       continue;
+    if (!freeOn(*Each).holds(Step.reserved())) {
+      ++FullWorkers;
+      continue;
+    }
     Places.push_back(candidateView(Now, *Each, Job, Task));
     Places.back().AcceptsAnyWorker_ = AcceptsAny;
     Candidates.push_back(Each);
@@ -1119,15 +1135,15 @@
   const auto Chosen = choosePlacement(Step, Places);
   if (Chosen < Candidates.size())
     return Candidates[Chosen];
-  if (!Places.empty()) {
+  if (!Places.empty() || FullWorkers > 0) {
     Failure.Reason_ = TaskWait::Room;
     Failure.HasCandidate_ = true;
   }
-  if (Candidates.size() == MaxCandidates)
+  if (IsSampleFull())
     Failure.IsSample_ = true;
+  if (!Places.empty())
+    Failure.HasRoom_ = true;
   for (auto &Each : Places) {
-    if (Each.Free_.holds(Step.reserved()))
-      Failure.HasRoom_ = true;
     Each.AcceptsAnyWorker_ = true;
     if (hasUnusedProcessors(Step, Each) && canPlace(Step, Each))
       Failure.Reason_ = TaskWait::Interference;
--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -383,6 +383,8 @@
   auto chooseStanding(Moment Now, const Job &Job, const TaskId &Task,
                       bool LastResort, Random &Generator,
                       PlacementFailure &Failure, EntryOutbox &Out) -> Target *;
+  /// Resources of the worker that no task reserves.
+  auto freeOn(const Target &Worker) const -> Resources;
   /// Returns the properties of one candidate on which the choice of a worker
   /// depends.
   auto candidateView(Moment Now, const Target &Candidate, const Job &Job,
--- a/test/correctness/FleetTest.cpp
+++ b/test/correctness/FleetTest.cpp
@@ -391,4 +391,22 @@
   BOOST_TEST(Count == 1U);
 }
 
+// Each of the two workers may be ejected; the fleet has many others.
+BOOST_AUTO_TEST_CASE(ASmallServiceWorksSoonAfterAllItsWorkersHaveFailed) {
+  FleetFixture Fixture(8, 2);
+  Fixture.FailingWorkers_ = {8, 9};
+  StepDeclaration Step;
+  Step.TaskCount_ = 6;
+  Step.Resources_ = {1800, 1000, 0};
+  Step.RunTime_ = ShortRunTime;
+  for (int Job = 0; Job < 8; ++Job) {
+    Fixture.submitOther("victim-" + std::to_string(Job), Step);
+    Fixture.advance(Millis{1000});
+  }
+  Fixture.FailingWorkers_.clear();
+  Fixture.submitOther("later", Step);
+  Fixture.advance(Millis{3000} + ShortRunTime);
+  BOOST_TEST((Fixture.stateAt("/others/later") == JobState::Completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
