--- a/core/ShardOwner.h
+++ b/core/ShardOwner.h
@@ -15,6 +15,7 @@
 #include "core/PlacementFailures.h"
 #include "core/RefusalPause.h"
 #include "core/RequestDispatcher.h"
+#include "core/RunGrants.h"
 #include "core/ShardUsage.h"
 #include "core/ShortTaskHeadroom.h"
 #include "core/StopSchedule.h"
@@ -26,21 +27,6 @@
 
 namespace skylark {
 
-/// Records until when this entry's grants allow each worker to run tasks.
-class RunGrants {
-public:
-  /// Extends a worker's grant; never shortens it.
-  auto extend(const WorkerKey &Worker, TimePoint Expiry) -> void;
-  /// Returns when the worker's grant expires; the clock's epoch if the worker
-  /// has none.
-  auto expiryOf(const WorkerKey &Worker) const -> TimePoint;
-  /// Removes the grants that expired before `Before`.
-  auto prune(TimePoint Before) -> void;
-
-private:
-  std::map<WorkerKey, TimePoint> Expiry_;
-};
-
 /// The parts of the entry that a shard owner uses.
 struct ShardContext {
   TargetTable &Targets_;
