Judge late calls across lives of a worker by what follows from them

Cause of the change: a run ended with the first call that a life carried out though it was sent to the one before, if that call had a deadline or a number of ends. The users' protocol allows this ("It may also be executed seconds later"; a worker that is back under its id takes such calls), and no client can take a call back that is on its way. So the check could not be met, and it hid what such calls lead to.

Change: a stray call takes full effect. Its deadline lifts the lease, and its number also counts for ends that come later. Calls within one life are checked as before.

--- a/test/fuzz/VirtualWorker.h
+++ b/test/fuzz/VirtualWorker.h
@@ -41,6 +41,10 @@
   /// that waits; never if the worker crashes before.
   auto carryOut(const std::string &Path, const Json &Call,
                 const Responder &Respond) -> void;
+  /// Does what a call orders that was sent to a former life and had no answer.
+  /// No client can take such a call back, so neither its deadline nor its
+  /// number of ends is a violation; what follows from them may be one.
+  auto carryOutStray(const std::string &Path, const Json &Call) -> void;
   /// Ends the runs that are over by now and answers the polls that are due.
   auto advance() -> void;
   /// Composes the next heartbeat.
@@ -77,6 +81,8 @@
   /// \returns why the order is rejected; empty if it isn't.
   auto startRun(const Json &Order) -> std::string;
   auto stopRun(const Json &Order) -> void;
+  /// Forgets the ends up to a number.
+  auto forget(std::uint64_t Through) -> void;
   auto hold(const Json &Poll, const Responder &Respond) -> void;
   auto extendLease(const Json &Call) -> void;
   auto list() -> Json;
@@ -101,6 +107,10 @@
   std::set<std::pair<std::string, std::uint64_t>> Done_;
   std::vector<End> Ended_;
   std::uint64_t LastEnd_ = 0;
+  /// Whether the call that is being carried out was sent to a former life.
+  bool IsStray_ = false;
+  /// Up to which end this life was told to forget by such calls.
+  std::uint64_t StrayThrough_ = 0;
   /// The highest number of an end that an answer of this life has listed.
   std::uint64_t ListedThrough_ = 0;
   std::vector<OpenPoll> OpenPolls_;
