Bound what late orders do to the next life of a worker

Cause: an order without an answer may be carried out by the next life, before the first probe with the raised token. A deadline of the earlier clock then lifts the lease of that life, so that the worker doesn't kill a task when its own lease ends; the agent's stop came at that moment and took up to stop_timeout_ms. And a task that a late start had begun was adopted by the agent.

Change: on a life that began under the agent, all that the first list shows as running is stopped before the agent states the life to an owner. For as long as a lease from before may be in effect (the longest lease after the first list), a task is stopped the longest stop time before its lease ends.

Why it works: an owner binds a task again when it learns of the new life, or when the grant has ended; by then the earlier run has ended in both cases.

--- a/agent/AgentProcess.cpp
+++ b/agent/AgentProcess.cpp
@@ -290,7 +290,9 @@
     const auto OpenSessions = AddressBySession_;
     for (const auto &Each : OpenSessions)
       dropAndReconnect(Each.first);
-    Core_.emplace(identity());
+    auto Identity = identity();
+    Identity.WorkerStartedAnew_ = true;
+    Core_.emplace(std::move(Identity));
   }
 
   auto perform(const ExitProcess & /*Exit*/) -> void {
--- a/core/AgentCore.cpp
+++ b/core/AgentCore.cpp
@@ -230,6 +230,28 @@
   Out.push_back(RestartAgent{});
 }
 
+auto AgentCore::stopStrayTasks(Moment Now, const WorkerInventory &Inventory,
+                               AgentOutbox &Out) -> bool {
+  if (!Identity_.WorkerStartedAnew_)
+    return false;
+  auto Found = false;
+  for (const auto &Each : Inventory.Tasks_) {
+    if (isEnded(Each.Phase_))
+      continue;
+    Found = true;
+    const auto &Bind = Each.Bind_;
+    Out.push_back(LogDecision{"stray-task-stopped", Bind.Task_.text(), 0,
+                              ErrorKind::StaleIncarnation,
+                              "attempt " + std::to_string(Bind.Attempt_) +
+                                  " was ordered for an earlier life"});
+    Out.push_back(StopOnWorker{Bind.Task_, Bind.Attempt_});
+  }
+  if (Found)
+    NextPoll_ =
+        std::min(NextPoll_, Now.Steady_ + UnacknowledgedEndPollInterval);
+  return Found;
+}
+
 auto AgentCore::inventoryReceived(Moment Now, const WorkerInventory &Inventory,
                                   AgentOutbox &Out) -> void {
   if (!Inventory.Complete_ && isMutationActive(Mutation::TakeListForWhole)) {
@@ -243,11 +265,14 @@
     return;
   }
   if (!InventoryReceived_) {
-    Tasks_.adopt(Now.Steady_,
-                 isMutationActive(Mutation::ForgetRunningTasks)
-                     ? WorkerInventory{Inventory.Worker_, Inventory.Clock_, {}}
-                     : Inventory,
-                 Now.Steady_ + Identity_.LongestLease_);
+    if (stopStrayTasks(Now, Inventory, Out))
+      return;
+    Tasks_.adopt(
+        Now.Steady_,
+        isMutationActive(Mutation::ForgetRunningTasks)
+            ? WorkerInventory{Inventory.Worker_, Inventory.Clock_, {}}
+            : Inventory,
+        {Now.Steady_ + Identity_.LongestLease_, Identity_.LongestStop_});
     InventoryReceived_ = true;
     becomeReady(Out);
   }
--- a/core/AgentCore.h
+++ b/core/AgentCore.h
@@ -23,6 +23,11 @@
   bool WorkerAnnounces_ = false;
   /// Longest lease that the worker accepts.
   Millis LongestLease_{60000};
+  /// Longest time that the worker takes to stop a task.
+  Millis LongestStop_{0};
+  /// Whether the worker's present life began under this process, so that all
+  /// that runs on it before the agent is ready was ordered for an earlier one.
+  bool WorkerStartedAnew_ = false;
 };
 
 /// The agent as a deterministic state machine: inputs are the public member
@@ -91,6 +96,10 @@
   /// sent late, by an earlier incarnation with the same id.
   auto workerDeregistered(Moment Now, AgentOutbox &Out) -> void;
   auto becomeReady(AgentOutbox &Out) -> void;
+  /// Stops the tasks that late orders for an earlier life of the worker have
+  /// started. \returns whether there are any.
+  auto stopStrayTasks(Moment Now, const WorkerInventory &Inventory,
+                      AgentOutbox &Out) -> bool;
   /// Whether the worker has been replaced, while the agent kept running, by the
   /// incarnation that a list or an announcement names. The agent must not state
   /// what one incarnation has announced of another that has listed its tasks.
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -22,6 +22,8 @@
 constexpr Millis StopSettledPeriod{2000};
 /// A worker that can't be connected to fails each start command at once.
 constexpr Millis StartRepeatInterval{50};
+/// Time within which a stop that is due is ordered and reaches the worker.
+constexpr Millis StopOrderDelay{150};
 
 /// A number that is higher than those of all earlier fences of the process.
 auto fenceAt(TimePoint Now) -> std::uint64_t {
@@ -75,7 +77,8 @@
 }
 
 auto TaskManager::adopt(TimePoint Now, const WorkerInventory &Inventory,
-                        TimePoint LeasesUntil) -> void {
+                        const EarlierLeases &Earlier) -> void {
+  Earlier_ = Earlier;
   Worker_ = Inventory.Worker_;
   MoreEnds_ = Inventory.MoreEnds_;
   ListIsWhole_ = Inventory.Complete_ && !Inventory.MoreEnds_;
@@ -86,7 +89,7 @@
   for (const auto &Task : Inventory.Tasks_) {
     adoptTask(Task);
     if (!isEnded(Task.Phase_))
-      recordLease(Now, LeasesUntil);
+      recordLease(Now, Earlier.Until_);
   }
 }
 
@@ -742,10 +745,15 @@
   Out.push_back(ForgetOnWorker{Ack.Task_, Ack.Attempt_});
 }
 
-auto TaskManager::hasExpired(const HeldTask &Held, TimePoint Now) -> bool {
+auto TaskManager::hasExpired(const HeldTask &Held, TimePoint Now) const
+    -> bool {
   // The lease of an adopted task is unknown until its owner grants one.
   const auto Granted = Held.LeaseUntil_ != TimePoint{};
-  return Held.LeaseUntil_ <= Now &&
+  const auto MustStop =
+      Now < Earlier_.Until_ && Earlier_.LongestStop_ > Millis{0};
+  const auto StopTime =
+      MustStop ? StopOrderDelay + Earlier_.LongestStop_ : Millis{0};
+  return Held.LeaseUntil_ <= Now + StopTime &&
          (Granted || Held.Phase_ == TaskPhase::Queued);
 }
 
--- a/core/TaskManager.h
+++ b/core/TaskManager.h
@@ -19,11 +19,20 @@
 public:
   explicit TaskManager(const Resources &Capacity) : Ledger_(Capacity) {}
 
+  /// Leases that others may have given to the worker before the agent took it
+  /// over, or that were meant for an earlier life of it.
+  struct EarlierLeases {
+    /// When all of them have expired.
+    TimePoint Until_{};
+    /// The longest time that a stop takes. As long as such a lease may be in
+    /// effect, the worker doesn't stop a task by itself when the task's own
+    /// lease expires.
+    Millis LongestStop_{0};
+  };
+
   /// Adopts the tasks that are on the worker when the agent process starts.
-  /// \param LeasesUntil when all leases that the worker got before have
-  /// expired.
   auto adopt(TimePoint Now, const WorkerInventory &Inventory,
-             TimePoint LeasesUntil) -> void;
+             const EarlierLeases &Earlier) -> void;
   /// Updates the tasks from the worker's inventory.
   /// \returns whether the inventory shows tasks that have newly ended.
   auto update(TimePoint Now, const WorkerInventory &Inventory, AgentOutbox &Out)
@@ -256,7 +265,9 @@
       -> void;
   /// Ends a queued task, and commands the worker to stop any other.
   auto stopHeld(HeldTask &Held, ErrorKind Reason, AgentOutbox &Out) -> void;
-  static auto hasExpired(const HeldTask &Held, TimePoint Now) -> bool;
+  /// Whether the task's lease has expired, or expires so soon that the task
+  /// has to be stopped now in order to end in time.
+  auto hasExpired(const HeldTask &Held, TimePoint Now) const -> bool;
   /// Until when the task may run under its owner's grants.
   auto runUntil(const HeldTask &Held, const StartPermits &Permits) const
       -> TimePoint;
@@ -285,6 +296,7 @@
   /// Includes a lease that is given to the worker in latestLeaseEnd().
   auto recordLease(TimePoint Now, TimePoint Until) -> void;
 
+  EarlierLeases Earlier_;
   TimePoint LatestLeaseEnd_{};
   Incarnation Worker_ = 0;
   /// The fence of the next poll.
--- a/test/fuzz/LivesAgent.cpp
+++ b/test/fuzz/LivesAgent.cpp
@@ -34,6 +34,7 @@
   Identity.Agent_ = {"agent"};
   Identity.DataCentre_ = {"hobart"};
   Identity.LongestLease_ = Seconds{10};
+  Identity.LongestStop_ = Millis{150};
   Identity.WorkerAnnounces_ = true;
   return Identity;
 }
@@ -155,7 +156,9 @@
 }
 
 auto LivesAgent::execute(const RestartAgent & /*Restart*/) -> void {
-  Core_.emplace(identity());
+  auto Identity = identity();
+  Identity.WorkerStartedAnew_ = true;
+  Core_.emplace(std::move(Identity));
   Session_ = 0;
   Time_.after(ReconnectDelay, [this] { openSession(); });
 }
--- a/test/process/AgentPair.h
+++ b/test/process/AgentPair.h
@@ -114,7 +114,9 @@
   auto execute(const PollWorker &Poll) -> void { Client_.execute(Poll); }
   auto execute(const RestartAgent & /*Restart*/) -> void {
     asio::post(Context_, [this] {
-      Core_.emplace(identity());
+      auto Identity = identity();
+      Identity.WorkerStartedAnew_ = true;
+      Core_.emplace(std::move(Identity));
       run([&](AgentOutbox &Out) {
         Core_->openSession(currentMoment(), OwnerSession, Out);
       });
