Give each service a retry budget of its own

What callers saw: once the only target of one service had refused 20 requests, requests of all other services ended with their first refusal, although another target was free.

Cause: an entry had one RetryBudget for all services, and spend() came before the search for another target.

Change: a budget for each service; a retry is taken only if another target was found.

Evidence: RetryBudgets/AServiceWithoutAnotherTargetUsesUpNoRetries and RetryBudgets/AServiceDoesNotUseUpTheRetriesOfAnother failed before and pass; RetryBudgets/RetriesAreLimited (20 retries of 100 requests) passes on both.

--- a/core/RequestDispatcher.cpp
+++ b/core/RequestDispatcher.cpp
@@ -46,7 +46,6 @@
       Routing_(makeRoutingPolicy(Options_.RoutingPolicy_)) {
   SKYLARK_ASSERT(Routing_ != nullptr,
                  "no such routing policy:", Options_.RoutingPolicy_);
-  Budget_.setUnlimited(Options_.UnlimitedRetries_);
 }
 
 auto RequestDispatcher::newRequestId() -> RequestId {
@@ -191,7 +190,8 @@
   recordEvent(Now, Pending, Error == ErrorKind::None ? "answered" : "refused",
               AttemptTarget, Error);
   if (Error == ErrorKind::None) {
-    Budget_.earn(View_.Configuration_.Document_.Policy_.RetryPercent_);
+    budgetOf(Pending).earn(
+        View_.Configuration_.Document_.Policy_.RetryPercent_);
     cancelAndEnd(Now, Pending, Error, Answer, Out);
     return;
   }
@@ -210,16 +210,31 @@
   retry(Now, Pending, Reason, Error, Generator, Out);
 }
 
+auto RequestDispatcher::budgetOf(const Request &Pending) -> RetryBudget & {
+  auto &Budget = Budgets_[Pending.Quick_.Service_];
+  Budget.setUnlimited(Options_.UnlimitedRetries_);
+  return Budget;
+}
+
+auto RequestDispatcher::sendAgain(Moment Now, Request &Pending,
+                                  RetryReason Reason, Random &Generator,
+                                  EntryOutbox &Out) -> bool {
+  auto &Budget = budgetOf(Pending);
+  // A request that finds no other target costs nothing.
+  if (!Budget.canSpend() || !dispatch(Now, Pending, Generator, Out))
+    return false;
+  Budget.spend();
+  View_.Counters_.countRetry(Reason);
+  return true;
+}
+
 auto RequestDispatcher::retry(Moment Now, Request &Pending, RetryReason Reason,
                               ErrorKind Error, Random &Generator,
                               EntryOutbox &Out) -> void {
   const auto InTime = Now.Steady_ < Pending.Deadline_;
-  const auto Affordable = InTime && Budget_.spend();
-  if (InTime && !Affordable)
+  if (InTime && !budgetOf(Pending).canSpend())
     View_.Counters_.countRetry(RetryReason::BudgetSpent);
-  if (Affordable && dispatch(Now, Pending, Generator, Out))
-    View_.Counters_.countRetry(Reason);
-  else
+  if (!InTime || !sendAgain(Now, Pending, Reason, Generator, Out))
     cancelAndEnd(Now, Pending, Error, emptyAnswer(), Out);
 }
 
@@ -320,8 +335,8 @@
     }
     const auto HedgeDue =
         Pending.Attempts_.size() == 1 && Pending.HedgeAt_ <= Now.Steady_;
-    if (HedgeDue && Budget_.spend() && dispatch(Now, Pending, Generator, Out))
-      View_.Counters_.countRetry(RetryReason::Hedge);
+    if (HedgeDue)
+      sendAgain(Now, Pending, RetryReason::Hedge, Generator, Out);
   }
 }
 
--- a/core/RequestDispatcher.h
+++ b/core/RequestDispatcher.h
@@ -92,6 +92,11 @@
   /// \returns false if no target is eligible.
   auto dispatch(Moment Now, Request &Pending, Random &Generator,
                 EntryOutbox &Out) -> bool;
+  auto budgetOf(const Request &Pending) -> RetryBudget &;
+  /// Sends the request to another target, if there is one and the budget allows
+  /// it. \returns whether it was sent.
+  auto sendAgain(Moment Now, Request &Pending, RetryReason Reason,
+                 Random &Generator, EntryOutbox &Out) -> bool;
   auto retry(Moment Now, Request &Pending, RetryReason Reason, ErrorKind Error,
              Random &Generator, EntryOutbox &Out) -> void;
   /// Cancels the remaining attempts, then ends the request.
@@ -117,7 +122,9 @@
   DispatcherOptions Options_;
   DispatcherView View_;
   std::unique_ptr<RoutingPolicy> Routing_;
-  RetryBudget Budget_;
+  /// One for each service, so that one whose targets refuse everything doesn't
+  /// use up the retries of others.
+  std::unordered_map<ServiceName, RetryBudget> Budgets_;
   std::uint64_t NextRequest_ = 0;
   std::unordered_map<RequestId, Request> Requests_;
   std::unordered_map<SessionNumber, std::set<RequestId>> RequestsBySession_;
--- a/core/RetryBudget.h
+++ b/core/RetryBudget.h
@@ -15,14 +15,11 @@
   auto earn(std::uint32_t Percent) -> void {
     Balance_ = std::min(Balance_ + Percent, MaxBalance);
   }
-  /// Takes one retry from the budget; returns false if there is none.
-  auto spend() -> bool {
-    if (Unlimited_)
-      return true;
-    if (Balance_ < RetryCost)
-      return false;
-    Balance_ -= RetryCost;
-    return true;
+  auto canSpend() const -> bool { return Unlimited_ || Balance_ >= RetryCost; }
+  /// Takes one retry from the budget, which must hold one.
+  auto spend() -> void {
+    if (!Unlimited_)
+      Balance_ -= RetryCost;
   }
   /// Disables the limit, to measure a baseline without it.
   auto setUnlimited(bool Value) -> void { Unlimited_ = Value; }
