Read the longest stop time from the worker's options

What callers saw: nothing; soak-processes ended at its start ("key 'stop_timeout_ms' not found") since.

Cause: the agent's template named a bound that stand-ins of the platform don't fill in, those under review/ among them, which stay as they are.

Change: the template passes all bounds on as the worker's options, as the entry's does with the store's, and platform/ reads the one that it needs; without it no task is stopped early. A task is stopped 2 s before its lease ends at most, whatever the bound says. The soak's site states the bound.

--- a/agent/AgentProcess.cpp
+++ b/agent/AgentProcess.cpp
@@ -30,6 +30,7 @@
 public:
   AgentProcess(const Settings &Settings, const AgentProtocols &Protocols)
       : Settings_(Settings), Incarnation_(newIncarnation()),
+        LongestStop_(Protocols.LongestStop_(Settings)),
         Core_(std::in_place, identity()), Http_(Threads_.traffic()),
         Worker_(Protocols.MakeWorker_(Threads_.traffic(), Http_, Settings,
                                       Incarnation_, workerHandlers())) {
@@ -69,6 +70,7 @@
   auto identity() const -> AgentIdentity {
     auto Identity = Settings_.Agent_;
     Identity.Incarnation_ = Incarnation_;
+    Identity.LongestStop_ = LongestStop_;
     return Identity;
   }
 
@@ -303,6 +305,7 @@
 
   Settings Settings_;
   Incarnation Incarnation_;
+  Millis LongestStop_;
   ProcessThreads Threads_;
   // Used on the control thread only.
   std::optional<AgentCore> Core_;
--- a/agent/AgentProcess.h
+++ b/agent/AgentProcess.h
@@ -17,6 +17,8 @@
                                              const Settings &, Incarnation,
                                              WorkerLinkHandlers);
   std::unique_ptr<StoreTransport> (*MakeStore_)(HttpClient &, const Settings &);
+  /// The longest time that the worker takes to stop a task; 0 if unknown.
+  Millis (*LongestStop_)(const Settings &);
 };
 
 /// Runs an agent until it has shut down. Returns the exit status of the
--- a/command/NativeProtocols.cpp
+++ b/command/NativeProtocols.cpp
@@ -36,7 +36,8 @@
 }
 
 auto nativeAgentProtocols() -> AgentProtocols {
-  return {makeWorker, makeStore};
+  return {makeWorker, makeStore,
+          [](const Settings & /*Settings*/) { return Millis{0}; }};
 }
 
 } // namespace skylark
--- a/core/TaskManager.cpp
+++ b/core/TaskManager.cpp
@@ -24,6 +24,9 @@
 constexpr Millis StartRepeatInterval{50};
 /// Time within which a stop that is due is ordered and reaches the worker.
 constexpr Millis StopOrderDelay{150};
+/// A task is stopped this much before the end of its lease at most: grants are
+/// renewed twice a second, and a stall of some of them must not stop it.
+constexpr Millis MaxEarlyStop{2000};
 
 /// A number that is higher than those of all earlier fences of the process.
 auto fenceAt(TimePoint Now) -> std::uint64_t {
@@ -752,7 +755,8 @@
   const auto MustStop =
       Now < Earlier_.Until_ && Earlier_.LongestStop_ > Millis{0};
   const auto StopTime =
-      MustStop ? StopOrderDelay + Earlier_.LongestStop_ : Millis{0};
+      MustStop ? std::min(StopOrderDelay + Earlier_.LongestStop_, MaxEarlyStop)
+               : Millis{0};
   return Held.LeaseUntil_ <= Now + StopTime &&
          (Granted || Held.Phase_ == TaskPhase::Queued);
 }
--- a/test/processes/Site.cpp
+++ b/test/processes/Site.cpp
@@ -340,7 +340,10 @@
         {"memory_mb", 260},
         {"max_fds", 4100},
         {"link_mbps", 1000.0}}},
-      {"bounds", {{"grace_s", GracePeriod.count()}, {"max_hold_ms", 10000}}},
+      {"bounds",
+       {{"grace_s", GracePeriod.count()},
+        {"max_hold_ms", 10000},
+        {"stop_timeout_ms", 900}}},
       {"platform",
        {{"address", At(Addresses_.forwarded(StoreOctet), 0)},
         {"writes_per_s", 400}}}};
--- a/wire/Settings.cpp
+++ b/wire/Settings.cpp
@@ -188,10 +188,9 @@
     Root.reportProblem("entries", "one or more addresses of entries");
   Agent.LongestLease_ = Millis{Root.integer("longest_lease_ms", {1000, 600000},
                                             Agent.LongestLease_.count())};
-  Agent.LongestStop_ = Millis{
-      Root.integer("longest_stop_ms", {0, 60000}, Agent.LongestStop_.count())};
   Root.object("worker", true, [&](CheckedObject &Object) {
     Result.Worker_ = readAddress(Object);
+    Result.WorkerOptions_ = Object.objectText("options");
     if (!Agent.WorkerAnnounces_)
       Agent.Capacity_ = Internal::readResources(Object);
   });
--- a/wire/Settings.h
+++ b/wire/Settings.h
@@ -37,6 +37,8 @@
   /// The entries to connect to at start.
   std::vector<Address> Entries_;
   Address Worker_;
+  /// JSON text of the options that are particular to the kind of worker.
+  std::string WorkerOptions_ = "{}";
   Address Target_;
   /// Where the agent listens for announcements of its worker; port 0 where the
   /// worker sends none.
