--- a/test/correctness/WorkerClientTest.cpp
+++ b/test/correctness/WorkerClientTest.cpp
@@ -189,6 +189,26 @@
   BOOST_TEST(Calls_.count() == Answered + 1);
 }
 
+// The raises were limited to 64 s each, so that an agent whose clock had been
+// set back by a day needed 1,400 polls.
+BOOST_FIXTURE_TEST_CASE(AnAgentSoonReachesATokenOfADayAhead, OrderFixture) {
+  constexpr Incarnation Seen = 100 + Incarnation{25} * 3600 * 1000000;
+  int Polls = 0;
+  std::size_t Answered = 0;
+  for (; Polls < 30; ++Answered) {
+    if (Answered == Calls_.count()) {
+      poll(5);
+      ++Polls;
+    }
+    if (Calls_.token(Answered) >= Seen)
+      break;
+    Calls_.answer(Answered, 409, {{"reason", "fence"}});
+  }
+  BOOST_REQUIRE(Polls <= 10);
+  Calls_.answer(Answered, 200, EmptyList);
+  BOOST_TEST(Inventories_.size() == 1U);
+}
+
 // Two agents that use one worker must not call it without a pause.
 BOOST_FIXTURE_TEST_CASE(AWorkerThatAcceptsNoTokenGetsFewPolls, OrderFixture) {
   poll(5);
